--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,853 @@
+//! Every decision of one balancer: routing, evidence, votes, health, time-outs, further tries, shedding
+//! and the guards of the five rules. A host calls [`Balancer::round`] once a tick with all that came in;
+//! the interface, with the settings and both traits, is `src/front.rs`. `docs/design.md` tells what comes
+//! from the design page and what was added.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Scope, Settings, Standing, Verdict, Writer};
+use crate::state::{Fading, Machine, News, Req, Tally, Try};
+use oorandom::Rand64;
+
+const MS: u64 = 1_000;
+const SECOND: u64 = 1_000_000;
+// The design page's test; the figures it marks as its own are starting values.
+const LOOK: u64 = 250 * MS;
+const HORIZON: u64 = 3 * SECOND;
+const SETTLING: u64 = 3 * SECOND;
+const LEAST_OUTCOMES: f64 = 20.0;
+const FAIL_GAP: f64 = 0.03;
+const SLOW_GAP: f64 = 0.15;
+const LEAST_SHARE: f64 = 0.01;
+const ALPHA: f64 = 0.05;
+const BETA: f64 = 0.20;
+const LATE: u64 = 2;
+/// A try is slow when it took this many times what its route usually takes on such a machine.
+const SLOW: f64 = 2.0;
+/// Evidence fades, or a build that turns bad late would hide behind its good start.
+const EVIDENCE_FADE: f64 = 10e6;
+const USUAL_FADE: f64 = 30e6;
+const HEALTH_FADE: f64 = 3e6;
+const RATE_FADE: f64 = 5e6;
+/// The share of a route's objective that an answer should take; the room for tries follows it.
+const EASE: f64 = 0.4;
+const FIRST_ROOM: f64 = 6.0;
+const MOST_ROOM: f64 = 64.0;
+/// Prudent part of what a cold machine can take, left to all fronts together.
+const COLD_PART: f64 = 0.7;
+const PROBE_EVERY: u64 = 400 * MS;
+const SWEEP: u64 = 10 * MS;
+const COPY_SHARE: f64 = 0.08;
+
+/// One side of the test, as read at a look.
+#[derive(Clone, Copy, Default, Debug, PartialEq)]
+pub struct Arm {
+    pub outcomes: f64,
+    pub hits: f64,
+}
+
+impl Arm {
+    fn share(&self) -> f64 {
+        if self.outcomes > 0.0 { self.hits / self.outcomes } else { 0.0 }
+    }
+    /// Floored, or a side without a hit would make any single hit on the other look certain.
+    fn variance(&self) -> f64 {
+        let p = self.share();
+        (p * (1.0 - p)).max(LEAST_SHARE * (1.0 - LEAST_SHARE))
+    }
+}
+
+/// One-sided SPRT-z: the score of `new` against `old`, z with the variances of this look, the drift with
+/// those of the look before, so that what is expected was fixed before the outcomes it judges came in.
+///
+/// ```
+/// use tidescale::decide::{Arm, score};
+/// let (new, old) = (Arm { outcomes: 100.0, hits: 10.0 }, Arm { outcomes: 100.0, hits: 1.0 });
+/// assert!((score(new, old, [0.09, 0.0099], 0.03) - 2.252_252).abs() < 1e-5);
+/// ```
+pub fn score(new: Arm, old: Arm, before: [f64; 2], gap: f64) -> f64 {
+    let root = |v: [f64; 2]| (v[0] / new.outcomes + v[1] / old.outcomes).sqrt();
+    let z = (new.share() - old.share()) / root([new.variance(), old.variance()]);
+    let drift = gap / root(before);
+    z * drift - drift * drift / 2.0
+}
+
+/// Wald's bounds, lower and upper.
+pub fn bounds() -> (f64, f64) {
+    ((BETA / (1.0 - ALPHA)).ln(), ((1.0 - BETA) / ALPHA).ln())
+}
+
+pub struct Balancer {
+    set: Settings,
+    now: u64,
+    born: u64,
+    rng: Rand64,
+    machines: Vec<Machine>,
+    reqs: BTreeMap<u64, Req>,
+    waiting: Vec<u64>,
+    news: Option<News>,
+    accepted: Vec<VecDeque<u64>>,
+    exposed: BTreeMap<u32, Vec<VecDeque<u64>>>,
+    recount: Option<u64>,
+    keys: BTreeMap<String, u32>,
+    fresh_keys: Vec<(String, u32)>,
+    evidence: BTreeMap<u32, Vec<Tally>>,
+    variances: BTreeMap<usize, [f64; 2]>,
+    condemned: Option<u32>,
+    lifted: Option<(u32, u32)>,
+    looked: u64,
+    /// The vote that stands, and the one that is out, with the time of its cast.
+    stands: (u32, u32, Verdict, u64),
+    cast: Option<(u32, u32, Verdict, u64)>,
+    usual: BTreeMap<(String, usize), [Fading; 2]>,
+    tenants: Vec<Fading>,
+    sends: Fading,
+    copies: Fading,
+    ask_at: u64,
+    swept: u64,
+    woken: u64,
+}
+
+impl Balancer {
+    pub fn new(set: Settings, seed: u64, now: u64) -> Self {
+        let routes = set.routes.len();
+        let tenants = vec![Fading { sum: 0.0, at: now }; set.tenants.len()];
+        let ask_at = if set.ask_list { now } else { u64::MAX };
+        Balancer {
+            now,
+            born: now,
+            rng: Rand64::new(u128::from(seed)),
+            machines: Vec::new(),
+            reqs: BTreeMap::new(),
+            waiting: Vec::new(),
+            news: None,
+            accepted: vec![VecDeque::new(); routes],
+            exposed: BTreeMap::new(),
+            recount: None,
+            keys: BTreeMap::new(),
+            fresh_keys: Vec::new(),
+            evidence: BTreeMap::new(),
+            variances: BTreeMap::new(),
+            condemned: None,
+            lifted: None,
+            looked: now,
+            stands: (0, 0, Verdict::None, now),
+            cast: None,
+            usual: BTreeMap::new(),
+            tenants,
+            sends: Fading { sum: 0.0, at: now },
+            copies: Fading { sum: 0.0, at: now },
+            ask_at,
+            swept: 0,
+            woken: 0,
+            set,
+        }
+    }
+
+    /// The one entry: takes in all the news, then decides.
+    pub fn round(&mut self, now: u64, inbox: &mut dyn Inbox, out: &mut dyn Writer) {
+        self.now = now;
+        inbox.replay(self);
+        if now >= self.ask_at {
+            out.watch_list();
+            self.ask_at = u64::MAX;
+        }
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            self.sweep(out);
+        }
+        if now >= self.looked + LOOK {
+            self.looked = now;
+            self.look();
+            self.vote(out);
+            self.judge_machines(out);
+        }
+        self.serve(out);
+        for (key, build) in self.fresh_keys.drain(..) {
+            self.keys.insert(key, build);
+        }
+        if now >= self.woken {
+            out.wake(SWEEP);
+            self.woken = now + SWEEP;
+        }
+    }
+
+    // ---- news ----
+
+    pub fn list(&mut self, whole: bool) {
+        if whole {
+            for m in &mut self.machines {
+                m.standing = Standing::Gone;
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn machine(
+        &mut self,
+        name: &str,
+        zone: &str,
+        kind: &str,
+        cell: u64,
+        build: u32,
+        standing: Standing,
+        started: u64,
+    ) {
+        let now = self.now;
+        let i = self.find(name).unwrap_or_else(|| {
+            self.machines.push(Machine {
+                name: name.into(),
+                zone: String::new(),
+                kind: String::new(),
+                cell,
+                build,
+                standing,
+                started,
+                held: 0.0,
+                others: 0.0,
+                room: FIRST_ROOM,
+                narrowed: 0,
+                pace: EASE / 2.0,
+                answers: Fading { sum: 0.0, at: now },
+                faults: Fading { sum: 0.0, at: now },
+                heard: now,
+                aside: false,
+                probe_out: false,
+                probed: 0,
+                answered: 0,
+                wanted: 2,
+                sends: VecDeque::new(),
+            });
+            self.machines.len() - 1
+        });
+        let m = &mut self.machines[i];
+        if m.build != build || m.started != started {
+            // A new process: what the old one did says nothing of it.
+            (m.aside, m.wanted, m.others, m.pace, m.room) = (false, 2, 0.0, EASE / 2.0, FIRST_ROOM);
+            (m.answers.sum, m.faults.sum, m.heard) = (0.0, 0.0, now);
+        }
+        (m.zone, m.kind) = (zone.into(), kind.into());
+        (m.cell, m.build, m.standing, m.started) = (cell, build, standing, started);
+    }
+
+    pub fn list_failed(&mut self) {
+        // The notice does not say whether a watch still stands, so one is asked for again, spread out so
+        // that the fronts do not all call at once.
+        self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn req(&mut self, id: u64, route: usize, tenant: Option<usize>, key: Option<&str>, left: u64) {
+        let now = self.now;
+        self.accepted[route].push_back(now);
+        let r = &self.set.routes[route];
+        let mut earnings = r.earnings;
+        let objective = now + r.objective;
+        if let Some(t) = tenant {
+            self.tenants[t].add(1.0, now, RATE_FADE);
+            let rate = self.tenants[t].sum / self.spell(RATE_FADE) * f64::from(self.set.fronts);
+            if rate > self.set.tenants[t].quota_per_s {
+                earnings *= self.set.over_share_earnings;
+            }
+        }
+        let rank = earnings / self.usual_for(route, None).unwrap_or(1.0).max(1.0);
+        let rq = Req {
+            route,
+            key: key.map(String::from),
+            came: now,
+            due: now + left,
+            objective: objective.min(now + left),
+            rank,
+            waiting: true,
+            over: false,
+            opened: false,
+            copied: false,
+            tries: Vec::new(),
+        };
+        self.reqs.insert(id, rq);
+        self.waiting.push(id);
+    }
+
+    pub fn withdrawn(&mut self, id: u64) {
+        if let Some(rq) = self.reqs.get_mut(&id) {
+            (rq.over, rq.waiting) = (true, false);
+            self.forget(id);
+        }
+    }
+
+    pub fn opened(&mut self, id: u64) {
+        if let Some(rq) = self.reqs.get_mut(&id) {
+            rq.opened = true;
+        }
+    }
+
+    pub fn outcome(&mut self, id: u64, n: usize, end: End, took: u64, over: bool, load: Option<Load>) {
+        let now = self.now;
+        let Some(rq) = self.reqs.get_mut(&id) else { return };
+        let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
+        t.out = false;
+        t.may_have_run &= !matches!(end, End::Full | End::Refused | End::NotSent);
+        let (i, build, settled, counted, route) = (t.machine, t.build, t.settled, t.counted, rq.route);
+        t.counted = true;
+        let objective = self.set.routes[route].objective;
+        if over {
+            (rq.over, rq.waiting) = (true, false);
+        }
+        if end == End::Done
+            && let Some(key) = rq.key.as_ref().filter(|_| self.set.one_way)
+        {
+            self.fresh_keys.push((key.clone(), build));
+        }
+        let late = took > LATE * objective;
+        let failed = matches!(end, End::Error | End::TimedOut | End::Reset) || (end == End::Done && late);
+        let judged = matches!(end, End::Done | End::Error | End::TimedOut | End::Reset);
+        if settled && judged && !counted {
+            let usual = self.usual_for(route, Some(i));
+            let slow = end == End::Done && usual.is_some_and(|u| took as f64 > SLOW * u);
+            self.count(build, route, failed, slow || (failed && took > objective));
+        }
+        if settled && end == End::Done && !self.on_trial(build) {
+            let kind = self.machines[i].kind.clone();
+            let u = self.usual.entry((kind, route)).or_default();
+            u[0].add(took as f64, now, USUAL_FADE);
+            u[1].add(1.0, now, USUAL_FADE);
+        }
+        let m = &mut self.machines[i];
+        m.held -= 1.0;
+        if let Some(l) = load {
+            note_load(m, l);
+        }
+        match end {
+            End::Done => {
+                m.heard = now;
+                m.answers.add(1.0, now, HEALTH_FADE);
+                let pace = took as f64 / objective as f64;
+                m.pace += 0.1 * (pace - m.pace);
+                if pace < EASE && m.held + 2.0 >= m.room {
+                    m.room = (m.room + 1.0 / m.room).min(MOST_ROOM);
+                } else if m.pace > EASE {
+                    narrow(m, now, objective);
+                }
+            }
+            End::Full => narrow(m, now, objective),
+            End::Error | End::Reset | End::Refused => {
+                m.answers.add(1.0, now, HEALTH_FADE);
+                m.faults.add(1.0, now, HEALTH_FADE);
+                if end == End::Error {
+                    m.heard = now;
+                }
+            }
+            End::TimedOut => narrow(m, now, objective),
+            End::Cancelled | End::NotSent => {}
+        }
+        let rq = &self.reqs[&id];
+        if rq.over {
+            self.forget(id);
+        } else if !rq.waiting && !rq.tries.iter().any(|t| t.out) {
+            self.reqs.get_mut(&id).unwrap().waiting = true;
+            self.waiting.push(id);
+        }
+    }
+
+    pub fn probed(&mut self, name: &str, end: End, load: Option<Load>) {
+        let now = self.now;
+        let Some(i) = self.find(name) else { return };
+        let m = &mut self.machines[i];
+        m.probe_out = false;
+        if let Some(l) = load {
+            note_load(m, l);
+        }
+        m.answered = if end == End::Done { m.answered + 1 } else { 0 };
+        if m.aside && m.answered >= m.wanted {
+            (m.aside, m.heard, m.room, m.pace) = (false, now, 2.0, EASE / 2.0);
+            (m.answers.sum, m.faults.sum) = (0.0, 0.0);
+            // Longer next time: some machines answer probes and fail reqs.
+            m.wanted = (m.wanted * 2).min(16);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn news(
+        &mut self,
+        reply: bool,
+        answer: Answer,
+        build: u32,
+        stage: u32,
+        phase: Phase,
+        cap: f64,
+        age: u64,
+    ) {
+        if reply && let Some(c) = self.cast.take() {
+            match answer {
+                Answer::Counts => self.stands = (c.0, c.1, c.2, self.now),
+                // It may count: hold to neither, so that it is cast again.
+                Answer::Unknown => self.stands.2 = Verdict::None,
+                _ => {}
+            }
+        }
+        if answer != Answer::Counts {
+            return;
+        }
+        if self.news.is_some_and(|n| n.build == build && cap < n.cap) {
+            self.recount = Some(self.now + self.set.grace);
+            self.accepted.iter_mut().for_each(VecDeque::clear);
+        }
+        if self.news.is_none_or(|n| n.build < build) {
+            self.variances.clear();
+        }
+        self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
+    }
+
+    pub fn flagged(&mut self, name: &str, route: usize, age: u64) {
+        let Some(i) = self.find(name) else { return };
+        let m = &self.machines[i];
+        if self.now.saturating_sub(age) >= m.started + SETTLING {
+            let build = m.build;
+            let now = self.now;
+            let tally = &mut self.tallies(build)[route];
+            tally.failed.add(1.0, now, EVIDENCE_FADE);
+        }
+    }
+
+    // ---- small helpers ----
+
+    fn find(&self, name: &str) -> Option<usize> {
+        self.machines.iter().position(|m| m.name == name)
+    }
+
+    /// Seconds that a fading count stands for.
+    fn spell(&self, fade: f64) -> f64 {
+        let lived = (self.now - self.born) as f64 + 1.0;
+        fade * (1.0 - (-lived / fade).exp()) / 1e6
+    }
+
+    fn forget(&mut self, id: u64) {
+        if self.reqs.get(&id).is_some_and(|rq| rq.over && !rq.tries.iter().any(|t| t.out)) {
+            self.reqs.remove(&id);
+        }
+    }
+
+    fn tallies(&mut self, build: u32) -> &mut Vec<Tally> {
+        let routes = self.set.routes.len();
+        self.evidence.entry(build).or_insert_with(|| vec![Tally::default(); routes])
+    }
+
+    fn count(&mut self, build: u32, route: usize, failed: bool, slow: bool) {
+        let now = self.now;
+        let t = &mut self.tallies(build)[route];
+        t.all.add(1.0, now, EVIDENCE_FADE);
+        t.failed.add(f64::from(failed), now, EVIDENCE_FADE);
+        t.slow.add(f64::from(slow), now, EVIDENCE_FADE);
+    }
+
+    /// What the route usually takes: on machines of this one's kind, or on all.
+    fn usual_for(&mut self, route: usize, machine: Option<usize>) -> Option<f64> {
+        let now = self.now;
+        let kind = machine.map(|i| self.machines[i].kind.clone());
+        let (mut sum, mut n) = (0.0, 0.0);
+        for ((k, r), u) in &mut self.usual {
+            if *r == route && kind.as_ref().is_none_or(|kind| kind == k) {
+                sum += u[0].read(now, USUAL_FADE);
+                n += u[1].read(now, USUAL_FADE);
+            }
+        }
+        (n >= 5.0).then(|| sum / n)
+    }
+
+    /// A build that the news has not named, or not named as released, is on trial.
+    fn on_trial(&self, build: u32) -> bool {
+        self.news.is_some_and(|n| build > n.build || (build == n.build && n.phase != Phase::Released))
+    }
+
+    // ---- evidence and votes ----
+
+    fn look(&mut self) {
+        let Some(n) = self.news else { return };
+        if !matches!(n.phase, Phase::Trial | Phase::Released) {
+            return;
+        }
+        let now = self.now;
+        let routes = self.set.routes.len();
+        // Sides of each test: all routes' failures, all routes' slowness, then each route's failures.
+        let mut sides = vec![[Arm::default(); 2]; routes + 2];
+        for (build, tallies) in self.evidence.iter_mut().filter(|(b, _)| **b <= n.build) {
+            let side = usize::from(*build < n.build);
+            for (r, t) in tallies.iter_mut().enumerate() {
+                let all = t.all.read(now, EVIDENCE_FADE);
+                let failed = t.failed.read(now, EVIDENCE_FADE).min(all);
+                let slow = t.slow.read(now, EVIDENCE_FADE);
+                for (test, hits) in [(0, failed), (1, slow), (2 + r, failed)] {
+                    sides[test][side].outcomes += all;
+                    sides[test][side].hits += hits;
+                }
+            }
+        }
+        let (lower, upper) = bounds();
+        let mut leaning = false;
+        for (test, [new, old]) in sides.into_iter().enumerate() {
+            if new.outcomes < LEAST_OUTCOMES || old.outcomes < LEAST_OUTCOMES {
+                continue;
+            }
+            let gap = if test == 1 { SLOW_GAP } else { FAIL_GAP };
+            let present = [new.variance(), old.variance()];
+            let before = self.variances.insert(test, present).unwrap_or(present);
+            let s = score(new, old, before, gap);
+            if s >= upper {
+                self.condemned = Some(n.build);
+            }
+            leaning |= s > 0.0;
+            if test == 0 && s <= lower {
+                self.lifted = Some((n.build, n.stage));
+            }
+        }
+        if now >= n.since + HORIZON || !leaning {
+            self.lifted = Some((n.build, n.stage));
+        } else if self.lifted != Some((n.build, n.stage)) {
+            self.lifted = None;
+        }
+    }
+
+    fn vote(&mut self, out: &mut dyn Writer) {
+        let Some(n) = self.news else { return };
+        let now = self.now;
+        if let Some(c) = self.cast {
+            if now < c.3 + self.set.vote_wait + SECOND {
+                return;
+            }
+            self.cast = None;
+        }
+        let back = self.condemned == Some(n.build);
+        let lifted = self.lifted == Some((n.build, n.stage));
+        let wish = match n.phase {
+            Phase::Trial | Phase::Released if back => Verdict::Back,
+            Phase::Trial if !lifted && self.set.timed => Verdict::Hold,
+            Phase::Trial if lifted && !self.set.timed && now >= n.since + self.set.min_dwell => Verdict::On,
+            _ => Verdict::None,
+        };
+        let (build, stage, verdict, at) = self.stands;
+        let fresh = now < at + self.set.vote_life * 6 / 10;
+        let same = build == n.build && (stage == n.stage || wish == Verdict::Back) && verdict == wish;
+        let idle = wish == Verdict::None
+            && (verdict == Verdict::None || build != n.build || now >= at + self.set.vote_life);
+        if idle || (same && fresh) {
+            return;
+        }
+        let life = self.set.vote_life as f64 / 1e6;
+        if self.rng.rand_float() < self.set.votes_per_s * life / (2.0 * f64::from(self.set.fronts)) {
+            out.vote(n.build, n.stage, wish);
+            self.cast = Some((n.build, n.stage, wish, now));
+        }
+    }
+
+    // ---- machines ----
+
+    fn judge_machines(&mut self, out: &mut dyn Writer) {
+        let now = self.now;
+        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count();
+        let mut aside = self.machines.iter().filter(|m| m.standing == Standing::Ready && m.aside).count();
+        let mut oldest = vec![u64::MAX; self.machines.len()];
+        for rq in self.reqs.values() {
+            for t in rq.tries.iter().filter(|t| t.out) {
+                if now > t.sent + self.set.routes[rq.route].objective
+                    && t.sent > self.machines[t.machine].heard
+                {
+                    oldest[t.machine] = oldest[t.machine].min(t.sent);
+                }
+            }
+        }
+        let (mut all, mut bad) = (0.0, 0.0);
+        for m in self.machines.iter_mut().filter(|m| m.standing == Standing::Ready && !m.aside) {
+            all += m.answers.read(now, HEALTH_FADE);
+            bad += m.faults.read(now, HEALTH_FADE);
+        }
+        for (i, m) in self.machines.iter_mut().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
+            if m.aside {
+                if !m.probe_out && now >= m.probed + PROBE_EVERY && self.set.probes {
+                    (m.probe_out, m.probed) = (true, now);
+                    out.probe(&m.name);
+                }
+                continue;
+            }
+            let (a, f) = (m.answers.read(now, HEALTH_FADE), m.faults.read(now, HEALTH_FADE));
+            let usual = if all > a { (bad - f) / (all - a) } else { 0.0 };
+            let failing = f >= 2.5 && f / a > 0.25 + 2.0 * usual;
+            let silent = oldest[i] != u64::MAX;
+            if (failing || silent) && self.set.probes && aside * 3 < ready {
+                aside += 1;
+                (m.aside, m.answered, m.probed) = (true, 0, now);
+            }
+        }
+    }
+
+    // ---- routing ----
+
+    /// Rule 2 and the limits on tries: may this req go out to this machine now?
+    fn may_try(&self, rq: &Req, m: &Machine) -> bool {
+        let mut ran = rq.tries.iter().filter(|t| t.may_have_run);
+        let out = rq.tries.iter().any(|t| t.out);
+        if rq.tries.len() >= self.set.max_tries || (out && !self.set.copies) {
+            return false;
+        }
+        match self.set.routes[rq.route].repeat {
+            Repeat::Retriable => true,
+            Repeat::NonRetriable => ran.next().is_none(),
+            Repeat::Deduped { scope, window } => ran.all(|t| {
+                let first = &self.machines[t.machine];
+                let inside = match scope {
+                    Scope::All => true,
+                    Scope::Zone => first.zone == m.zone,
+                    Scope::Cell => first.cell == m.cell,
+                };
+                inside && self.now < t.sent + window
+            }),
+        }
+    }
+
+    fn may_shed(&self, rq: &Req) -> bool {
+        match self.set.routes[rq.route].repeat {
+            Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. } => true,
+            _ => !rq.tries.iter().any(|t| t.may_have_run),
+        }
+    }
+
+    /// Rule 5: may one more try of this route go to this build?
+    fn may_expose(&mut self, build: u32, route: usize) -> bool {
+        if !self.on_trial(build) {
+            return true;
+        }
+        let Some(n) = self.news else { return false };
+        let told = n.build == build;
+        let stage = if told { n.stage } else { 0 };
+        let cap = if told { n.cap } else { self.set.stage_caps.first().copied().unwrap_or(0.0) };
+        if cap <= 0.0 {
+            return false;
+        }
+        if stage < self.set.guarded_stages && self.set.routes[route].repeat != Repeat::Retriable {
+            return false;
+        }
+        let (now, window) = (self.now, self.set.exposure_window);
+        let routes = self.set.routes.len();
+        let sent = self.exposed.entry(build).or_insert_with(|| vec![VecDeque::new(); routes]);
+        let mut tries = 0;
+        let mut taken = 0;
+        for (r, (sent, accepted)) in sent.iter_mut().zip(&mut self.accepted).enumerate() {
+            // A try exactly a window old still counts, a req of that age no longer does.
+            sent.drain(..sent.partition_point(|&t| t + window < now));
+            accepted.drain(..accepted.partition_point(|&t| t + window <= now));
+            if r == route || !self.set.by_route {
+                tries += sent.len();
+                taken += accepted.len();
+            }
+        }
+        (tries + 1) as f64 <= self.set.free + cap * taken as f64
+    }
+
+    /// Rule 4: this front's prudent part of what a cold machine can take in the rule's window. What the
+    /// fleet's machines bear from this front on average stands in for their capacity, which nobody tells.
+    fn may_warm(&mut self, i: usize, fair: f64) -> bool {
+        let (now, set) = (self.now, &self.set);
+        let m = &mut self.machines[i];
+        let age = now.saturating_sub(m.started);
+        if m.started == 0 || age >= set.cold_for {
+            return true;
+        }
+        m.sends.drain(..m.sends.partition_point(|&t| t + set.fall_for < now));
+        let warm = set.cold_from + (1.0 - set.cold_from) * age as f64 / set.cold_for as f64;
+        let room = COLD_PART * set.fall_multiple * warm * fair * set.fall_for as f64 / 1e6;
+        (m.sends.len() as f64) < room.max(1.0)
+    }
+
+    fn pick(&mut self, id: u64) -> Option<usize> {
+        let now = self.now;
+        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
+        let fair = self.sends.read(now, RATE_FADE) / self.spell(RATE_FADE) / ready as f64;
+        let mut sides: [Vec<usize>; 2] = [Vec::new(), Vec::new()];
+        let mut trial = 0;
+        let rq = &self.reqs[&id];
+        let route = rq.route;
+        let floor = rq.key.as_ref().filter(|_| self.holds_keys()).and_then(|k| self.keys.get(k)).copied();
+        let mut open = Vec::new();
+        for (i, m) in self.machines.iter().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
+            trial += usize::from(self.on_trial(m.build));
+            let tried = rq.tries.iter().any(|t| t.machine == i);
+            let fits = !m.aside && m.held < m.room.floor() && floor.is_none_or(|b| m.build >= b);
+            if fits && !tried && self.may_try(rq, m) {
+                open.push(i);
+            }
+        }
+        for i in open {
+            let build = self.machines[i].build;
+            if self.may_warm(i, fair) && self.may_expose(build, route) {
+                sides[usize::from(self.on_trial(build))].push(i);
+            }
+        }
+        let to_trial = self.rng.rand_float() < trial as f64 / ready as f64;
+        let first = usize::from(to_trial);
+        let side = if sides[first].is_empty() { &sides[1 - first] } else { &sides[first] };
+        if side.is_empty() {
+            return None;
+        }
+        let a = side[(self.rng.rand_u64() % side.len() as u64) as usize];
+        let b = side[(self.rng.rand_u64() % side.len() as u64) as usize];
+        Some(if self.cost(b) < self.cost(a) { b } else { a })
+    }
+
+    fn holds_keys(&self) -> bool {
+        self.set.one_way && self.news.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released))
+    }
+
+    fn cost(&self, i: usize) -> f64 {
+        let m = &self.machines[i];
+        let far = if m.zone != self.set.zone { 1.0 + 10.0 * self.set.cross_zone_price } else { 1.0 };
+        (m.held + m.others + 1.0) * m.pace.max(0.01) * far
+    }
+
+    fn serve(&mut self, out: &mut dyn Writer) {
+        let mut ids = std::mem::take(&mut self.waiting);
+        ids.retain(|id| self.reqs.get(id).is_some_and(|rq| rq.waiting && !rq.over));
+        let reqs = &self.reqs;
+        ids.sort_by(|a, b| reqs[b].rank.total_cmp(&reqs[a].rank).then(reqs[a].came.cmp(&reqs[b].came)));
+        for id in ids {
+            if self.hopeless(id) {
+                self.give_up(id, out);
+            } else if let Some(i) = self.pick(id) {
+                self.send(id, i, out);
+            } else {
+                self.waiting.push(id);
+            }
+        }
+    }
+
+    /// No further try is allowed, or none could still meet the objective.
+    fn hopeless(&mut self, id: u64) -> bool {
+        let now = self.now;
+        let route = self.reqs[&id].route;
+        let usual = self.usual_for(route, None).unwrap_or(0.0) as u64;
+        let rq = &self.reqs[&id];
+        now + usual / 2 > rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
+    }
+
+    fn give_up(&mut self, id: u64, out: &mut dyn Writer) {
+        let rq = &self.reqs[&id];
+        if self.may_shed(rq) {
+            let come_back = self.set.max_come_back.min(self.set.routes[rq.route].objective / 2);
+            out.shed(id, come_back);
+        } else {
+            out.error(id);
+        }
+        let rq = self.reqs.get_mut(&id).unwrap();
+        (rq.over, rq.waiting) = (true, false);
+        self.forget(id);
+    }
+
+    fn send(&mut self, id: u64, i: usize, out: &mut dyn Writer) {
+        let now = self.now;
+        let trial = self.on_trial(self.machines[i].build);
+        let routes = self.set.routes.len();
+        let m = &mut self.machines[i];
+        m.held += 1.0;
+        if m.started != 0 && now < m.started + self.set.cold_for {
+            m.sends.push_back(now);
+        }
+        let settled = m.started == 0 || now >= m.started + SETTLING;
+        let rq = self.reqs.get_mut(&id).unwrap();
+        rq.waiting = false;
+        rq.tries.push(Try {
+            machine: i,
+            build: m.build,
+            sent: now,
+            out: true,
+            may_have_run: true,
+            counted: false,
+            settled,
+        });
+        out.upstream_try(id, &m.name, rq.due);
+        if trial {
+            let sent = self.exposed.entry(m.build).or_insert_with(|| vec![VecDeque::new(); routes]);
+            sent[rq.route].push_back(now);
+        }
+        self.sends.add(1.0, now, RATE_FADE);
+    }
+
+    /// What only the passing of time brings: failures that need no answer, second copies, the recount.
+    fn sweep(&mut self, out: &mut dyn Writer) {
+        let now = self.now;
+        if self.recount.is_some_and(|t| now >= t) {
+            self.recount = None;
+            self.accepted.iter_mut().for_each(VecDeque::clear);
+        }
+        let mut overdue = Vec::new();
+        let mut slow = Vec::new();
+        let mut spare = Vec::new();
+        for (id, rq) in &mut self.reqs {
+            let objective = self.set.routes[rq.route].objective;
+            for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
+                if !t.counted && now > t.sent + LATE * objective {
+                    t.counted = true;
+                    if t.settled {
+                        overdue.push((t.build, rq.route));
+                    }
+                }
+                if rq.over && !t.counted {
+                    spare.push((*id, n));
+                    t.counted = true;
+                }
+            }
+            let out = rq.tries.iter().filter(|t| t.out).count();
+            if !rq.over && !rq.waiting && !rq.copied && !rq.opened && out == 1 {
+                let sent = rq.tries.last().map_or(now, |t| t.sent);
+                if now > sent + objective / 2 && now < rq.objective {
+                    slow.push(*id);
+                }
+            }
+        }
+        for (build, route) in overdue {
+            self.count(build, route, true, true);
+        }
+        if self.set.cancel {
+            for (id, n) in spare {
+                out.cancel_try(id, n);
+            }
+        }
+        for id in slow {
+            self.copy(id, out);
+        }
+    }
+
+    /// A second try while the first is still out, or in its place where only one may be out. Kept to a
+    /// share of all sends, or a jam would double its own load.
+    fn copy(&mut self, id: u64, out: &mut dyn Writer) {
+        let now = self.now;
+        let spent = self.copies.read(now, RATE_FADE);
+        if spent + 1.0 > 1.0 + COPY_SHARE * self.sends.read(now, RATE_FADE) || !self.waiting.is_empty() {
+            return;
+        }
+        let retriable = self.set.routes[self.reqs[&id].route].repeat == Repeat::Retriable;
+        if self.set.copies {
+            if let Some(i) = self.pick(id) {
+                self.send(id, i, out);
+            } else {
+                return;
+            }
+        } else if self.set.cancel && retriable && self.reqs[&id].tries.len() < self.set.max_tries {
+            out.cancel_try(id, self.reqs[&id].tries.len() - 1);
+        } else {
+            return;
+        }
+        self.copies.add(1.0, now, RATE_FADE);
+        self.reqs.get_mut(&id).unwrap().copied = true;
+    }
+}
+
+fn note_load(m: &mut Machine, l: Load) {
+    if let Some(x) = l.inflight.or(l.queue) {
+        m.others = (x - m.held).max(0.0);
+    }
+}
+
+/// At most once in half an objective, so that one jam is answered once.
+fn narrow(m: &mut Machine, now: u64, objective: u64) {
+    if now >= m.narrowed + objective / 2 {
+        (m.room, m.narrowed) = ((m.room * 0.8).max(1.0), now);
+    }
+}
--- /dev/null
+++ b/src/front.rs
@@ -0,0 +1,151 @@
+//! The interface between the decision module and a host that speaks some protocol.
+//!
+//! A host decodes [`Settings`] once, and then for every round that brought news calls
+//! [`Balancer::round`](crate::decide::Balancer::round) with an [`Inbox`] that replays the news as plain
+//! calls on the module, and a [`Writer`] that takes the decisions. Times are whole microseconds.
+
+use crate::decide::Balancer;
+
+/// What a repeat of a req can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Retriable,
+    /// Repeats are dropped inside the scope, for so long from the first send that may have run.
+    Deduped {
+        scope: Scope,
+        window: u64,
+    },
+    NonRetriable,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Route {
+    pub name: String,
+    pub objective: u64,
+    pub earnings: f64,
+    pub repeat: Repeat,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub name: String,
+    pub quota_per_s: f64,
+}
+
+/// The told figures that the module reads.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub fronts: u32,
+    pub zone: String,
+    pub routes: Vec<Route>,
+    pub tenants: Vec<Tenant>,
+    pub over_share_earnings: f64,
+    /// The machine list has to be asked for.
+    pub ask_list: bool,
+    pub cross_zone_price: f64,
+    pub probes: bool,
+    pub copies: bool,
+    pub cancel: bool,
+    pub max_tries: usize,
+    /// 0 where no time to come back reaches the client.
+    pub max_come_back: u64,
+    pub grace: u64,
+    pub cold_from: f64,
+    pub cold_for: u64,
+    pub fall_multiple: f64,
+    pub fall_for: u64,
+    pub stage_caps: Vec<f64>,
+    pub free: f64,
+    pub exposure_window: u64,
+    pub by_route: bool,
+    pub guarded_stages: u32,
+    pub one_way: bool,
+    /// Stages move on by themselves unless held.
+    pub timed: bool,
+    pub min_dwell: u64,
+    pub votes_per_s: f64,
+    pub vote_life: u64,
+    pub vote_wait: u64,
+}
+
+/// What the list says of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Gone,
+    Ready,
+    Draining,
+}
+
+/// How an upstream try or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Done,
+    Error,
+    Full,
+    TimedOut,
+    Refused,
+    Reset,
+    Cancelled,
+    NotSent,
+}
+
+/// Where the newest build stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Trial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    On,
+    Hold,
+    Back,
+    None,
+}
+
+/// What became of a vote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Counts,
+    Moot,
+    Busy,
+    Error,
+    Unknown,
+}
+
+/// A machine's report of its load, as far as it reports any.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub inflight: Option<f64>,
+    pub queue: Option<f64>,
+}
+
+/// Replays all that came in since the last round, in order, as calls on the module.
+pub trait Inbox {
+    fn replay(&mut self, to: &mut Balancer);
+}
+
+/// Takes the decisions of a round, in order.
+pub trait Writer {
+    fn upstream_try(&mut self, rq: u64, machine: &str, until: u64);
+    fn cancel_try(&mut self, rq: u64, n: usize);
+    /// `come_back`: how long the client is asked to stay away; 0 says nothing.
+    fn shed(&mut self, rq: u64, come_back: u64);
+    fn error(&mut self, rq: u64);
+    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict);
+    fn probe(&mut self, machine: &str);
+    fn watch_list(&mut self);
+    /// Asks for another round after so long.
+    fn wake(&mut self, after: u64);
+    fn note(&mut self, text: &str);
+}
