Add rule and judging tests, README and licences; judge a machine against its build's others

A failing machine of the build on trial used to be set aside before the test had its outcomes; the bench-free test of a failing build found it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,9 +5,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Scope, Settings, Standing, Verdict, Writer};
-use crate::state::{Fading, Machine, News, Req, Tally, Try};
-use oorandom::Rand64;
+use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Scope, Standing, Verdict, Writer};
+pub use crate::state::Balancer;
+use crate::state::{Machine, News, Req, Tally, Try};
 
 const MS: u64 = 1_000;
 const SECOND: u64 = 1_000_000;
@@ -77,73 +77,7 @@
     ((BETA / (1.0 - ALPHA)).ln(), ((1.0 - BETA) / ALPHA).ln())
 }
 
-pub struct Balancer {
-    set: Settings,
-    now: u64,
-    born: u64,
-    rng: Rand64,
-    machines: Vec<Machine>,
-    reqs: BTreeMap<u64, Req>,
-    waiting: Vec<u64>,
-    news: Option<News>,
-    accepted: Vec<VecDeque<u64>>,
-    exposed: BTreeMap<u32, Vec<VecDeque<u64>>>,
-    recount: Option<u64>,
-    keys: BTreeMap<String, u32>,
-    fresh_keys: Vec<(String, u32)>,
-    evidence: BTreeMap<u32, Vec<Tally>>,
-    variances: BTreeMap<usize, [f64; 2]>,
-    condemned: Option<u32>,
-    lifted: Option<(u32, u32)>,
-    looked: u64,
-    /// The vote that stands, and the one that is out, with the time of its cast.
-    stands: (u32, u32, Verdict, u64),
-    cast: Option<(u32, u32, Verdict, u64)>,
-    usual: BTreeMap<(String, usize), [Fading; 2]>,
-    tenants: Vec<Fading>,
-    sends: Fading,
-    copies: Fading,
-    ask_at: u64,
-    swept: u64,
-    woken: u64,
-}
-
 impl Balancer {
-    pub fn new(set: Settings, seed: u64, now: u64) -> Self {
-        let routes = set.routes.len();
-        let tenants = vec![Fading { sum: 0.0, at: now }; set.tenants.len()];
-        let ask_at = if set.ask_list { now } else { u64::MAX };
-        Balancer {
-            now,
-            born: now,
-            rng: Rand64::new(u128::from(seed)),
-            machines: Vec::new(),
-            reqs: BTreeMap::new(),
-            waiting: Vec::new(),
-            news: None,
-            accepted: vec![VecDeque::new(); routes],
-            exposed: BTreeMap::new(),
-            recount: None,
-            keys: BTreeMap::new(),
-            fresh_keys: Vec::new(),
-            evidence: BTreeMap::new(),
-            variances: BTreeMap::new(),
-            condemned: None,
-            lifted: None,
-            looked: now,
-            stands: (0, 0, Verdict::None, now),
-            cast: None,
-            usual: BTreeMap::new(),
-            tenants,
-            sends: Fading { sum: 0.0, at: now },
-            copies: Fading { sum: 0.0, at: now },
-            ask_at,
-            swept: 0,
-            woken: 0,
-            set,
-        }
-    }
-
     /// The one entry: takes in all the news, then decides.
     pub fn round(&mut self, now: u64, inbox: &mut dyn Inbox, out: &mut dyn Writer) {
         self.now = now;
@@ -195,29 +129,7 @@
     ) {
         let now = self.now;
         let i = self.find(name).unwrap_or_else(|| {
-            self.machines.push(Machine {
-                name: name.into(),
-                zone: String::new(),
-                kind: String::new(),
-                cell,
-                build,
-                standing,
-                started,
-                held: 0.0,
-                others: 0.0,
-                room: FIRST_ROOM,
-                narrowed: 0,
-                pace: EASE / 2.0,
-                answers: Fading { sum: 0.0, at: now },
-                faults: Fading { sum: 0.0, at: now },
-                heard: now,
-                aside: false,
-                probe_out: false,
-                probed: 0,
-                answered: 0,
-                wanted: 2,
-                sends: VecDeque::new(),
-            });
+            self.machines.push(Machine { name: name.into(), started: u64::MAX, ..Machine::default() });
             self.machines.len() - 1
         });
         let m = &mut self.machines[i];
@@ -417,7 +329,8 @@
 
     /// Seconds that a fading count stands for.
     fn spell(&self, fade: f64) -> f64 {
-        let lived = (self.now - self.born) as f64 + 1.0;
+        // A front that has just started knows no rate yet: the first second counts as whole.
+        let lived = ((self.now - self.born) as f64).max(1e6);
         fade * (1.0 - (-lived / fade).exp()) / 1e6
     }
 
@@ -555,10 +468,11 @@
                 }
             }
         }
-        let (mut all, mut bad) = (0.0, 0.0);
+        let mut builds = BTreeMap::new();
         for m in self.machines.iter_mut().filter(|m| m.standing == Standing::Ready && !m.aside) {
-            all += m.answers.read(now, HEALTH_FADE);
-            bad += m.faults.read(now, HEALTH_FADE);
+            let (all, bad) = builds.entry(m.build).or_insert((0.0, 0.0));
+            *all += m.answers.read(now, HEALTH_FADE);
+            *bad += m.faults.read(now, HEALTH_FADE);
         }
         for (i, m) in self.machines.iter_mut().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
             if m.aside {
@@ -569,7 +483,10 @@
                 continue;
             }
             let (a, f) = (m.answers.read(now, HEALTH_FADE), m.faults.read(now, HEALTH_FADE));
-            let usual = if all > a { (bad - f) / (all - a) } else { 0.0 };
+            // Against its build's other machines: a build that fails everywhere is the test's to judge, and
+            // setting its machines aside would leave the test without outcomes.
+            let (all, bad) = builds.get(&m.build).copied().unwrap_or_default();
+            let usual = if all - a > 3.0 { (bad - f) / (all - a) } else { 1.0 };
             let failing = f >= 2.5 && f / a > 0.25 + 2.0 * usual;
             let silent = oldest[i] != u64::MAX;
             if (failing || silent) && self.set.probes && aside * 3 < ready {
@@ -669,12 +586,15 @@
         let mut open = Vec::new();
         for (i, m) in self.machines.iter().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
             trial += usize::from(self.on_trial(m.build));
-            let tried = rq.tries.iter().any(|t| t.machine == i);
             let fits = !m.aside && m.held < m.room.floor() && floor.is_none_or(|b| m.build >= b);
-            if fits && !tried && self.may_try(rq, m) {
+            if fits && self.may_try(rq, m) {
                 open.push(i);
             }
         }
+        let tried = |i: &usize| rq.tries.iter().any(|t| t.machine == *i);
+        if !open.iter().all(tried) {
+            open.retain(|i| !tried(i));
+        }
         for i in open {
             let build = self.machines[i].build;
             if self.may_warm(i, fair) && self.may_expose(build, route) {
@@ -724,7 +644,7 @@
         let route = self.reqs[&id].route;
         let usual = self.usual_for(route, None).unwrap_or(0.0) as u64;
         let rq = &self.reqs[&id];
-        now + usual / 2 > rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
+        now + usual / 2 >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
     }
 
     fn give_up(&mut self, id: u64, out: &mut dyn Writer) {
--- a/src/front.rs
+++ b/src/front.rs
@@ -76,8 +76,9 @@
 }
 
 /// What the list says of a machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Gone,
     Ready,
     Draining,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,10 @@
 //! What a balancer remembers, as plain data; what follows from it is decided in `decide.rs`.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
-use crate::front::{Phase, Standing};
+use oorandom::Rand64;
+
+use crate::front::{Phase, Settings, Standing, Verdict};
 
 /// A sum that decays; brought up to date when read.
 #[derive(Clone, Copy, Default)]
@@ -31,6 +33,7 @@
     pub slow: Fading,
 }
 
+#[derive(Default)]
 pub struct Machine {
     pub name: String,
     pub zone: String,
@@ -89,3 +92,68 @@
     pub cap: f64,
     pub since: u64,
 }
+
+pub struct Balancer {
+    pub set: Settings,
+    pub now: u64,
+    pub born: u64,
+    pub rng: Rand64,
+    pub machines: Vec<Machine>,
+    pub reqs: BTreeMap<u64, Req>,
+    pub waiting: Vec<u64>,
+    pub news: Option<News>,
+    pub accepted: Vec<VecDeque<u64>>,
+    pub exposed: BTreeMap<u32, Vec<VecDeque<u64>>>,
+    pub recount: Option<u64>,
+    pub keys: BTreeMap<String, u32>,
+    pub fresh_keys: Vec<(String, u32)>,
+    pub evidence: BTreeMap<u32, Vec<Tally>>,
+    pub variances: BTreeMap<usize, [f64; 2]>,
+    pub condemned: Option<u32>,
+    pub lifted: Option<(u32, u32)>,
+    pub looked: u64,
+    /// The vote that stands, and the one that is out, with the time of its cast.
+    pub stands: (u32, u32, Verdict, u64),
+    pub cast: Option<(u32, u32, Verdict, u64)>,
+    pub usual: BTreeMap<(String, usize), [Fading; 2]>,
+    pub tenants: Vec<Fading>,
+    pub sends: Fading,
+    pub copies: Fading,
+    pub ask_at: u64,
+    pub swept: u64,
+    pub woken: u64,
+}
+
+impl Balancer {
+    pub fn new(set: Settings, seed: u64, now: u64) -> Self {
+        Balancer {
+            now,
+            born: now,
+            rng: Rand64::new(u128::from(seed)),
+            machines: Vec::new(),
+            reqs: BTreeMap::new(),
+            waiting: Vec::new(),
+            news: None,
+            accepted: vec![VecDeque::new(); set.routes.len()],
+            exposed: BTreeMap::new(),
+            recount: None,
+            keys: BTreeMap::new(),
+            fresh_keys: Vec::new(),
+            evidence: BTreeMap::new(),
+            variances: BTreeMap::new(),
+            condemned: None,
+            lifted: None,
+            looked: now,
+            stands: (0, 0, Verdict::None, now),
+            cast: None,
+            usual: BTreeMap::new(),
+            tenants: vec![Fading::default(); set.tenants.len()],
+            sends: Fading::default(),
+            copies: Fading::default(),
+            ask_at: if set.ask_list { now } else { u64::MAX },
+            swept: 0,
+            woken: 0,
+            set,
+        }
+    }
+}
--- /dev/null
+++ b/tests/judging.rs
@@ -0,0 +1,91 @@
+//! The test's arithmetic, and the votes that follow from it.
+
+mod common;
+
+use common::{Bench, MS, count, settings, warm};
+use tidescale::decide::{Arm, bounds, score};
+use tidescale::front::*;
+
+#[test]
+fn wald_bounds_at_the_design_rates() {
+    let (lower, upper) = bounds();
+    assert!((lower - (0.2f64 / 0.95).ln()).abs() < 1e-12 && (upper - 16f64.ln()).abs() < 1e-12);
+}
+
+#[test]
+fn score_follows_the_paper() {
+    let arm = |outcomes, hits| Arm { outcomes, hits };
+    // new, old, variances of the look before, gap -> score
+    let table = [
+        // No gap seen, both at the floor: minus half the drift squared.
+        (arm(100.0, 0.0), arm(100.0, 0.0), [0.0099, 0.0099], 0.03, -0.03f64.powi(2) / (2.0 * 0.000_198)),
+        // z = 0.1 / sqrt(0.0009 + 0.000099); drift = 0.05 / sqrt(0.0004 + 0.000099)
+        (arm(100.0, 10.0), arm(100.0, 0.0), [0.04, 0.0099], 0.05, 4.576_598),
+    ];
+    for (new, old, before, gap, wanted) in table {
+        let got = score(new, old, before, gap);
+        assert!((got - wanted).abs() < 1e-4, "{got} against {wanted}");
+    }
+}
+
+/// Fifty reqs a second on old and new machines, `failing` of ten failing on the new one.
+fn votes(failing: u64, seconds: u64) -> Vec<String> {
+    let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
+    let mut all = b.round(0, |to| {
+        [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
+        to.news(false, Answer::Counts, 2, 0, Phase::Trial, 0.5, 0);
+    });
+    let mut on_new = 0;
+    for id in 0..seconds * 50 {
+        let got = b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS));
+        let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
+        all.extend(got);
+        let mut bad = false;
+        if new {
+            on_new += 1;
+            bad = on_new % 10 < failing;
+        }
+        let end = if bad { End::Error } else { End::Done };
+        all.extend(b.round(10 * MS, |to| {
+            to.outcome(id, 0, end, 10 * MS, !bad, None);
+            if bad {
+                to.withdrawn(id);
+            }
+        }));
+    }
+    all.retain(|l| l.starts_with("vote"));
+    all
+}
+
+#[test]
+fn a_failing_build_is_sent_back_and_a_good_one_is_not() {
+    assert!(count(&votes(4, 6), "vote 2 0 Back") > 0);
+    assert_eq!(count(&votes(0, 6), "vote 2 0 Back"), 0);
+}
+
+#[test]
+fn a_vote_is_cast_again_after_an_answer_that_does_not_count() {
+    for (answer, again) in [(Answer::Counts, 0), (Answer::Busy, 1), (Answer::Unknown, 1), (Answer::Error, 1)]
+    {
+        let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
+        b.round(0, |to| {
+            [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
+            to.news(false, Answer::Counts, 2, 0, Phase::Trial, 1.0, 0);
+        });
+        let mut cast = 0;
+        for id in 0..500 {
+            let got = b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS));
+            let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
+            let end = if new { End::Error } else { End::Done };
+            let got = b.round(10 * MS, |to| to.outcome(id, 0, end, 10 * MS, true, None));
+            cast += count(&got, "vote 2 0 Back");
+            if cast > 0 {
+                break;
+            }
+        }
+        assert_eq!(cast, 1);
+        b.round(10 * MS, |to| to.news(true, answer, 2, 0, Phase::Trial, 1.0, 0));
+        let got: Vec<_> = (0..4).flat_map(|_| b.round(250 * MS, |_| {})).collect();
+        assert_eq!(count(&got, "vote 2 0 Back"), again, "{answer:?}: {got:?}");
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,173 @@
+//! Each rule's guard at its edge.
+
+mod common;
+
+use common::{Bench, MS, count, settings, warm};
+use tidescale::front::*;
+
+#[test]
+fn a_try_that_may_have_run_is_repeated_only_as_its_route_allows() {
+    // route, how the first try ended, time until then, a second machine's zone -> further try, shed, error
+    let table = [
+        (0, End::Error, 10, "z2", "try 7 m2"),
+        (1, End::Error, 10, "z1", "try 7 m2"),
+        (1, End::Error, 10, "z2", "try 7 m1"),
+        (1, End::Error, 299, "z1", "try 7 m2"),
+        (1, End::Error, 300, "z1", "error 7"),
+        (1, End::Refused, 300, "z2", "try 7 m2"),
+        (2, End::Error, 10, "z1", "error 7"),
+        (2, End::Reset, 10, "z1", "error 7"),
+        (2, End::Full, 10, "z1", "try 7 m2"),
+        (2, End::Refused, 10, "z1", "try 7 m2"),
+        (2, End::NotSent, 10, "z1", "try 7 m2"),
+    ];
+    for (route, end, after, zone, wanted) in table {
+        let mut b = Bench::new(settings());
+        let sent = b.round(0, |to| {
+            warm(to, "m1", "z1", 1);
+            to.req(7, route, None, None, 900 * MS);
+        });
+        assert_eq!(sent, ["try 7 m1"]);
+        b.round(0, |to| warm(to, "m2", zone, 1));
+        let got = b.round(after * MS, |to| to.outcome(7, 0, end, after * MS, false, None));
+        assert_eq!(got, [wanted], "{route} {end:?} {after} {zone}: {got:?}");
+    }
+}
+
+#[test]
+fn a_req_held_without_machines_is_answered_once_and_in_time() {
+    for route in 0..3 {
+        let mut b = Bench::new(settings());
+        let mut all = b.round(0, |to| to.req(7, route, None, None, 200 * MS));
+        for _ in 0..40 {
+            all.extend(b.round(10 * MS, |_| {}));
+            assert!(b.now < 100_200 * MS || all.len() == 1);
+        }
+        assert_eq!(all, ["shed 7"]);
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_machine_that_drains_or_is_gone() {
+    for standing in [Standing::Draining, Standing::Gone] {
+        let mut b = Bench::new(settings());
+        b.round(0, |to| warm(to, "m1", "z1", 1));
+        let got = b.round(0, |to| {
+            to.list(false);
+            to.machine("m1", "z1", "k", 0, 1, standing, 0);
+            to.req(7, 0, None, None, 900 * MS);
+        });
+        assert_eq!(got.len(), 0, "{got:?}");
+    }
+}
+
+#[test]
+fn a_machine_missing_from_a_whole_list_is_gone() {
+    let mut b = Bench::new(settings());
+    b.round(0, |to| warm(to, "m1", "z1", 1));
+    let got = b.round(0, |to| {
+        to.list(true);
+        to.req(7, 0, None, None, 900 * MS);
+    });
+    assert_eq!(got.len(), 0, "{got:?}");
+}
+
+/// Only a machine of the build on trial is there: what goes out is what rule 5 allows.
+fn exposed(set: Settings, build: u32, stage: u32, cap: f64, route: usize, reqs: u64) -> usize {
+    let mut b = Bench::new(set);
+    let got = b.round(0, |to| {
+        warm(to, "m1", "z1", build);
+        to.news(false, Answer::Counts, 2, stage, Phase::Trial, cap, 0);
+        (0..reqs).for_each(|id| to.req(id, route, None, None, 900 * MS));
+    });
+    count(&got, "try")
+}
+
+#[test]
+fn exposure_stays_within_free_and_cap() {
+    // build listed, stage, cap told, route, reqs -> tries
+    let table = [
+        (2, 1, 0.5, 0, 1, 1),
+        (2, 1, 0.1, 0, 10, 3),
+        (2, 1, 0.1, 0, 9, 2),
+        (2, 1, 0.0, 0, 10, 0),
+        (2, 0, 0.1, 2, 10, 0),
+        (2, 1, 0.1, 2, 10, 3),
+        // Not announced yet: as in the first stage.
+        (3, 2, 1.0, 0, 10, 3),
+        (3, 2, 1.0, 2, 10, 0),
+    ];
+    for (build, stage, cap, route, reqs, wanted) in table {
+        let got = exposed(settings(), build, stage, cap, route, reqs);
+        assert_eq!(got, wanted, "{build} {stage} {cap} {route} {reqs}");
+    }
+}
+
+#[test]
+fn exposure_is_counted_by_route_where_told() {
+    for (by_route, wanted) in [(false, 3), (true, 2)] {
+        let mut b = Bench::new(Settings { by_route, ..settings() });
+        let got = b.round(0, |to| {
+            warm(to, "m1", "z1", 2);
+            to.news(false, Answer::Counts, 2, 1, Phase::Trial, 0.1, 0);
+            (0..10).for_each(|id| to.req(id, usize::from(id >= 5), None, None, 900 * MS));
+        });
+        let first = (0..5).filter(|id| got.contains(&format!("try {id} m1"))).count();
+        assert_eq!(if by_route { first } else { count(&got, "try") }, wanted);
+    }
+}
+
+#[test]
+fn a_window_lets_go_of_tries_after_its_length_only() {
+    for (pass, wanted) in [(4000 * MS, 0), (4000 * MS + 1, 1)] {
+        let mut b = Bench::new(settings());
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 2);
+            to.news(false, Answer::Counts, 2, 1, Phase::Trial, 0.1, 0);
+            (0..2).for_each(|id| to.req(id, 0, None, None, 900 * MS));
+        });
+        b.round(20 * MS, |to| (0..2).for_each(|id| to.outcome(id, 0, End::Done, 20 * MS, true, None)));
+        let got = b.round(pass - 20 * MS, |to| to.req(9, 0, None, None, 900 * MS));
+        assert_eq!(count(&got, "try"), wanted);
+    }
+}
+
+#[test]
+fn a_key_answered_by_the_build_on_trial_stays_there_where_one_way() {
+    for (one_way, phase, wanted) in [
+        (true, Phase::Trial, "try 2 new"),
+        (true, Phase::GoingBack, "try 2 old"),
+        (false, Phase::Trial, "try 2 old"),
+    ] {
+        let mut b = Bench::new(Settings { one_way, free: 1.0, ..settings() });
+        b.round(0, |to| {
+            warm(to, "new", "z1", 2);
+            to.news(false, Answer::Counts, 2, 1, Phase::Trial, 1.0, 0);
+            to.req(1, 0, None, Some("k"), 900 * MS);
+        });
+        b.round(10 * MS, |to| to.outcome(1, 0, End::Done, 10 * MS, true, None));
+        let got = b.round(10 * MS, |to| {
+            if wanted.ends_with("old") {
+                to.machine("new", "z1", "k", 0, 2, Standing::Draining, 0);
+            }
+            warm(to, "old", "z1", 1);
+            to.news(false, Answer::Counts, 2, 1, phase, 1.0, 0);
+            to.req(2, 0, None, Some("k"), 900 * MS);
+        });
+        assert_eq!(got, [wanted]);
+    }
+}
+
+#[test]
+fn a_cold_machine_gets_its_part_and_no_more() {
+    // Without any rate known, a cold machine gets one req a window; a warm one is not bound.
+    for (age, wanted) in [(100 * MS, 1), (1000 * MS, 1), (4000 * MS, 5)] {
+        let mut b = Bench::new(settings());
+        let now = b.now;
+        let got = b.round(0, |to| {
+            to.machine("m1", "z1", "k", 0, 1, Standing::Ready, now - age);
+            (0..5).for_each(|id| to.req(id, 0, None, None, 900 * MS));
+        });
+        assert_eq!(count(&got, "try"), wanted);
+    }
+}
