--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,6 +19,11 @@
 const FAIL_GAP: f64 = 0.03;
 const SLOW_GAP: f64 = 0.15;
 const LEAST_SHARE: f64 = 0.01;
+const FAILURES: usize = 0;
+const SLOWNESS: usize = 1;
+/// Errors and resets alone, also compared across time: neither overload nor a swap brings them.
+const ERRORS: usize = 2;
+const TESTS: usize = 3;
 const ALPHA: f64 = 0.05;
 const BETA: f64 = 0.20;
 const LATE: u64 = 2;
@@ -92,7 +97,7 @@
         }
         if now >= self.looked + LOOK {
             self.looked = now;
-            self.look();
+            self.look(out);
             self.vote(out);
             self.judge_machines(out);
         }
@@ -199,7 +204,7 @@
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
         t.out = false;
         t.may_have_run &= !matches!(end, End::Full | End::Refused | End::NotSent);
-        let (i, build, settled, counted, route) = (t.machine, t.build, t.settled, t.counted, rq.route);
+        let (i, build, t_warm, counted, route) = (t.machine, t.build, t.warm, t.counted, rq.route);
         t.counted = true;
         let objective = self.set.routes[route].objective;
         if over {
@@ -210,15 +215,10 @@
         {
             self.fresh_keys.push((key.clone(), build));
         }
-        let late = took > LATE * objective;
-        let failed = matches!(end, End::Error | End::TimedOut | End::Reset) || (end == End::Done && late);
-        let judged = matches!(end, End::Done | End::Error | End::TimedOut | End::Reset);
-        if settled && judged && !counted {
-            let usual = self.usual_for(route, Some(i));
-            let slow = end == End::Done && usual.is_some_and(|u| took as f64 > SLOW * u);
-            self.count(build, route, failed, slow || (failed && took > objective));
+        if !counted {
+            self.judge(id, n, end, took);
         }
-        if settled && end == End::Done && !self.on_trial(build) {
+        if t_warm && end == End::Done && !self.on_trial(build) {
             let kind = self.machines[i].kind.clone();
             let u = self.usual.entry((kind, route)).or_default();
             u[0].add(took as f64, now, USUAL_FADE);
@@ -314,10 +314,11 @@
         let Some(i) = self.find(name) else { return };
         let m = &self.machines[i];
         if self.now.saturating_sub(age) >= m.started + SETTLING {
-            let build = m.build;
-            let now = self.now;
-            let tally = &mut self.tallies(build)[route];
-            tally.failed.add(1.0, now, EVIDENCE_FADE);
+            let (build, now) = (m.build, self.now);
+            let tally = &mut self.tallies(build, i)[route];
+            for test in [FAILURES, ERRORS] {
+                tally.hits[test].add(1.0, now, EVIDENCE_FADE);
+            }
         }
     }
 
@@ -340,17 +341,37 @@
         }
     }
 
-    fn tallies(&mut self, build: u32) -> &mut Vec<Tally> {
+    fn tallies(&mut self, build: u32, machine: usize) -> &mut Vec<Tally> {
         let routes = self.set.routes.len();
-        self.evidence.entry(build).or_insert_with(|| vec![Tally::default(); routes])
-    }
-
-    fn count(&mut self, build: u32, route: usize, failed: bool, slow: bool) {
-        let now = self.now;
-        let t = &mut self.tallies(build)[route];
-        t.all.add(1.0, now, EVIDENCE_FADE);
-        t.failed.add(f64::from(failed), now, EVIDENCE_FADE);
-        t.slow.add(f64::from(slow), now, EVIDENCE_FADE);
+        self.evidence.entry((build, machine)).or_insert_with(|| vec![Tally::default(); routes])
+    }
+
+    /// Counts one try into the evidence. A cold machine is slow whatever it runs, so that its lateness
+    /// says nothing; and only tries sent while the other side served too are compared with it, or what a
+    /// swap, a jam or a lost zone does to the fleet would be held against the build that runs by then.
+    fn judge(&mut self, id: u64, n: usize, end: End, took: u64) {
+        let (now, rq) = (self.now, &self.reqs[&id]);
+        let (t, route) = (&rq.tries[n], rq.route);
+        let (build, i, paired, warm, settled) = (t.build, t.machine, t.paired, t.warm, t.settled);
+        let late = took > LATE * self.set.routes[route].objective;
+        let error = matches!(end, End::Error | End::Reset);
+        let known = error || matches!(end, End::Done | End::TimedOut) && (warm || !late);
+        if !settled || !known {
+            return;
+        }
+        let slow = late || self.usual_for(route, Some(i)).is_some_and(|u| took as f64 > SLOW * u);
+        let t = &mut self.tallies(build, i)[route];
+        let mut add = |test: usize, hit: bool| {
+            t.all[test].add(1.0, now, EVIDENCE_FADE);
+            t.hits[test].add(f64::from(hit), now, EVIDENCE_FADE);
+        };
+        add(ERRORS, error);
+        if paired {
+            add(FAILURES, error || late || end == End::TimedOut);
+        }
+        if paired && warm && end != End::Error {
+            add(SLOWNESS, slow);
+        }
     }
 
     /// What the route usually takes: on machines of this one's kind, or on all.
@@ -374,24 +395,29 @@
 
     // ---- evidence and votes ----
 
-    fn look(&mut self) {
+    fn look(&mut self, out: &mut dyn Writer) {
         let Some(n) = self.news else { return };
         if !matches!(n.phase, Phase::Trial | Phase::Released) {
             return;
         }
         let now = self.now;
-        let routes = self.set.routes.len();
-        // Sides of each test: all routes' failures, all routes' slowness, then each route's failures.
-        let mut sides = vec![[Arm::default(); 2]; routes + 2];
-        for (build, tallies) in self.evidence.iter_mut().filter(|(b, _)| **b <= n.build) {
+        // The three tests over all routes, then the failures of each route, which the total dilutes.
+        let mut sides = vec![[Arm::default(); 2]; TESTS + self.set.routes.len()];
+        for ((build, i), tallies) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
+            // What a machine set aside did is laid to the machine, not to its build.
+            if self.machines[*i].aside && self.machines[*i].build == *build {
+                continue;
+            }
             let side = usize::from(*build < n.build);
             for (r, t) in tallies.iter_mut().enumerate() {
-                let all = t.all.read(now, EVIDENCE_FADE);
-                let failed = t.failed.read(now, EVIDENCE_FADE).min(all);
-                let slow = t.slow.read(now, EVIDENCE_FADE);
-                for (test, hits) in [(0, failed), (1, slow), (2 + r, failed)] {
-                    sides[test][side].outcomes += all;
-                    sides[test][side].hits += hits;
+                for test in 0..TESTS {
+                    let outcomes = t.all[test].read(now, EVIDENCE_FADE);
+                    let hits = t.hits[test].read(now, EVIDENCE_FADE).min(outcomes);
+                    let places = [Some(test), (test == FAILURES).then_some(TESTS + r)];
+                    for place in places.into_iter().flatten() {
+                        sides[place][side].outcomes += outcomes;
+                        sides[place][side].hits += hits;
+                    }
                 }
             }
         }
@@ -401,15 +427,18 @@
             if new.outcomes < LEAST_OUTCOMES || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
-            let gap = if test == 1 { SLOW_GAP } else { FAIL_GAP };
+            let gap = if test == SLOWNESS { SLOW_GAP } else { FAIL_GAP };
             let present = [new.variance(), old.variance()];
             let before = self.variances.insert(test, present).unwrap_or(present);
             let s = score(new, old, before, gap);
-            if s >= upper {
+            if s >= upper && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
+                let (a, b) = (new, old);
+                let counts = (a.hits, a.outcomes, b.hits, b.outcomes);
+                out.note(&format!("build {} to go back: test {test}, new and old {counts:.1?}", n.build));
             }
             leaning |= s > 0.0;
-            if test == 0 && s <= lower {
+            if test == FAILURES && s <= lower {
                 self.lifted = Some((n.build, n.stage));
             }
         }
@@ -664,12 +693,18 @@
         let now = self.now;
         let trial = self.on_trial(self.machines[i].build);
         let routes = self.set.routes.len();
+        let newest = self.news.map_or(u32::MAX, |n| n.build);
+        let side = self.machines[i].build < newest;
+        let paired = self
+            .machines
+            .iter()
+            .any(|o| o.standing == Standing::Ready && !o.aside && (o.build < newest) != side);
         let m = &mut self.machines[i];
         m.held += 1.0;
         if m.started != 0 && now < m.started + self.set.cold_for {
             m.sends.push_back(now);
         }
-        let settled = m.started == 0 || now >= m.started + SETTLING;
+        let age = if m.started == 0 { u64::MAX } else { now.saturating_sub(m.started) };
         let rq = self.reqs.get_mut(&id).unwrap();
         rq.waiting = false;
         rq.tries.push(Try {
@@ -679,7 +714,9 @@
             out: true,
             may_have_run: true,
             counted: false,
-            settled,
+            settled: age >= SETTLING,
+            warm: age >= self.set.cold_for.max(SETTLING),
+            paired,
         });
         out.upstream_try(id, &m.name, rq.due);
         if trial {
@@ -704,9 +741,7 @@
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
                 if !t.counted && now > t.sent + LATE * objective {
                     t.counted = true;
-                    if t.settled {
-                        overdue.push((t.build, rq.route));
-                    }
+                    overdue.push((*id, n, now - t.sent));
                 }
                 if rq.over && !t.counted {
                     spare.push((*id, n));
@@ -721,8 +756,8 @@
                 }
             }
         }
-        for (build, route) in overdue {
-            self.count(build, route, true, true);
+        for (id, n, age) in overdue {
+            self.judge(id, n, End::TimedOut, age);
         }
         if self.set.cancel {
             for (id, n) in spare {
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,12 +25,11 @@
     }
 }
 
-/// Outcomes of one build on one route: all, failed, slow.
+/// Outcomes of one machine under one build on one route, for each test: all of them, and the hits.
 #[derive(Clone, Copy, Default)]
 pub struct Tally {
-    pub all: Fading,
-    pub failed: Fading,
-    pub slow: Fading,
+    pub all: [Fading; 3],
+    pub hits: [Fading; 3],
 }
 
 #[derive(Default)]
@@ -68,6 +67,9 @@
     pub may_have_run: bool,
     pub counted: bool,
     pub settled: bool,
+    pub warm: bool,
+    /// The other side of the trial had a machine in service when it was sent.
+    pub paired: bool,
 }
 
 pub struct Req {
@@ -107,7 +109,7 @@
     pub recount: Option<u64>,
     pub keys: BTreeMap<String, u32>,
     pub fresh_keys: Vec<(String, u32)>,
-    pub evidence: BTreeMap<u32, Vec<Tally>>,
+    pub evidence: BTreeMap<(u32, usize), Vec<Tally>>,
     pub variances: BTreeMap<usize, [f64; 2]>,
     pub condemned: Option<u32>,
     pub lifted: Option<(u32, u32)>,
