--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,7 +35,7 @@
 const HEALTH_FADE: f64 = 3e6;
 const RATE_FADE: f64 = 5e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
-const EASE: f64 = 0.4;
+const EASE: f64 = 0.25;
 const FIRST_ROOM: f64 = 6.0;
 const MOST_ROOM: f64 = 64.0;
 /// Prudent part of what a cold machine can take, left to all fronts together.
@@ -43,6 +43,7 @@
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
 const COPY_SHARE: f64 = 0.08;
+const BRIEF: u64 = 50;
 
 /// One side of the test, as read at a look.
 #[derive(Clone, Copy, Default, Debug, PartialEq)]
@@ -215,6 +216,7 @@
         {
             self.fresh_keys.push((key.clone(), build));
         }
+        let late = took > LATE * objective;
         if !counted {
             self.judge(id, n, end, took);
         }
@@ -249,7 +251,10 @@
                     m.heard = now;
                 }
             }
-            End::TimedOut => narrow(m, now, objective),
+            End::TimedOut => {
+                narrow(m, now, objective);
+                self.copies.add(f64::from(!late), now, RATE_FADE);
+            }
             End::Cancelled | End::NotSent => {}
         }
         let rq = &self.reqs[&id];
@@ -355,6 +360,8 @@
         let (build, i, paired, warm, settled) = (t.build, t.machine, t.paired, t.warm, t.settled);
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
+        // A time-out of this front's own choosing is only slow so far.
+        let cut = end == End::TimedOut && !late;
         let known = error || matches!(end, End::Done | End::TimedOut) && (warm || !late);
         if !settled || !known {
             return;
@@ -362,6 +369,9 @@
         let slow = late || self.usual_for(route, Some(i)).is_some_and(|u| took as f64 > SLOW * u);
         let t = &mut self.tallies(build, i)[route];
         let mut add = |test: usize, hit: bool| {
+            if cut && test != SLOWNESS {
+                return;
+            }
             t.all[test].add(1.0, now, EVIDENCE_FADE);
             t.hits[test].add(f64::from(hit), now, EVIDENCE_FADE);
         };
@@ -718,7 +728,12 @@
             warm: age >= self.set.cold_for.max(SETTLING),
             paired,
         });
-        out.upstream_try(id, &m.name, rq.due);
+        let spare = self.copies.read(now, RATE_FADE) < 1.0 + COPY_SHARE * self.sends.read(now, RATE_FADE);
+        let retriable = self.set.routes[rq.route].repeat == Repeat::Retriable;
+        let brief = now + self.set.routes[rq.route].objective * BRIEF / 100;
+        let cut = !self.set.copies && retriable && spare && rq.tries.len() < self.set.max_tries;
+        let until = if cut && brief < rq.objective { brief } else { rq.due };
+        out.upstream_try(id, &m.name, until);
         if trial {
             let sent = self.exposed.entry(m.build).or_insert_with(|| vec![VecDeque::new(); routes]);
             sent[rq.route].push_back(now);
@@ -774,21 +789,14 @@
     fn copy(&mut self, id: u64, out: &mut dyn Writer) {
         let now = self.now;
         let spent = self.copies.read(now, RATE_FADE);
-        if spent + 1.0 > 1.0 + COPY_SHARE * self.sends.read(now, RATE_FADE) || !self.waiting.is_empty() {
-            return;
-        }
-        let retriable = self.set.routes[self.reqs[&id].route].repeat == Repeat::Retriable;
-        if self.set.copies {
-            if let Some(i) = self.pick(id) {
-                self.send(id, i, out);
-            } else {
-                return;
-            }
-        } else if self.set.cancel && retriable && self.reqs[&id].tries.len() < self.set.max_tries {
-            out.cancel_try(id, self.reqs[&id].tries.len() - 1);
-        } else {
+        if spent + 1.0 > 1.0 + COPY_SHARE * self.sends.read(now, RATE_FADE)
+            || !self.set.copies
+            || !self.waiting.is_empty()
+        {
             return;
         }
+        let Some(i) = self.pick(id) else { return };
+        self.send(id, i, out);
         self.copies.add(1.0, now, RATE_FADE);
         self.reqs.get_mut(&id).unwrap().copied = true;
     }
