--- a/src/decide.rs
+++ b/src/decide.rs
@@ -141,7 +141,8 @@
         let m = &mut self.machines[i];
         if m.build != build || m.started != started {
             // A new process: what the old one did says nothing of it.
-            (m.aside, m.wanted, m.others, m.pace, m.room) = (false, 2, 0.0, EASE / 2.0, FIRST_ROOM);
+            (m.aside, m.wanted, m.others, m.pace, m.room) = (false, 2, 0.0, 1.0, FIRST_ROOM);
+            (m.ease, m.refused) = (EASE / 2.0, 0);
             (m.answers.sum, m.faults.sum, m.heard) = (0.0, 0.0, now);
         }
         (m.zone, m.kind) = (zone.into(), kind.into());
@@ -226,6 +227,7 @@
             u[0].add(took as f64, now, USUAL_FADE);
             u[1].add(1.0, now, USUAL_FADE);
         }
+        let usual = self.usual_for(route, None);
         let m = &mut self.machines[i];
         m.held -= 1.0;
         if let Some(l) = load {
@@ -235,16 +237,23 @@
             End::Done => {
                 m.heard = now;
                 m.answers.add(1.0, now, HEALTH_FADE);
-                let pace = took as f64 / objective as f64;
-                m.pace += 0.1 * (pace - m.pace);
-                if pace < EASE && m.held + 2.0 >= m.room {
+                m.refused = 0;
+                let ease = took as f64 / objective as f64;
+                m.ease += 0.1 * (ease - m.ease);
+                m.pace += 0.1 * (usual.map_or(1.0, |u| took as f64 / u) - m.pace);
+                if ease < EASE && m.held + 2.0 >= m.room {
                     m.room = (m.room + 1.0 / m.room).min(MOST_ROOM);
-                } else if m.pace > EASE {
+                } else if m.ease > EASE {
                     narrow(m, now, objective);
                 }
             }
             End::Full => narrow(m, now, objective),
             End::Error | End::Reset | End::Refused => {
+                // A process that takes no connections serves nothing, however many others do the same.
+                m.refused = if end == End::Refused { m.refused + 1 } else { 0 };
+                if m.refused >= 2 && self.set.probes && !m.aside {
+                    (m.aside, m.answered, m.probed) = (true, 0, now);
+                }
                 m.answers.add(1.0, now, HEALTH_FADE);
                 m.faults.add(1.0, now, HEALTH_FADE);
                 if end == End::Error {
@@ -276,7 +285,8 @@
         }
         m.answered = if end == End::Done { m.answered + 1 } else { 0 };
         if m.aside && m.answered >= m.wanted {
-            (m.aside, m.heard, m.room, m.pace) = (false, now, 2.0, EASE / 2.0);
+            (m.aside, m.heard, m.room, m.pace) = (false, now, 2.0, 1.0);
+            (m.ease, m.refused) = (EASE / 2.0, 0);
             (m.answers.sum, m.faults.sum) = (0.0, 0.0);
             // Longer next time: some machines answer probes and fail reqs.
             m.wanted = (m.wanted * 2).min(16);
@@ -658,7 +668,7 @@
     fn cost(&self, i: usize) -> f64 {
         let m = &self.machines[i];
         let far = if m.zone != self.set.zone { 1.0 + 10.0 * self.set.cross_zone_price } else { 1.0 };
-        (m.held + m.others + 1.0) * m.pace.max(0.01) * far
+        (m.held + m.others + 1.0) * m.pace.max(0.1) * far
     }
 
     fn serve(&mut self, out: &mut dyn Writer) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,7 +47,10 @@
     /// How many own tries it may hold; follows how its answers compare with the latency objective.
     pub room: f64,
     pub narrowed: u64,
+    /// Time to answer against the route's usual, and against its objective.
     pub pace: f64,
+    pub ease: f64,
+    pub refused: u32,
     pub answers: Fading,
     pub faults: Fading,
     pub heard: u64,
