Try a second machine only when the first is silent since the send

Cause: slow reqs were cut or copied, but most are long in themselves, and their second run cost as much again.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,7 +43,6 @@
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
 const COPY_SHARE: f64 = 0.08;
-const BRIEF: u64 = 50;
 
 /// One side of the test, as read at a look.
 #[derive(Clone, Copy, Default, Debug, PartialEq)]
@@ -217,7 +216,6 @@
         {
             self.fresh_keys.push((key.clone(), build));
         }
-        let late = took > LATE * objective;
         if !counted {
             self.judge(id, n, end, took);
         }
@@ -260,10 +258,7 @@
                     m.heard = now;
                 }
             }
-            End::TimedOut => {
-                narrow(m, now, objective);
-                self.copies.add(f64::from(!late), now, RATE_FADE);
-            }
+            End::TimedOut => narrow(m, now, objective),
             End::Cancelled | End::NotSent => {}
         }
         let rq = &self.reqs[&id];
@@ -738,12 +733,7 @@
             warm: age >= self.set.cold_for.max(SETTLING),
             paired,
         });
-        let spare = self.copies.read(now, RATE_FADE) < 1.0 + COPY_SHARE * self.sends.read(now, RATE_FADE);
-        let retriable = self.set.routes[rq.route].repeat == Repeat::Retriable;
-        let brief = now + self.set.routes[rq.route].objective * BRIEF / 100;
-        let cut = !self.set.copies && retriable && spare && rq.tries.len() < self.set.max_tries;
-        let until = if cut && brief < rq.objective { brief } else { rq.due };
-        out.upstream_try(id, &m.name, until);
+        out.upstream_try(id, &m.name, rq.due);
         if trial {
             let sent = self.exposed.entry(m.build).or_insert_with(|| vec![VecDeque::new(); routes]);
             sent[rq.route].push_back(now);
@@ -775,9 +765,11 @@
             }
             let out = rq.tries.iter().filter(|t| t.out).count();
             if !rq.over && !rq.waiting && !rq.copied && !rq.opened && out == 1 {
-                let sent = rq.tries.last().map_or(now, |t| t.sent);
-                if now > sent + objective / 2 && now < rq.objective {
-                    slow.push(*id);
+                let (n, t) = rq.tries.iter().enumerate().next_back().unwrap();
+                // Work is the req's own: a long req is as long elsewhere. Only silence speaks for a copy.
+                let silent = self.machines[t.machine].heard < t.sent;
+                if silent && now > t.sent + objective / 2 && now < rq.objective {
+                    slow.push((*id, n));
                 }
             }
         }
@@ -789,14 +781,14 @@
                 out.cancel_try(id, n);
             }
         }
-        for id in slow {
-            self.copy(id, out);
+        for (id, n) in slow {
+            self.copy(id, n, out);
         }
     }
 
     /// A second try while the first is still out, or in its place where only one may be out. Kept to a
     /// share of all sends, or a jam would double its own load.
-    fn copy(&mut self, id: u64, out: &mut dyn Writer) {
+    fn copy(&mut self, id: u64, n: usize, out: &mut dyn Writer) {
         let now = self.now;
         let spent = self.copies.read(now, RATE_FADE);
         if spent + 1.0 > 1.0 + COPY_SHARE * self.sends.read(now, RATE_FADE)
@@ -805,8 +797,18 @@
         {
             return;
         }
-        let Some(i) = self.pick(id) else { return };
-        self.send(id, i, out);
+        let rq = &self.reqs[&id];
+        if self.set.copies {
+            let Some(i) = self.pick(id) else { return };
+            self.send(id, i, out);
+        } else if self.set.cancel
+            && self.set.routes[rq.route].repeat == Repeat::Retriable
+            && rq.tries.len() < self.set.max_tries
+        {
+            out.cancel_try(id, n);
+        } else {
+            return;
+        }
         self.copies.add(1.0, now, RATE_FADE);
         self.reqs.get_mut(&id).unwrap().copied = true;
     }
