--- a/src/decide.rs
+++ b/src/decide.rs
@@ -142,6 +142,10 @@
             // A new process: what the old one did says nothing of it.
             (m.aside, m.wanted, m.others, m.pace, m.room) = (false, 2, 0.0, 1.0, FIRST_ROOM);
             (m.ease, m.refused) = (EASE / 2.0, 0);
+            // Slow start: one that comes back slowed as well could do far less than its age says.
+            if started != 0 && now < started + self.set.cold_for {
+                m.room = 1.0;
+            }
             (m.answers.sum, m.faults.sum, m.heard) = (0.0, 0.0, now);
         }
         (m.zone, m.kind) = (zone.into(), kind.into());
@@ -240,7 +244,9 @@
                 m.ease += 0.1 * (ease - m.ease);
                 m.pace += 0.1 * (usual.map_or(1.0, |u| took as f64 / u) - m.pace);
                 if ease < EASE && m.held + 2.0 >= m.room {
-                    m.room = (m.room + 1.0 / m.room).min(MOST_ROOM);
+                    let fresh = m.started != 0 && now < m.started + 2 * self.set.cold_for;
+                    let step = if fresh && m.room < FIRST_ROOM { 1.0 } else { 1.0 / m.room };
+                    m.room = (m.room + step).min(MOST_ROOM);
                 } else if m.ease > EASE {
                     narrow(m, now, objective);
                 }
