--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -170,8 +170,10 @@
                     "etimedout" => Answer::Unknown,
                     _ => return Err(format!("unknown answer to a vote: {rc}")),
                 };
+                if reply {
+                    to.answered(answer);
+                }
                 if answer != Answer::Counts {
-                    to.news(reply, answer, 0, 0, Phase::Trial, 0.0, 0);
                     return Ok(());
                 }
                 let phase = match course {
@@ -182,7 +184,7 @@
                     _ => return Err(format!("unknown course: {course}")),
                 };
                 let (build, stage, cap) = (number(build)?, number(stage)?, number(allowed)?);
-                to.news(reply, answer, build, stage, phase, cap, micros(since)?);
+                to.news(build, stage, phase, cap, micros(since)?);
             }
             "ROSTER_CHANGE" => {
                 let [how, revision, _list] = parts(line)?;
@@ -207,7 +209,7 @@
                     };
                     let started = present(since).map_or(Ok(0), micros)?;
                     let cell = present(cell).map_or(Ok(0), number)?;
-                    to.machine(machine, zone, kind, cell, number(ver)?, standing, started);
+                    to.machine(machine, (zone, cell), kind, number(ver)?, standing, started);
                 }
             }
             "SCORECARD" => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,7 @@
 
 use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Scope, Standing, Verdict, Writer};
 pub use crate::state::Balancer;
-use crate::state::{Machine, News, Req, Tally, Try};
+use crate::state::{Machine, News, Req, Try};
 
 const MS: u64 = 1_000;
 const SECOND: u64 = 1_000_000;
@@ -113,23 +113,14 @@
 
     // ---- news ----
 
-    pub fn list(&mut self, whole: bool) {
-        if whole {
-            for m in &mut self.machines {
-                m.standing = Standing::Gone;
-            }
-        }
-    }
-
-    #[allow(clippy::too_many_arguments)]
+    /// One entry of the list; `place` is its zone and cell, `started` 0 where it runs since long.
     pub fn machine(
         &mut self,
         name: &str,
-        zone: &str,
+        place: (&str, u64),
         kind: &str,
-        cell: u64,
         build: u32,
-        standing: Standing,
+        st: Standing,
         started: u64,
     ) {
         let now = self.now;
@@ -140,16 +131,13 @@
         let m = &mut self.machines[i];
         if m.build != build || m.started != started {
             // A new process: what the old one did says nothing of it.
-            (m.aside, m.wanted, m.others, m.pace, m.room) = (false, 2, 0.0, 1.0, FIRST_ROOM);
-            (m.ease, m.refused) = (EASE / 2.0, 0);
             // Slow start: one that comes back slowed as well could do far less than its age says.
-            if started != 0 && now < started + self.set.cold_for {
-                m.room = 1.0;
-            }
-            (m.answers.sum, m.faults.sum, m.heard) = (0.0, 0.0, now);
+            let cold = started != 0 && now < started + self.set.cold_for;
+            renew(m, if cold { 1.0 } else { FIRST_ROOM }, now);
+            (m.wanted, m.others) = (2, 0.0);
         }
-        (m.zone, m.kind) = (zone.into(), kind.into());
-        (m.cell, m.build, m.standing, m.started) = (cell, build, standing, started);
+        (m.zone, m.cell, m.kind) = (place.0.into(), place.1, kind.into());
+        (m.build, m.standing, m.started) = (build, st, started);
     }
 
     pub fn list_failed(&mut self) {
@@ -158,13 +146,10 @@
         self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn req(&mut self, id: u64, route: usize, tenant: Option<usize>, key: Option<&str>, left: u64) {
         let now = self.now;
         self.accepted[route].push_back(now);
-        let r = &self.set.routes[route];
-        let mut earnings = r.earnings;
-        let objective = now + r.objective;
+        let mut earnings = self.set.routes[route].earnings;
         if let Some(t) = tenant {
             self.tenants[t].add(1.0, now, RATE_FADE);
             let rate = self.tenants[t].sum / self.spell(RATE_FADE) * f64::from(self.set.fronts);
@@ -173,42 +158,19 @@
             }
         }
         let rank = earnings / self.usual_for(route, None).unwrap_or(1.0).max(1.0);
-        let rq = Req {
-            route,
-            key: key.map(String::from),
-            came: now,
-            due: now + left,
-            objective: objective.min(now + left),
-            rank,
-            waiting: true,
-            over: false,
-            opened: false,
-            copied: false,
-            tries: Vec::new(),
-        };
+        let (key, due) = (key.map(String::from), now + left);
+        let objective = due.min(now + self.set.routes[route].objective);
+        let rq = Req { route, key, came: now, due, objective, rank, waiting: true, ..Req::default() };
         self.reqs.insert(id, rq);
         self.waiting.push(id);
     }
 
-    pub fn withdrawn(&mut self, id: u64) {
-        if let Some(rq) = self.reqs.get_mut(&id) {
-            (rq.over, rq.waiting) = (true, false);
-            self.forget(id);
-        }
-    }
-
-    pub fn opened(&mut self, id: u64) {
-        if let Some(rq) = self.reqs.get_mut(&id) {
-            rq.opened = true;
-        }
-    }
-
     pub fn outcome(&mut self, id: u64, n: usize, end: End, took: u64, over: bool, load: Option<Load>) {
         let now = self.now;
         let Some(rq) = self.reqs.get_mut(&id) else { return };
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
         t.out = false;
-        t.may_have_run &= !matches!(end, End::Full | End::Refused | End::NotSent);
+        t.ran &= !matches!(end, End::Full | End::Refused | End::NotSent);
         let (i, build, t_warm, counted, route) = (t.machine, t.build, t.warm, t.counted, rq.route);
         t.counted = true;
         let objective = self.set.routes[route].objective;
@@ -224,17 +186,14 @@
             self.judge(id, n, end, took);
         }
         if t_warm && end == End::Done && !self.on_trial(build) {
-            let kind = self.machines[i].kind.clone();
-            let u = self.usual.entry((kind, route)).or_default();
+            let u = self.usual.entry((self.machines[i].kind.clone(), route)).or_default();
             u[0].add(took as f64, now, USUAL_FADE);
             u[1].add(1.0, now, USUAL_FADE);
         }
         let usual = self.usual_for(route, None);
         let m = &mut self.machines[i];
         m.held -= 1.0;
-        if let Some(l) = load {
-            note_load(m, l);
-        }
+        note_load(m, load);
         match end {
             End::Done => {
                 m.heard = now;
@@ -281,41 +240,27 @@
         let Some(i) = self.find(name) else { return };
         let m = &mut self.machines[i];
         m.probe_out = false;
-        if let Some(l) = load {
-            note_load(m, l);
-        }
+        note_load(m, load);
         m.answered = if end == End::Done { m.answered + 1 } else { 0 };
         if m.aside && m.answered >= m.wanted {
-            (m.aside, m.heard, m.room, m.pace) = (false, now, 2.0, 1.0);
-            (m.ease, m.refused) = (EASE / 2.0, 0);
-            (m.answers.sum, m.faults.sum) = (0.0, 0.0);
+            renew(m, 2.0, now);
             // Longer next time: some machines answer probes and fail reqs.
             m.wanted = (m.wanted * 2).min(16);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub fn news(
-        &mut self,
-        reply: bool,
-        answer: Answer,
-        build: u32,
-        stage: u32,
-        phase: Phase,
-        cap: f64,
-        age: u64,
-    ) {
-        if reply && let Some(c) = self.cast.take() {
-            match answer {
-                Answer::Counts => self.stands = (c.0, c.1, c.2, self.now),
-                // It may count: hold to neither, so that it is cast again.
-                Answer::Unknown => self.stands.2 = Verdict::None,
-                _ => {}
-            }
-        }
-        if answer != Answer::Counts {
-            return;
+    /// What became of the vote that was out.
+    pub fn answered(&mut self, answer: Answer) {
+        match (answer, self.cast.take()) {
+            (Answer::Counts, Some(c)) => self.stands = (c.0, c.1, c.2, self.now),
+            // It may count: hold to neither, so that it is cast again.
+            (Answer::Unknown, Some(_)) => self.stands.2 = Verdict::None,
+            _ => {}
         }
+    }
+
+    /// Where the newest build stands, and for how long.
+    pub fn news(&mut self, build: u32, stage: u32, phase: Phase, cap: f64, age: u64) {
         if self.news.is_some_and(|n| n.build == build && cap < n.cap) {
             self.recount = Some(self.now + self.set.grace);
             self.accepted.iter_mut().for_each(VecDeque::clear);
@@ -340,10 +285,6 @@
 
     // ---- small helpers ----
 
-    fn find(&self, name: &str) -> Option<usize> {
-        self.machines.iter().position(|m| m.name == name)
-    }
-
     /// Seconds that a fading count stands for.
     fn spell(&self, fade: f64) -> f64 {
         // A front that has just started knows no rate yet: the first second counts as whole.
@@ -351,17 +292,6 @@
         fade * (1.0 - (-lived / fade).exp()) / 1e6
     }
 
-    fn forget(&mut self, id: u64) {
-        if self.reqs.get(&id).is_some_and(|rq| rq.over && !rq.tries.iter().any(|t| t.out)) {
-            self.reqs.remove(&id);
-        }
-    }
-
-    fn tallies(&mut self, build: u32, machine: usize) -> &mut Vec<Tally> {
-        let routes = self.set.routes.len();
-        self.evidence.entry((build, machine)).or_insert_with(|| vec![Tally::default(); routes])
-    }
-
     /// Counts one try into the evidence. A cold machine is slow whatever it runs, so that its lateness
     /// says nothing; and only tries sent while the other side served too are compared with it, or what a
     /// swap, a jam or a lost zone does to the fleet would be held against the build that runs by then.
@@ -371,8 +301,6 @@
         let (build, i, paired, warm, settled) = (t.build, t.machine, t.paired, t.warm, t.settled);
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
-        // A time-out of this front's own choosing is only slow so far.
-        let cut = end == End::TimedOut && !late;
         let known = error || matches!(end, End::Done | End::TimedOut) && (warm || !late);
         if !settled || !known {
             return;
@@ -380,9 +308,6 @@
         let slow = late || self.usual_for(route, Some(i)).is_some_and(|u| took as f64 > SLOW * u);
         let t = &mut self.tallies(build, i)[route];
         let mut add = |test: usize, hit: bool| {
-            if cut && test != SLOWNESS {
-                return;
-            }
             t.all[test].add(1.0, now, EVIDENCE_FADE);
             t.hits[test].add(f64::from(hit), now, EVIDENCE_FADE);
         };
@@ -397,21 +322,17 @@
 
     /// What the route usually takes: on machines of this one's kind, or on all.
     fn usual_for(&mut self, route: usize, machine: Option<usize>) -> Option<f64> {
-        let now = self.now;
-        let kind = machine.map(|i| self.machines[i].kind.clone());
-        let (mut sum, mut n) = (0.0, 0.0);
-        for ((k, r), u) in &mut self.usual {
-            if *r == route && kind.as_ref().is_none_or(|kind| kind == k) {
-                sum += u[0].read(now, USUAL_FADE);
-                n += u[1].read(now, USUAL_FADE);
-            }
-        }
+        let (sum, n) = self.usual_sums(route, machine, USUAL_FADE);
         (n >= 5.0).then(|| sum / n)
     }
 
-    /// A build that the news has not named, or not named as released, is on trial.
+    /// A build that the news has not named, or not named as released, is on trial; without any news, each
+    /// but the oldest listed.
     fn on_trial(&self, build: u32) -> bool {
-        self.news.is_some_and(|n| build > n.build || (build == n.build && n.phase != Phase::Released))
+        match self.news {
+            Some(n) => build > n.build || (build == n.build && n.phase != Phase::Released),
+            None => self.machines.iter().any(|m| m.standing != Standing::Gone && m.build < build),
+        }
     }
 
     // ---- evidence and votes ----
@@ -431,14 +352,11 @@
             }
             let side = usize::from(*build < n.build);
             for (r, t) in tallies.iter_mut().enumerate() {
-                for test in 0..TESTS {
+                for (place, test) in [(0, 0), (1, 1), (2, 2), (TESTS + r, FAILURES)] {
                     let outcomes = t.all[test].read(now, EVIDENCE_FADE);
-                    let hits = t.hits[test].read(now, EVIDENCE_FADE).min(outcomes);
-                    let places = [Some(test), (test == FAILURES).then_some(TESTS + r)];
-                    for place in places.into_iter().flatten() {
-                        sides[place][side].outcomes += outcomes;
-                        sides[place][side].hits += hits;
-                    }
+                    let arm = &mut sides[place][side];
+                    arm.outcomes += outcomes;
+                    arm.hits += t.hits[test].read(now, EVIDENCE_FADE).min(outcomes);
                 }
             }
         }
@@ -454,8 +372,7 @@
             let s = score(new, old, before, gap);
             if s >= upper && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
-                let (a, b) = (new, old);
-                let counts = (a.hits, a.outcomes, b.hits, b.outcomes);
+                let counts = (new.hits, new.outcomes, old.hits, old.outcomes);
                 out.note(&format!("build {} to go back: test {test}, new and old {counts:.1?}", n.build));
             }
             leaning |= s > 0.0;
@@ -465,8 +382,6 @@
         }
         if now >= n.since + HORIZON || !leaning {
             self.lifted = Some((n.build, n.stage));
-        } else if self.lifted != Some((n.build, n.stage)) {
-            self.lifted = None;
         }
     }
 
@@ -490,8 +405,8 @@
         let (build, stage, verdict, at) = self.stands;
         let fresh = now < at + self.set.vote_life * 6 / 10;
         let same = build == n.build && (stage == n.stage || wish == Verdict::Back) && verdict == wish;
-        let idle = wish == Verdict::None
-            && (verdict == Verdict::None || build != n.build || now >= at + self.set.vote_life);
+        let lapsed = build != n.build || now >= at + self.set.vote_life;
+        let idle = wish == Verdict::None && (verdict == Verdict::None || lapsed);
         if idle || (same && fresh) {
             return;
         }
@@ -508,14 +423,11 @@
         let now = self.now;
         let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count();
         let mut aside = self.machines.iter().filter(|m| m.standing == Standing::Ready && m.aside).count();
-        let mut oldest = vec![u64::MAX; self.machines.len()];
+        let mut silent = vec![false; self.machines.len()];
         for rq in self.reqs.values() {
-            for t in rq.tries.iter().filter(|t| t.out) {
-                if now > t.sent + self.set.routes[rq.route].objective
-                    && t.sent > self.machines[t.machine].heard
-                {
-                    oldest[t.machine] = oldest[t.machine].min(t.sent);
-                }
+            let objective = self.set.routes[rq.route].objective;
+            for t in rq.tries.iter().filter(|t| t.out && now > t.sent + objective) {
+                silent[t.machine] |= t.sent > self.machines[t.machine].heard;
             }
         }
         let mut builds = BTreeMap::new();
@@ -538,8 +450,7 @@
             let (all, bad) = builds.get(&m.build).copied().unwrap_or_default();
             let usual = if all - a > 3.0 { (bad - f) / (all - a) } else { 1.0 };
             let failing = f >= 2.5 && f / a > 0.25 + 2.0 * usual;
-            let silent = oldest[i] != u64::MAX;
-            if (failing || silent) && self.set.probes && aside * 3 < ready {
+            if (failing || silent[i]) && self.set.probes && aside * 3 < ready {
                 aside += 1;
                 (m.aside, m.answered, m.probed) = (true, 0, now);
             }
@@ -550,7 +461,7 @@
 
     /// Rule 2 and the limits on tries: may this req go out to this machine now?
     fn may_try(&self, rq: &Req, m: &Machine) -> bool {
-        let mut ran = rq.tries.iter().filter(|t| t.may_have_run);
+        let mut ran = rq.tries.iter().filter(|t| t.ran);
         let out = rq.tries.iter().any(|t| t.out);
         if rq.tries.len() >= self.set.max_tries || (out && !self.set.copies) {
             return false;
@@ -573,7 +484,7 @@
     fn may_shed(&self, rq: &Req) -> bool {
         match self.set.routes[rq.route].repeat {
             Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. } => true,
-            _ => !rq.tries.iter().any(|t| t.may_have_run),
+            _ => !rq.tries.iter().any(|t| t.ran),
         }
     }
 
@@ -582,30 +493,14 @@
         if !self.on_trial(build) {
             return true;
         }
-        let Some(n) = self.news else { return false };
-        let told = n.build == build;
-        let stage = if told { n.stage } else { 0 };
-        let cap = if told { n.cap } else { self.set.stage_caps.first().copied().unwrap_or(0.0) };
-        if cap <= 0.0 {
-            return false;
-        }
-        if stage < self.set.guarded_stages && self.set.routes[route].repeat != Repeat::Retriable {
+        let first = self.set.stage_caps.first().copied().unwrap_or(0.0);
+        let told = self.news.filter(|n| n.build == build);
+        let (stage, cap) = told.map_or((0, first), |n| (n.stage, n.cap));
+        let guarded = stage < self.set.guarded_stages && self.set.routes[route].repeat != Repeat::Retriable;
+        if cap <= 0.0 || guarded {
             return false;
         }
-        let (now, window) = (self.now, self.set.exposure_window);
-        let routes = self.set.routes.len();
-        let sent = self.exposed.entry(build).or_insert_with(|| vec![VecDeque::new(); routes]);
-        let mut tries = 0;
-        let mut taken = 0;
-        for (r, (sent, accepted)) in sent.iter_mut().zip(&mut self.accepted).enumerate() {
-            // A try exactly a window old still counts, a req of that age no longer does.
-            sent.drain(..sent.partition_point(|&t| t + window < now));
-            accepted.drain(..accepted.partition_point(|&t| t + window <= now));
-            if r == route || !self.set.by_route {
-                tries += sent.len();
-                taken += accepted.len();
-            }
-        }
+        let (tries, taken) = self.exposure(build, route);
         (tries + 1) as f64 <= self.set.free + cap * taken as f64
     }
 
@@ -628,12 +523,13 @@
         let now = self.now;
         let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
         let fair = self.sends.read(now, RATE_FADE) / self.spell(RATE_FADE) / ready as f64;
-        let mut sides: [Vec<usize>; 2] = [Vec::new(), Vec::new()];
-        let mut trial = 0;
+        let (mut sides, mut open, mut trial) = ([Vec::new(), Vec::new()], Vec::new(), 0);
         let rq = &self.reqs[&id];
         let route = rq.route;
-        let floor = rq.key.as_ref().filter(|_| self.holds_keys()).and_then(|k| self.keys.get(k)).copied();
-        let mut open = Vec::new();
+        // A key that the build on trial has answered goes no lower where keys go one way only.
+        let held = self.set.one_way
+            && self.news.is_some_and(|n| !matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
+        let floor = rq.key.as_ref().filter(|_| held).and_then(|k| self.keys.get(k)).copied();
         for (i, m) in self.machines.iter().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
             trial += usize::from(self.on_trial(m.build));
             let fits = !m.aside && m.held < m.room.floor() && floor.is_none_or(|b| m.build >= b);
@@ -651,23 +547,16 @@
                 sides[usize::from(self.on_trial(build))].push(i);
             }
         }
-        let to_trial = self.rng.rand_float() < trial as f64 / ready as f64;
-        let first = usize::from(to_trial);
+        let first = usize::from(self.rng.rand_float() < trial as f64 / ready as f64);
         let side = if sides[first].is_empty() { &sides[1 - first] } else { &sides[first] };
         if side.is_empty() {
             return None;
         }
-        let a = side[(self.rng.rand_u64() % side.len() as u64) as usize];
-        let b = side[(self.rng.rand_u64() % side.len() as u64) as usize];
-        Some(if self.cost(b) < self.cost(a) { b } else { a })
+        let [a, b] = [0; 2].map(|_| side[(self.rng.rand_u64() % side.len() as u64) as usize]);
+        Some(if self.cost(&self.machines[b]) < self.cost(&self.machines[a]) { b } else { a })
     }
 
-    fn holds_keys(&self) -> bool {
-        self.set.one_way && self.news.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released))
-    }
-
-    fn cost(&self, i: usize) -> f64 {
-        let m = &self.machines[i];
+    fn cost(&self, m: &Machine) -> f64 {
         let far = if m.zone != self.set.zone { 1.0 + 10.0 * self.set.cross_zone_price } else { 1.0 };
         (m.held + m.others + 1.0) * m.pace.max(0.1) * far
     }
@@ -690,11 +579,9 @@
 
     /// No further try is allowed, or none could still meet the objective.
     fn hopeless(&mut self, id: u64) -> bool {
-        let now = self.now;
-        let route = self.reqs[&id].route;
-        let usual = self.usual_for(route, None).unwrap_or(0.0) as u64;
+        let usual = self.usual_for(self.reqs[&id].route, None).unwrap_or(0.0) as u64;
         let rq = &self.reqs[&id];
-        now + usual / 2 >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
+        self.now + usual / 2 >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
     }
 
     fn give_up(&mut self, id: u64, out: &mut dyn Writer) {
@@ -713,13 +600,10 @@
     fn send(&mut self, id: u64, i: usize, out: &mut dyn Writer) {
         let now = self.now;
         let trial = self.on_trial(self.machines[i].build);
-        let routes = self.set.routes.len();
         let newest = self.news.map_or(u32::MAX, |n| n.build);
         let side = self.machines[i].build < newest;
-        let paired = self
-            .machines
-            .iter()
-            .any(|o| o.standing == Standing::Ready && !o.aside && (o.build < newest) != side);
+        let serves = |o: &Machine| o.standing == Standing::Ready && !o.aside;
+        let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
         let m = &mut self.machines[i];
         m.held += 1.0;
         if m.started != 0 && now < m.started + self.set.cold_for {
@@ -728,21 +612,24 @@
         let age = if m.started == 0 { u64::MAX } else { now.saturating_sub(m.started) };
         let rq = self.reqs.get_mut(&id).unwrap();
         rq.waiting = false;
-        rq.tries.push(Try {
+        let (settled, warm) = (age >= SETTLING, age >= self.set.cold_for.max(SETTLING));
+        let build = m.build;
+        let t = Try {
             machine: i,
-            build: m.build,
+            build,
             sent: now,
             out: true,
-            may_have_run: true,
-            counted: false,
-            settled: age >= SETTLING,
-            warm: age >= self.set.cold_for.max(SETTLING),
+            ran: true,
+            settled,
+            warm,
             paired,
-        });
+            ..Try::default()
+        };
+        rq.tries.push(t);
         out.upstream_try(id, &m.name, rq.due);
+        let route = rq.route;
         if trial {
-            let sent = self.exposed.entry(m.build).or_insert_with(|| vec![VecDeque::new(); routes]);
-            sent[rq.route].push_back(now);
+            self.expose(build, route);
         }
         self.sends.add(1.0, now, RATE_FADE);
     }
@@ -754,9 +641,7 @@
             self.recount = None;
             self.accepted.iter_mut().for_each(VecDeque::clear);
         }
-        let mut overdue = Vec::new();
-        let mut slow = Vec::new();
-        let mut spare = Vec::new();
+        let (mut overdue, mut slow, mut spare) = (Vec::new(), Vec::new(), Vec::new());
         for (id, rq) in &mut self.reqs {
             let objective = self.set.routes[rq.route].objective;
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
@@ -804,13 +689,11 @@
             return;
         }
         let rq = &self.reqs[&id];
+        let retriable = self.set.routes[rq.route].repeat == Repeat::Retriable;
         if self.set.copies {
             let Some(i) = self.pick(id) else { return };
             self.send(id, i, out);
-        } else if self.set.cancel
-            && self.set.routes[rq.route].repeat == Repeat::Retriable
-            && rq.tries.len() < self.set.max_tries
-        {
+        } else if self.set.cancel && retriable && rq.tries.len() < self.set.max_tries {
             out.cancel_try(id, n);
         } else {
             return;
@@ -820,8 +703,13 @@
     }
 }
 
-fn note_load(m: &mut Machine, l: Load) {
-    if let Some(x) = l.inflight.or(l.queue) {
+fn renew(m: &mut Machine, room: f64, now: u64) {
+    (m.aside, m.heard, m.room, m.pace, m.ease, m.refused) = (false, now, room, 1.0, EASE / 2.0, 0);
+    (m.answers.sum, m.faults.sum) = (0.0, 0.0);
+}
+
+fn note_load(m: &mut Machine, load: Option<Load>) {
+    if let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) {
         m.others = (x - m.held).max(0.0);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,12 +62,14 @@
     pub sends: VecDeque<u64>,
 }
 
+#[derive(Default)]
 pub struct Try {
     pub machine: usize,
     pub build: u32,
     pub sent: u64,
     pub out: bool,
-    pub may_have_run: bool,
+    /// It ran, or may have.
+    pub ran: bool,
     pub counted: bool,
     pub settled: bool,
     pub warm: bool,
@@ -75,6 +77,7 @@
     pub paired: bool,
 }
 
+#[derive(Default)]
 pub struct Req {
     pub route: usize,
     pub key: Option<String>,
@@ -161,4 +164,77 @@
             set,
         }
     }
+
+    pub fn list(&mut self, whole: bool) {
+        if whole {
+            for m in &mut self.machines {
+                m.standing = Standing::Gone;
+            }
+        }
+    }
+
+    pub fn withdrawn(&mut self, id: u64) {
+        if let Some(rq) = self.reqs.get_mut(&id) {
+            (rq.over, rq.waiting) = (true, false);
+            self.forget(id);
+        }
+    }
+
+    pub fn opened(&mut self, id: u64) {
+        if let Some(rq) = self.reqs.get_mut(&id) {
+            rq.opened = true;
+        }
+    }
+
+    pub(crate) fn find(&self, name: &str) -> Option<usize> {
+        self.machines.iter().position(|m| m.name == name)
+    }
+
+    pub(crate) fn forget(&mut self, id: u64) {
+        if self.reqs.get(&id).is_some_and(|rq| rq.over && !rq.tries.iter().any(|t| t.out)) {
+            self.reqs.remove(&id);
+        }
+    }
+
+    pub(crate) fn tallies(&mut self, build: u32, machine: usize) -> &mut Vec<Tally> {
+        let routes = self.set.routes.len();
+        self.evidence.entry((build, machine)).or_insert_with(|| vec![Tally::default(); routes])
+    }
+
+    /// Tries at a build and reqs accepted inside the exposure window, on this route or on all as told.
+    pub(crate) fn exposure(&mut self, build: u32, route: usize) -> (usize, usize) {
+        let (now, window, routes) = (self.now, self.set.exposure_window, self.set.routes.len());
+        let sent = self.exposed.entry(build).or_insert_with(|| vec![VecDeque::new(); routes]);
+        let (mut tries, mut taken) = (0, 0);
+        for (r, (sent, accepted)) in sent.iter_mut().zip(&mut self.accepted).enumerate() {
+            // A try exactly a window old still counts, a req of that age no longer does.
+            sent.drain(..sent.partition_point(|&t| t + window < now));
+            accepted.drain(..accepted.partition_point(|&t| t + window <= now));
+            if r == route || !self.set.by_route {
+                tries += sent.len();
+                taken += accepted.len();
+            }
+        }
+        (tries, taken)
+    }
+
+    pub(crate) fn expose(&mut self, build: u32, route: usize) {
+        let routes = self.set.routes.len();
+        let sent = self.exposed.entry(build).or_insert_with(|| vec![VecDeque::new(); routes]);
+        sent[route].push_back(self.now);
+    }
+
+    /// Times taken on a route, and how many: on machines of this one's kind, or on all.
+    pub(crate) fn usual_sums(&mut self, route: usize, machine: Option<usize>, fade: f64) -> (f64, f64) {
+        let now = self.now;
+        let kind = machine.map(|i| &self.machines[i].kind);
+        let mut sums = (0.0, 0.0);
+        for ((k, r), u) in &mut self.usual {
+            if *r == route && kind.is_none_or(|kind| kind == k) {
+                sums.0 += u[0].read(now, fade);
+                sums.1 += u[1].read(now, fade);
+            }
+        }
+        sums
+    }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,7 +103,7 @@
 
 /// A ready machine that has run for long.
 pub fn warm(to: &mut Balancer, name: &str, zone: &str, build: u32) {
-    to.machine(name, zone, "k", 0, build, Standing::Ready, 0);
+    to.machine(name, (zone, 0), "k", build, Standing::Ready, 0);
 }
 
 pub fn count(lines: &[String], start: &str) -> usize {
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -33,7 +33,7 @@
     let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
     let mut all = b.round(0, |to| {
         [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
-        to.news(false, Answer::Counts, 2, 0, Phase::Trial, 0.5, 0);
+        to.news(2, 0, Phase::Trial, 0.5, 0);
     });
     let mut on_new = 0;
     for id in 0..seconds * 50 {
@@ -70,7 +70,7 @@
         let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
         b.round(0, |to| {
             [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
-            to.news(false, Answer::Counts, 2, 0, Phase::Trial, 1.0, 0);
+            to.news(2, 0, Phase::Trial, 1.0, 0);
         });
         let mut cast = 0;
         for id in 0..500 {
@@ -84,7 +84,7 @@
             }
         }
         assert_eq!(cast, 1);
-        b.round(10 * MS, |to| to.news(true, answer, 2, 0, Phase::Trial, 1.0, 0));
+        b.round(10 * MS, |to| to.answered(answer));
         let got: Vec<_> = (0..4).flat_map(|_| b.round(250 * MS, |_| {})).collect();
         assert_eq!(count(&got, "vote 2 0 Back"), again, "{answer:?}: {got:?}");
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -54,7 +54,7 @@
         b.round(0, |to| warm(to, "m1", "z1", 1));
         let got = b.round(0, |to| {
             to.list(false);
-            to.machine("m1", "z1", "k", 0, 1, standing, 0);
+            to.machine("m1", ("z1", 0), "k", 1, standing, 0);
             to.req(7, 0, None, None, 900 * MS);
         });
         assert_eq!(got.len(), 0, "{got:?}");
@@ -77,7 +77,7 @@
     let mut b = Bench::new(set);
     let got = b.round(0, |to| {
         warm(to, "m1", "z1", build);
-        to.news(false, Answer::Counts, 2, stage, Phase::Trial, cap, 0);
+        to.news(2, stage, Phase::Trial, cap, 0);
         (0..reqs).for_each(|id| to.req(id, route, None, None, 900 * MS));
     });
     count(&got, "try")
@@ -109,7 +109,7 @@
         let mut b = Bench::new(Settings { by_route, ..settings() });
         let got = b.round(0, |to| {
             warm(to, "m1", "z1", 2);
-            to.news(false, Answer::Counts, 2, 1, Phase::Trial, 0.1, 0);
+            to.news(2, 1, Phase::Trial, 0.1, 0);
             (0..10).for_each(|id| to.req(id, usize::from(id >= 5), None, None, 900 * MS));
         });
         let first = (0..5).filter(|id| got.contains(&format!("try {id} m1"))).count();
@@ -123,7 +123,7 @@
         let mut b = Bench::new(settings());
         b.round(0, |to| {
             warm(to, "m1", "z1", 2);
-            to.news(false, Answer::Counts, 2, 1, Phase::Trial, 0.1, 0);
+            to.news(2, 1, Phase::Trial, 0.1, 0);
             (0..2).for_each(|id| to.req(id, 0, None, None, 900 * MS));
         });
         b.round(20 * MS, |to| (0..2).for_each(|id| to.outcome(id, 0, End::Done, 20 * MS, true, None)));
@@ -142,16 +142,16 @@
         let mut b = Bench::new(Settings { one_way, free: 1.0, ..settings() });
         b.round(0, |to| {
             warm(to, "new", "z1", 2);
-            to.news(false, Answer::Counts, 2, 1, Phase::Trial, 1.0, 0);
+            to.news(2, 1, Phase::Trial, 1.0, 0);
             to.req(1, 0, None, Some("k"), 900 * MS);
         });
         b.round(10 * MS, |to| to.outcome(1, 0, End::Done, 10 * MS, true, None));
         let got = b.round(10 * MS, |to| {
             if wanted.ends_with("old") {
-                to.machine("new", "z1", "k", 0, 2, Standing::Draining, 0);
+                to.machine("new", ("z1", 0), "k", 2, Standing::Draining, 0);
             }
             warm(to, "old", "z1", 1);
-            to.news(false, Answer::Counts, 2, 1, phase, 1.0, 0);
+            to.news(2, 1, phase, 1.0, 0);
             to.req(2, 0, None, Some("k"), 900 * MS);
         });
         assert_eq!(got, [wanted]);
@@ -165,7 +165,7 @@
         let mut b = Bench::new(settings());
         let now = b.now;
         let got = b.round(0, |to| {
-            to.machine("m1", "z1", "k", 0, 1, Standing::Ready, now - age);
+            to.machine("m1", ("z1", 0), "k", 1, Standing::Ready, now - age);
             (0..5).for_each(|id| to.req(id, 0, None, None, 900 * MS));
         });
         assert_eq!(count(&got, "try"), wanted);
