--- a/src/decide.rs
+++ b/src/decide.rs
@@ -223,7 +223,11 @@
                     m.heard = now;
                 }
             }
-            End::TimedOut => narrow(m, now, objective),
+            End::TimedOut => {
+                m.answers.add(1.0, now, HEALTH_FADE);
+                m.faults.add(1.0, now, HEALTH_FADE);
+                narrow(m, now, objective);
+            }
             End::Cancelled | End::NotSent => {}
         }
         let rq = &self.reqs[&id];
