--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Scope, Standing, Verdict, Writer};
-pub use crate::state::Balancer;
+pub use crate::state::{Arm, Balancer};
 use crate::state::{Machine, News, Req, Try};
 
 const MS: u64 = 1_000;
@@ -44,22 +44,18 @@
 const SWEEP: u64 = 10 * MS;
 const COPY_SHARE: f64 = 0.08;
 
-/// One side of the test, as read at a look.
-#[derive(Clone, Copy, Default, Debug, PartialEq)]
-pub struct Arm {
-    pub outcomes: f64,
-    pub hits: f64,
-}
-
 impl Arm {
-    fn share(&self) -> f64 {
-        if self.outcomes > 0.0 { self.hits / self.outcomes } else { 0.0 }
-    }
     /// Floored, or a side without a hit would make any single hit on the other look certain.
-    fn variance(&self) -> f64 {
+    fn plain_variance(&self) -> f64 {
         let p = self.share();
         (p * (1.0 - p)).max(LEAST_SHARE * (1.0 - LEAST_SHARE))
     }
+    /// How much more its machines differ than chance would have them: what jams, slows or shares one
+    /// machine hits its outcomes together, and a build would be judged by the luck of a few machines.
+    fn clustering(&self) -> f64 {
+        let (p, [kk, kn, nn]) = (self.share(), self.spread);
+        ((kk - 2.0 * p * kn + p * p * nn) / self.outcomes.max(1.0) / self.plain_variance()).max(1.0)
+    }
 }
 
 /// One-sided SPRT-z: the score of `new` against `old`, z with the variances of this look, the drift with
@@ -67,16 +63,22 @@
 ///
 /// ```
 /// use tidescale::decide::{Arm, score};
-/// let (new, old) = (Arm { outcomes: 100.0, hits: 10.0 }, Arm { outcomes: 100.0, hits: 1.0 });
-/// assert!((score(new, old, [0.09, 0.0099], 0.03) - 2.252_252).abs() < 1e-5);
+/// let arm = |outcomes, hits| Arm { outcomes, hits, ..Arm::default() };
+/// assert!((score(arm(100.0, 10.0), arm(100.0, 1.0), [0.09, 0.0099], 0.03) - 2.252_252).abs() < 1e-5);
 /// ```
 pub fn score(new: Arm, old: Arm, before: [f64; 2], gap: f64) -> f64 {
     let root = |v: [f64; 2]| (v[0] / new.outcomes + v[1] / old.outcomes).sqrt();
-    let z = (new.share() - old.share()) / root([new.variance(), old.variance()]);
+    let z = (new.share() - old.share()) / root(variances(new, old));
     let drift = gap / root(before);
     z * drift - drift * drift / 2.0
 }
 
+/// Of both sides; the old side's clustering also holds for a new side of too few machines to show it.
+fn variances(new: Arm, old: Arm) -> [f64; 2] {
+    let clustering = old.clustering();
+    [new.plain_variance() * new.clustering().max(clustering), old.plain_variance() * clustering]
+}
+
 /// Wald's bounds, lower and upper.
 pub fn bounds() -> (f64, f64) {
     ((BETA / (1.0 - ALPHA)).ln(), ((1.0 - BETA) / ALPHA).ln())
@@ -102,9 +104,6 @@
             self.judge_machines(out);
         }
         self.serve(out);
-        for (key, build) in self.fresh_keys.drain(..) {
-            self.keys.insert(key, build);
-        }
         if now >= self.woken {
             out.wake(SWEEP);
             self.woken = now + SWEEP;
@@ -152,7 +151,7 @@
         let mut earnings = self.set.routes[route].earnings;
         if let Some(t) = tenant {
             self.tenants[t].add(1.0, now, RATE_FADE);
-            let rate = self.tenants[t].sum / self.spell(RATE_FADE) * f64::from(self.set.fronts);
+            let rate = self.tenants[t].sum / self.spell(RATE_FADE, SECOND) * f64::from(self.set.fronts);
             if rate > self.set.tenants[t].quota_per_s {
                 earnings *= self.set.over_share_earnings;
             }
@@ -180,7 +179,7 @@
         if end == End::Done
             && let Some(key) = rq.key.as_ref().filter(|_| self.set.one_way)
         {
-            self.fresh_keys.push((key.clone(), build));
+            self.keys.insert(key.clone(), build);
         }
         if !counted {
             self.judge(id, n, end, took);
@@ -289,13 +288,6 @@
 
     // ---- small helpers ----
 
-    /// Seconds that a fading count stands for.
-    fn spell(&self, fade: f64) -> f64 {
-        // A front that has just started knows no rate yet: the first second counts as whole.
-        let lived = ((self.now - self.born) as f64).max(1e6);
-        fade * (1.0 - (-lived / fade).exp()) / 1e6
-    }
-
     /// Counts one try into the evidence. A cold machine is slow whatever it runs, so that its lateness
     /// says nothing; and only tries sent while the other side served too are compared with it, or what a
     /// swap, a jam or a lost zone does to the fleet would be held against the build that runs by then.
@@ -355,14 +347,18 @@
                 continue;
             }
             let side = usize::from(*build < n.build);
+            let mut own = [(0.0, 0.0); TESTS];
             for (r, t) in tallies.iter_mut().enumerate() {
-                for (place, test) in [(0, 0), (1, 1), (2, 2), (TESTS + r, FAILURES)] {
-                    let outcomes = t.all[test].read(now, EVIDENCE_FADE);
-                    let arm = &mut sides[place][side];
-                    arm.outcomes += outcomes;
-                    arm.hits += t.hits[test].read(now, EVIDENCE_FADE).min(outcomes);
+                for (test, own) in own.iter_mut().enumerate() {
+                    let n = t.all[test].read(now, EVIDENCE_FADE);
+                    let k = t.hits[test].read(now, EVIDENCE_FADE).min(n);
+                    *own = (own.0 + n, own.1 + k);
+                    if test == FAILURES {
+                        sides[TESTS + r][side].add(n, k);
+                    }
                 }
             }
+            own.iter().zip(&mut sides).for_each(|(own, arms)| arms[side].add(own.0, own.1));
         }
         let (lower, upper) = bounds();
         let mut leaning = false;
@@ -371,7 +367,7 @@
                 continue;
             }
             let gap = if test == SLOWNESS { SLOW_GAP } else { FAIL_GAP };
-            let present = [new.variance(), old.variance()];
+            let present = variances(new, old);
             let before = self.variances.insert(test, present).unwrap_or(present);
             let s = score(new, old, before, gap);
             if s >= upper && self.condemned != Some(n.build) {
@@ -526,7 +522,7 @@
     fn pick(&mut self, id: u64) -> Option<usize> {
         let now = self.now;
         let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
-        let fair = self.sends.read(now, RATE_FADE) / self.spell(RATE_FADE) / ready as f64;
+        let fair = self.sends.read(now, RATE_FADE) / self.spell(RATE_FADE, SECOND) / ready as f64;
         let (mut sides, mut open, mut trial) = ([Vec::new(), Vec::new()], Vec::new(), 0);
         let rq = &self.reqs[&id];
         let route = rq.route;
@@ -569,7 +565,7 @@
         let mut ids = std::mem::take(&mut self.waiting);
         ids.retain(|id| self.reqs.get(id).is_some_and(|rq| rq.waiting && !rq.over));
         let reqs = &self.reqs;
-        ids.sort_by(|a, b| reqs[b].rank.total_cmp(&reqs[a].rank).then(reqs[a].came.cmp(&reqs[b].came)));
+        ids.sort_by(|a, b| reqs[b].rank.total_cmp(&reqs[a].rank).then(reqs[b].came.cmp(&reqs[a].came)));
         for id in ids {
             if self.hopeless(id) {
                 self.give_up(id, out);
@@ -585,7 +581,7 @@
     fn hopeless(&mut self, id: u64) -> bool {
         let usual = self.usual_for(self.reqs[&id].route, None).unwrap_or(0.0) as u64;
         let rq = &self.reqs[&id];
-        self.now + usual / 2 >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
+        self.now + usual * 3 / 2 >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
     }
 
     fn give_up(&mut self, id: u64, out: &mut dyn Writer) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,25 @@
     pub hits: [Fading; 3],
 }
 
+/// One side of the test, as read at a look.
+#[derive(Clone, Copy, Default, Debug, PartialEq)]
+pub struct Arm {
+    pub outcomes: f64,
+    pub hits: f64,
+    /// Over its machines: hits squared, hits times outcomes, outcomes squared.
+    pub spread: [f64; 3],
+}
+
+impl Arm {
+    pub fn share(&self) -> f64 {
+        if self.outcomes > 0.0 { self.hits / self.outcomes } else { 0.0 }
+    }
+    pub fn add(&mut self, n: f64, k: f64) {
+        (self.outcomes, self.hits) = (self.outcomes + n, self.hits + k);
+        self.spread = [self.spread[0] + k * k, self.spread[1] + k * n, self.spread[2] + n * n];
+    }
+}
+
 #[derive(Default)]
 pub struct Machine {
     pub name: String,
@@ -114,7 +133,6 @@
     pub exposed: BTreeMap<u32, Vec<VecDeque<u64>>>,
     pub recount: Option<u64>,
     pub keys: BTreeMap<String, u32>,
-    pub fresh_keys: Vec<(String, u32)>,
     pub evidence: BTreeMap<(u32, usize), Vec<Tally>>,
     pub variances: BTreeMap<usize, [f64; 2]>,
     pub condemned: Option<u32>,
@@ -146,7 +164,6 @@
             exposed: BTreeMap::new(),
             recount: None,
             keys: BTreeMap::new(),
-            fresh_keys: Vec::new(),
             evidence: BTreeMap::new(),
             variances: BTreeMap::new(),
             condemned: None,
@@ -237,4 +254,10 @@
         }
         sums
     }
+
+    /// Seconds that a fading count stands for, of a front that has run at least this long.
+    pub(crate) fn spell(&self, fade: f64, least: u64) -> f64 {
+        let lived = (self.now - self.born).max(least) as f64;
+        fade * (1.0 - (-lived / fade).exp()) / 1e6
+    }
 }
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn score_follows_the_paper() {
-    let arm = |outcomes, hits| Arm { outcomes, hits };
+    let arm = |outcomes, hits| Arm { outcomes, hits, ..Arm::default() };
     // new, old, variances of the look before, gap -> score
     let table = [
         // No gap seen, both at the floor: minus half the drift squared.
@@ -28,6 +28,21 @@
     }
 }
 
+#[test]
+fn a_few_machines_that_fail_alone_are_not_the_build() {
+    let arm = |machines: [(f64, f64); 4]| {
+        let mut a = Arm::default();
+        machines.iter().for_each(|m| a.add(m.0, m.1));
+        a
+    };
+    let old = arm([(50.0, 1.0); 4]);
+    let before = [0.0599, 0.0196];
+    let (_, upper) = bounds();
+    // The same share of failures, on all machines alike and on one of them.
+    assert!(score(arm([(50.0, 8.0); 4]), old, before, 0.03) > upper);
+    assert!(score(arm([(50.0, 0.0), (50.0, 0.0), (50.0, 0.0), (50.0, 32.0)]), old, before, 0.03) < upper);
+}
+
 /// Fifty reqs a second on old and new machines, `failing` of ten failing on the new one.
 fn votes(failing: u64, seconds: u64) -> Vec<String> {
     let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
