Trial share by the machines that can take a req now

Cause: while new machines were cold, their build's warm ones got their part too, and a good build looked slow.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -523,7 +523,7 @@
         let now = self.now;
         let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
         let fair = self.sends.read(now, RATE_FADE) / self.spell(RATE_FADE, SECOND) / ready as f64;
-        let (mut sides, mut open, mut trial) = ([Vec::new(), Vec::new()], Vec::new(), 0);
+        let (mut sides, mut open) = ([Vec::new(), Vec::new()], Vec::new());
         let rq = &self.reqs[&id];
         let route = rq.route;
         // A key that the build on trial has answered goes no lower where keys go one way only.
@@ -531,7 +531,6 @@
             && self.news.is_some_and(|n| !matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
         let floor = rq.key.as_ref().filter(|_| held).and_then(|k| self.keys.get(k)).copied();
         for (i, m) in self.machines.iter().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
-            trial += usize::from(self.on_trial(m.build));
             let fits = !m.aside && m.held < m.room.floor() && floor.is_none_or(|b| m.build >= b);
             if fits && self.may_try(rq, m) {
                 open.push(i);
@@ -547,7 +546,10 @@
                 sides[usize::from(self.on_trial(build))].push(i);
             }
         }
-        let first = usize::from(self.rng.rand_float() < trial as f64 / ready as f64);
+        // The share of machines that can take a req now: cold ones would leave their part to the warm ones
+        // of their build, which a good build would then be blamed for.
+        let share = sides[1].len() as f64 / (sides[0].len() + sides[1].len()).max(1) as f64;
+        let first = usize::from(self.rng.rand_float() < share);
         let side = if sides[first].is_empty() { &sides[1 - first] } else { &sides[first] };
         if side.is_empty() {
             return None;
