--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,6 +43,8 @@
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
 const COPY_SHARE: f64 = 0.08;
+/// With no more tries than this at its machine, a try is slow by its build, not by a queue.
+const LIGHT: f64 = 2.0;
 
 impl Arm {
     /// Floored, or a side without a hit would make any single hit on the other look certain.
@@ -294,7 +296,8 @@
     fn judge(&mut self, id: u64, n: usize, end: End, took: u64) {
         let (now, rq) = (self.now, &self.reqs[&id]);
         let (t, route) = (&rq.tries[n], rq.route);
-        let (build, i, paired, warm, settled) = (t.build, t.machine, t.paired, t.warm, t.settled);
+        let (build, i, paired, settled) = (t.build, t.machine, t.paired, t.settled);
+        let (warm, light) = (t.warm, t.light);
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
         let known = error || matches!(end, End::Done | End::TimedOut) && (warm || !late);
@@ -311,7 +314,7 @@
         if paired {
             add(FAILURES, error || late || end == End::TimedOut);
         }
-        if paired && warm && end != End::Error {
+        if paired && warm && light && end != End::Error {
             add(SLOWNESS, slow);
         }
     }
@@ -427,7 +430,7 @@
         for rq in self.reqs.values() {
             let objective = self.set.routes[rq.route].objective;
             for t in rq.tries.iter().filter(|t| t.out && now > t.sent + objective) {
-                silent[t.machine] |= t.sent > self.machines[t.machine].heard;
+                silent[t.machine] |= t.sent >= self.machines[t.machine].heard;
             }
         }
         let mut builds = BTreeMap::new();
@@ -607,6 +610,7 @@
         let serves = |o: &Machine| o.standing == Standing::Ready && !o.aside;
         let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
         let m = &mut self.machines[i];
+        let light = m.held + m.others <= LIGHT;
         m.held += 1.0;
         if m.started != 0 && now < m.started + self.set.cold_for {
             m.sends.push_back(now);
@@ -616,17 +620,7 @@
         rq.waiting = false;
         let (settled, warm) = (age >= SETTLING, age >= self.set.cold_for.max(SETTLING));
         let build = m.build;
-        let t = Try {
-            machine: i,
-            build,
-            sent: now,
-            out: true,
-            ran: true,
-            settled,
-            warm,
-            paired,
-            ..Try::default()
-        };
+        let t = Try { settled, warm, paired, light, ..Try::new(i, build, now) };
         rq.tries.push(t);
         out.upstream_try(id, &m.name, rq.due);
         let route = rq.route;
@@ -660,7 +654,7 @@
             if !rq.over && !rq.waiting && !rq.copied && !rq.opened && out == 1 {
                 let (n, t) = rq.tries.iter().enumerate().next_back().unwrap();
                 // Work is the req's own: a long req is as long elsewhere. Only silence speaks for a copy.
-                let silent = self.machines[t.machine].heard < t.sent;
+                let silent = self.machines[t.machine].heard <= t.sent;
                 if silent && now > t.sent + objective / 2 && now < rq.objective {
                     slow.push((*id, n));
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,10 +92,18 @@
     pub counted: bool,
     pub settled: bool,
     pub warm: bool,
+    /// Its machine had little to do when it was sent.
+    pub light: bool,
     /// The other side of the trial had a machine in service when it was sent.
     pub paired: bool,
 }
 
+impl Try {
+    pub fn new(machine: usize, build: u32, sent: u64) -> Self {
+        Try { machine, build, sent, out: true, ran: true, ..Try::default() }
+    }
+}
+
 #[derive(Default)]
 pub struct Req {
     pub route: usize,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -171,3 +171,47 @@
         assert_eq!(count(&got, "try"), wanted);
     }
 }
+
+#[test]
+fn a_second_try_needs_a_machine_silent_since_the_send() {
+    // Does the first machine answer another req meanwhile, may two be out -> what is written
+    let table = [(true, true, 0, 0), (false, true, 1, 0), (false, false, 0, 1)];
+    for (answers, copies, tries, cancels) in table {
+        let mut b = Bench::new(Settings { copies, ..settings() });
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 1);
+            (1..3).for_each(|id| to.req(id, 0, None, None, 2000 * MS));
+        });
+        b.round(0, |to| warm(to, "m2", "z1", 1));
+        if answers {
+            b.round(100 * MS, |to| to.outcome(2, 0, End::Done, 100 * MS, true, None));
+        } else {
+            b.round(100 * MS, |to| to.withdrawn(2));
+        }
+        let got: Vec<_> = (0..20).flat_map(|_| b.round(10 * MS, |_| {})).collect();
+        assert_eq!((count(&got, "try 1 m2"), count(&got, "cancel 1")), (tries, cancels), "{got:?}");
+    }
+}
+
+#[test]
+fn a_machine_set_aside_returns_after_answered_probes() {
+    let mut b = Bench::new(settings());
+    b.round(0, |to| {
+        warm(to, "m1", "z1", 1);
+        (1..3).for_each(|id| to.req(id, 2, None, None, 5000 * MS));
+    });
+    b.round(0, |to| (1..3).for_each(|id| to.outcome(id, 0, End::Refused, MS, false, None)));
+    let mut probes = 0;
+    for _ in 0..3 {
+        let got: Vec<_> = (0..45).flat_map(|_| b.round(10 * MS, |_| {})).collect();
+        assert_eq!(count(&got, "try"), 0);
+        if count(&got, "probe m1") > 0 {
+            probes += 1;
+            b.round(MS, |to| to.probed("m1", End::Done, None));
+        }
+        if probes == 2 {
+            break;
+        }
+    }
+    assert_eq!(b.round(10 * MS, |to| to.req(9, 0, None, None, 900 * MS)), ["try 9 m1"]);
+}
