--- a/src/decide.rs
+++ b/src/decide.rs
@@ -652,11 +652,11 @@
             }
             let out = rq.tries.iter().filter(|t| t.out).count();
             if !rq.over && !rq.waiting && !rq.copied && !rq.opened && out == 1 {
-                let (n, t) = rq.tries.iter().enumerate().next_back().unwrap();
+                let t = rq.tries.last().unwrap();
                 // Work is the req's own: a long req is as long elsewhere. Only silence speaks for a copy.
                 let silent = self.machines[t.machine].heard <= t.sent;
                 if silent && now > t.sent + objective / 2 && now < rq.objective {
-                    slow.push((*id, n));
+                    slow.push(*id);
                 }
             }
         }
@@ -668,32 +668,21 @@
                 out.cancel_try(id, n);
             }
         }
-        for (id, n) in slow {
-            self.copy(id, n, out);
+        for id in slow {
+            self.copy(id, out);
         }
     }
 
-    /// A second try while the first is still out, or in its place where only one may be out. Kept to a
-    /// share of all sends, or a jam would double its own load.
-    fn copy(&mut self, id: u64, n: usize, out: &mut dyn Writer) {
+    /// A second try while the first is still out. Kept to a share of all sends, or a jam would double its
+    /// own load.
+    fn copy(&mut self, id: u64, out: &mut dyn Writer) {
         let now = self.now;
         let spent = self.copies.read(now, RATE_FADE);
-        if spent + 1.0 > 1.0 + COPY_SHARE * self.sends.read(now, RATE_FADE)
-            || !self.set.copies
-            || !self.waiting.is_empty()
-        {
-            return;
-        }
-        let rq = &self.reqs[&id];
-        let retriable = self.set.routes[rq.route].repeat == Repeat::Retriable;
-        if self.set.copies {
-            let Some(i) = self.pick(id) else { return };
-            self.send(id, i, out);
-        } else if self.set.cancel && retriable && rq.tries.len() < self.set.max_tries {
-            out.cancel_try(id, n);
-        } else {
+        if spent > COPY_SHARE * self.sends.read(now, RATE_FADE) || !self.waiting.is_empty() {
             return;
         }
+        let Some(i) = self.pick(id) else { return };
+        self.send(id, i, out);
         self.copies.add(1.0, now, RATE_FADE);
         self.reqs.get_mut(&id).unwrap().copied = true;
     }
