--- a/src/decide.rs
+++ b/src/decide.rs
@@ -301,9 +301,15 @@
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
         let known = error || matches!(end, End::Done | End::TimedOut) && (warm || !late);
-        if !settled || !known {
+        // One process that dies is one failure, not one for each try it held: lost machines and zones are
+        // no build's doing, while a build that keeps dying still shows.
+        let died = self.machines[i].died;
+        if !settled || !known || (end == End::Reset && died != 0 && now < died + SECOND) {
             return;
         }
+        if end == End::Reset {
+            self.machines[i].died = now;
+        }
         let slow = late || self.usual_for(route, Some(i)).is_some_and(|u| took as f64 > SLOW * u);
         let t = &mut self.tallies(build, i)[route];
         let mut add = |test: usize, hit: bool| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,7 @@
     pub pace: f64,
     pub ease: f64,
     pub refused: u32,
+    pub died: u64,
     pub answers: Fading,
     pub faults: Fading,
     pub heard: u64,
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -104,3 +104,29 @@
         assert_eq!(count(&got, "vote 2 0 Back"), again, "{answer:?}: {got:?}");
     }
 }
+
+#[test]
+fn a_process_that_dies_is_one_failure() {
+    for (end, back) in [(End::Reset, false), (End::Error, true)] {
+        let mut b = Bench::new(Settings { stage_caps: vec![1.0], guarded_stages: 0, ..settings() });
+        b.round(0, |to| {
+            [("o1", 1), ("n1", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
+            to.news(2, 0, Phase::Trial, 1.0, 0);
+        });
+        let mut ids = 0..;
+        let mut all = Vec::new();
+        // Calm rounds, then one in which all that the new machine holds ends at once.
+        for round in 0..60 {
+            let some: Vec<u64> = ids.by_ref().take(8).collect();
+            let sent = b.round(10 * MS, |to| some.iter().for_each(|id| to.req(*id, 0, None, None, 900 * MS)));
+            all.extend(b.round(10 * MS, |to| {
+                for id in some {
+                    let hit = round >= 58 && sent.contains(&format!("try {id} n1"));
+                    to.outcome(id, 0, if hit { end } else { End::Done }, 10 * MS, true, None);
+                }
+            }));
+        }
+        all.extend(b.round(250 * MS, |_| {}));
+        assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{end:?}");
+    }
+}
