--- a/src/decide.rs
+++ b/src/decide.rs
@@ -592,7 +592,10 @@
     fn hopeless(&mut self, id: u64) -> bool {
         let usual = self.usual_for(self.reqs[&id].route, None).unwrap_or(0.0) as u64;
         let rq = &self.reqs[&id];
-        self.now + usual * 3 / 2 >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
+        // Never more than half the objective: what was learned in a jam would shed each req on arrival,
+        // and nothing would be learned again.
+        let need = (usual * 3 / 2).min(self.set.routes[rq.route].objective / 2);
+        self.now + need >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
     }
 
     fn give_up(&mut self, id: u64, out: &mut dyn Writer) {
