Judge the fleet against before the trial; no lateness behind a queue

The earlier build's machines are compared with themselves before the trial, until the last stage; lateness counts on machines with little to do, or silent altogether. Against shared resources, noisy tenants of a build and the like; may blame a build for a slow-down that begins by chance in its first stages.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,7 +23,9 @@
 const SLOWNESS: usize = 1;
 /// Errors and resets alone, also compared across time: neither overload nor a swap brings them.
 const ERRORS: usize = 2;
-const TESTS: usize = 3;
+/// Slowness of the earlier build's machines against before the trial: a build may slow the whole fleet.
+const SHARED: usize = 3;
+const TESTS: usize = 4;
 const ALPHA: f64 = 0.05;
 const BETA: f64 = 0.20;
 const LATE: u64 = 2;
@@ -98,6 +100,7 @@
         if now >= self.swept + SWEEP {
             self.swept = now;
             self.sweep(out);
+            out.wake(SWEEP);
         }
         if now >= self.looked + LOOK {
             self.looked = now;
@@ -106,10 +109,6 @@
             self.judge_machines(out);
         }
         self.serve(out);
-        if now >= self.woken {
-            out.wake(SWEEP);
-            self.woken = now + SWEEP;
-        }
     }
 
     // ---- news ----
@@ -186,7 +185,9 @@
         if !counted {
             self.judge(id, n, end, took);
         }
-        if t_warm && end == End::Done && !self.on_trial(build) {
+        let steady =
+            self.news.is_none_or(|n| n.phase != Phase::Trial) || self.usual_for(route, Some(i)).is_none();
+        if t_warm && end == End::Done && !self.on_trial(build) && steady {
             let u = self.usual.entry((self.machines[i].kind.clone(), route)).or_default();
             u[0].add(took as f64, now, USUAL_FADE);
             u[1].add(1.0, now, USUAL_FADE);
@@ -272,6 +273,7 @@
         }
         if self.news.is_none_or(|n| n.build < build) {
             self.variances.clear();
+            self.calm = self.drain(SHARED, EVIDENCE_FADE);
         }
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
     }
@@ -295,12 +297,13 @@
     /// swap, a jam or a lost zone does to the fleet would be held against the build that runs by then.
     fn judge(&mut self, id: u64, n: usize, end: End, took: u64) {
         let (now, rq) = (self.now, &self.reqs[&id]);
-        let (t, route) = (&rq.tries[n], rq.route);
-        let (build, i, paired, settled) = (t.build, t.machine, t.paired, t.settled);
-        let (warm, light) = (t.warm, t.light);
+        let route = rq.route;
+        let Try { build, machine: i, paired, settled, warm, light, sent, .. } = rq.tries[n];
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
-        let known = error || matches!(end, End::Done | End::TimedOut) && (warm || !late);
+        // In a queue lateness says nothing of the build either, unless the machine is silent altogether.
+        let plain = warm && (light || self.machines[i].heard <= sent);
+        let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late);
         // One process that dies is one failure, not one for each try it held: lost machines and zones are
         // no build's doing, while a build that keeps dying still shows.
         let died = self.machines[i].died;
@@ -320,8 +323,11 @@
         if paired {
             add(FAILURES, error || late || end == End::TimedOut);
         }
-        if paired && warm && light && end != End::Error {
-            add(SLOWNESS, slow);
+        if warm && light && end != End::Error {
+            add(SHARED, slow);
+            if paired {
+                add(SLOWNESS, slow);
+            }
         }
     }
 
@@ -369,13 +375,15 @@
             }
             own.iter().zip(&mut sides).for_each(|(own, arms)| arms[side].add(own.0, own.1));
         }
+        // Until the last stage, whose swap jams the fleet whatever the build.
+        sides[SHARED] = if n.cap < 1.0 { [sides[SHARED][1], self.calm] } else { Default::default() };
         let (lower, upper) = bounds();
         let mut leaning = false;
         for (test, [new, old]) in sides.into_iter().enumerate() {
             if new.outcomes < LEAST_OUTCOMES || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
-            let gap = if test == SLOWNESS { SLOW_GAP } else { FAIL_GAP };
+            let gap = if test == SLOWNESS || test == SHARED { SLOW_GAP } else { FAIL_GAP };
             let present = variances(new, old);
             let before = self.variances.insert(test, present).unwrap_or(present);
             let s = score(new, old, before, gap);
@@ -397,12 +405,10 @@
     fn vote(&mut self, out: &mut dyn Writer) {
         let Some(n) = self.news else { return };
         let now = self.now;
-        if let Some(c) = self.cast {
-            if now < c.3 + self.set.vote_wait + SECOND {
-                return;
-            }
-            self.cast = None;
+        if self.cast.is_some_and(|c| now < c.3 + self.set.vote_wait + SECOND) {
+            return;
         }
+        self.cast = None;
         let back = self.condemned == Some(n.build);
         let lifted = self.lifted == Some((n.build, n.stage));
         let wish = match n.phase {
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,8 +28,8 @@
 /// Outcomes of one machine under one build on one route, for each test: all of them, and the hits.
 #[derive(Clone, Copy, Default)]
 pub struct Tally {
-    pub all: [Fading; 3],
-    pub hits: [Fading; 3],
+    pub all: [Fading; 4],
+    pub hits: [Fading; 4],
 }
 
 /// One side of the test, as read at a look.
@@ -144,6 +144,8 @@
     pub keys: BTreeMap<String, u32>,
     pub evidence: BTreeMap<(u32, usize), Vec<Tally>>,
     pub variances: BTreeMap<usize, [f64; 2]>,
+    /// The fleet before the trial.
+    pub calm: Arm,
     pub condemned: Option<u32>,
     pub lifted: Option<(u32, u32)>,
     pub looked: u64,
@@ -156,7 +158,6 @@
     pub copies: Fading,
     pub ask_at: u64,
     pub swept: u64,
-    pub woken: u64,
 }
 
 impl Balancer {
@@ -175,6 +176,7 @@
             keys: BTreeMap::new(),
             evidence: BTreeMap::new(),
             variances: BTreeMap::new(),
+            calm: Arm::default(),
             condemned: None,
             lifted: None,
             looked: now,
@@ -186,7 +188,6 @@
             copies: Fading::default(),
             ask_at: if set.ask_list { now } else { u64::MAX },
             swept: 0,
-            woken: 0,
             set,
         }
     }
@@ -269,4 +270,14 @@
         let lived = (self.now - self.born).max(least) as f64;
         fade * (1.0 - (-lived / fade).exp()) / 1e6
     }
+
+    /// One test's sums of all machines, which start anew.
+    pub(crate) fn drain(&mut self, test: usize, fade: f64) -> Arm {
+        let mut arm = Arm::default();
+        for t in self.evidence.values_mut().flatten() {
+            arm.add(t.all[test].read(self.now, fade), t.hits[test].read(self.now, fade));
+            (t.all[test].sum, t.hits[test].sum) = (0.0, 0.0);
+        }
+        arm
+    }
 }
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -130,3 +130,24 @@
         assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{end:?}");
     }
 }
+
+#[test]
+fn a_build_that_slows_the_earlier_machines_too_is_sent_back() {
+    for (took, back) in [(10, false), (40, true)] {
+        let mut b = Bench::new(Settings { stage_caps: vec![0.1, 1.0], ..settings() });
+        b.round(0, |to| {
+            ["o1", "o2", "o3"].into_iter().for_each(|m| warm(to, m, "z1", 1));
+            to.news(1, 1, Phase::Released, 1.0, 0);
+        });
+        let mut all = Vec::new();
+        for id in 0..300 {
+            let took = if id < 150 { 10 } else { took };
+            if id == 150 {
+                b.round(0, |to| to.news(2, 0, Phase::Trial, 0.1, 0));
+            }
+            all.extend(b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS)));
+            all.extend(b.round(took * MS, |to| to.outcome(id, 0, End::Done, took * MS, true, None)));
+        }
+        assert_eq!(count(&all, "vote 2 0 Back") > 0, back);
+    }
+}
