--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,8 +16,6 @@
 const HORIZON: u64 = 3 * SECOND;
 const SETTLING: u64 = 3 * SECOND;
 const LEAST_OUTCOMES: f64 = 20.0;
-const FAIL_GAP: f64 = 0.03;
-const SLOW_GAP: f64 = 0.15;
 /// For failures half the weight lies on a gap so many times as wide: a small one is slow to see large ones.
 const GROSS: f64 = 4.0;
 const LEAST_SHARE: f64 = 0.01;
@@ -28,6 +26,7 @@
 /// Slowness of the earlier build's machines against before the trial: a build may slow the whole fleet.
 const SHARED: usize = 3;
 const TESTS: usize = 4;
+const GAPS: [f64; TESTS] = [0.03, 0.15, 0.03, 0.25];
 const ALPHA: f64 = 0.05;
 const BETA: f64 = 0.20;
 const LATE: u64 = 2;
@@ -113,8 +112,6 @@
         self.serve(out);
     }
 
-    // ---- news ----
-
     /// One entry of the list; `place` is its zone and cell, `started` 0 where it runs since long.
     pub fn machine(
         &mut self,
@@ -275,6 +272,7 @@
         if self.news.is_none_or(|n| n.build < build) {
             self.variances.clear();
             self.calm = self.drain(SHARED, EVIDENCE_FADE);
+            self.fleet = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside).count();
         }
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
     }
@@ -297,7 +295,7 @@
     fn judge(&mut self, id: u64, n: usize, end: End, took: u64) {
         let (now, rq) = (self.now, &self.reqs[&id]);
         let route = rq.route;
-        let Try { build, machine: i, paired, settled, warm, light, sent, .. } = rq.tries[n];
+        let Try { build, machine: i, paired, steady, settled, warm, light, sent, .. } = rq.tries[n];
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
         // In a queue lateness says nothing of the build either, unless the machine is silent altogether.
@@ -321,11 +319,11 @@
         if paired {
             add(FAILURES, error || late || end == End::TimedOut);
         }
-        if warm && light && end != End::Error {
+        if warm && light && steady && end != End::Error {
             add(SHARED, slow);
-            if paired {
-                add(SLOWNESS, slow);
-            }
+        }
+        if warm && light && paired && end != End::Error {
+            add(SLOWNESS, slow);
         }
     }
 
@@ -344,8 +342,6 @@
         }
     }
 
-    // ---- evidence and votes ----
-
     fn look(&mut self, out: &mut dyn Writer) {
         let Some(n) = self.news else { return };
         if !matches!(n.phase, Phase::Trial | Phase::Released) {
@@ -381,8 +377,8 @@
             if new.outcomes < LEAST_OUTCOMES || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
-            let (gap, wide) =
-                if [SLOWNESS, SHARED].contains(&test) { (SLOW_GAP, 1.0) } else { (FAIL_GAP, GROSS) };
+            let gap = GAPS[if test < TESTS { test } else { FAILURES }];
+            let wide = if [SLOWNESS, SHARED].contains(&test) { 1.0 } else { GROSS };
             let present = variances(new, old);
             let before = self.variances.insert(test, present).unwrap_or(present);
             let s = score(new, old, before, gap);
@@ -470,8 +466,6 @@
         }
     }
 
-    // ---- routing ----
-
     /// Rule 2 and the limits on tries: may this req go out to this machine now?
     fn may_try(&self, rq: &Req, m: &Machine) -> bool {
         let mut ran = rq.tries.iter().filter(|t| t.ran);
@@ -621,9 +615,12 @@
         let newest = self.news.map_or(u32::MAX, |n| n.build);
         let side = self.machines[i].build < newest;
         let serves = |o: &Machine| o.standing == Standing::Ready && !o.aside;
+        let serving = self.machines.iter().filter(|o| serves(o)).count();
         let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
         let m = &mut self.machines[i];
         let light = m.held + m.others <= LIGHT;
+        // Against before the trial only what the build's own traffic can do: with it in service, none lost.
+        let steady = serving >= self.fleet && (paired || self.news.is_none_or(|n| n.phase != Phase::Trial));
         m.held += 1.0;
         if m.started != 0 && now < m.started + self.set.cold_for {
             m.sends.push_back(now);
@@ -633,7 +630,7 @@
         rq.waiting = false;
         let (settled, warm) = (age >= SETTLING, age >= self.set.cold_for.max(SETTLING));
         let build = m.build;
-        let t = Try { settled, warm, paired, light, ..Try::new(i, build, now) };
+        let t = Try { settled, warm, paired, light, steady, ..Try::new(i, build, now) };
         rq.tries.push(t);
         out.upstream_try(id, &m.name, rq.due);
         let route = rq.route;
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,6 +97,8 @@
     pub light: bool,
     /// The other side of the trial had a machine in service when it was sent.
     pub paired: bool,
+    /// Comparable with the fleet before the trial.
+    pub steady: bool,
 }
 
 impl Try {
@@ -146,6 +148,7 @@
     pub variances: BTreeMap<usize, [f64; 2]>,
     /// The fleet before the trial.
     pub calm: Arm,
+    pub fleet: usize,
     pub condemned: Option<u32>,
     pub lifted: Option<(u32, u32)>,
     pub looked: u64,
@@ -177,6 +180,7 @@
             evidence: BTreeMap::new(),
             variances: BTreeMap::new(),
             calm: Arm::default(),
+            fleet: 0,
             condemned: None,
             lifted: None,
             looked: now,
