--- a/src/decide.rs
+++ b/src/decide.rs
@@ -84,13 +84,11 @@
     [new.plain_variance() * new.clustering().max(clustering), old.plain_variance() * clustering]
 }
 
-/// Wald's bounds, lower and upper.
 pub fn bounds() -> (f64, f64) {
     ((BETA / (1.0 - ALPHA)).ln(), ((1.0 - BETA) / ALPHA).ln())
 }
 
 impl Balancer {
-    /// The one entry: takes in all the news, then decides.
     pub fn round(&mut self, now: u64, inbox: &mut dyn Inbox, out: &mut dyn Writer) {
         self.now = now;
         inbox.replay(self);
@@ -253,7 +251,6 @@
         }
     }
 
-    /// What became of the vote that was out.
     pub fn answered(&mut self, answer: Answer) {
         match (answer, self.cast.take()) {
             (Answer::Counts, Some(c)) => self.stands = (c.0, c.1, c.2, self.now),
@@ -263,7 +260,6 @@
         }
     }
 
-    /// Where the newest build stands, and for how long.
     pub fn news(&mut self, build: u32, stage: u32, phase: Phase, cap: f64, age: u64) {
         if self.news.is_some_and(|n| n.build == build && cap < n.cap) {
             self.recount = Some(self.now + self.set.grace);
@@ -271,7 +267,8 @@
         }
         if self.news.is_none_or(|n| n.build < build) {
             self.variances.clear();
-            self.calm = self.drain(SHARED, EVIDENCE_FADE);
+            (self.calm, self.calm_at) = (self.drain(SHARED, EVIDENCE_FADE), self.now);
+            self.calm_sends = self.sends.read(self.now, RATE_FADE) / self.spell(RATE_FADE, SECOND);
             self.fleet = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside).count();
         }
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
@@ -309,6 +306,8 @@
         if end == End::Reset {
             self.machines[i].died = now;
         }
+        // Those still out when the trial began were long ones, and would make it look slow.
+        let steady = steady && sent >= self.calm_at;
         let slow = late || self.usual_for(route, Some(i)).is_some_and(|u| took as f64 > SLOW * u);
         let t = &mut self.tallies(build, i)[route];
         let mut add = |test: usize, hit: bool| {
@@ -319,7 +318,7 @@
         if paired {
             add(FAILURES, error || late || end == End::TimedOut);
         }
-        if warm && light && steady && end != End::Error {
+        if steady && warm && light && end != End::Error {
             add(SHARED, slow);
         }
         if warm && light && paired && end != End::Error {
@@ -586,7 +585,6 @@
         }
     }
 
-    /// No further try is allowed, or none could still meet the objective.
     fn hopeless(&mut self, id: u64) -> bool {
         let usual = self.usual_for(self.reqs[&id].route, None).unwrap_or(0.0) as u64;
         let rq = &self.reqs[&id];
@@ -615,12 +613,14 @@
         let newest = self.news.map_or(u32::MAX, |n| n.build);
         let side = self.machines[i].build < newest;
         let serves = |o: &Machine| o.standing == Standing::Ready && !o.aside;
+        let rush = self.sends.read(now, RATE_FADE) > 1.2 * self.calm_sends * self.spell(RATE_FADE, SECOND);
         let serving = self.machines.iter().filter(|o| serves(o)).count();
         let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
         let m = &mut self.machines[i];
         let light = m.held + m.others <= LIGHT;
-        // Against before the trial only what the build's own traffic can do: with it in service, none lost.
-        let steady = serving >= self.fleet && (paired || self.news.is_none_or(|n| n.phase != Phase::Trial));
+        // What else jams a fleet is no build's doing: lost machines, a rush, and all before it serves.
+        let steady =
+            self.news.is_none_or(|n| n.phase != Phase::Trial) || (serving >= self.fleet && !rush && paired);
         m.held += 1.0;
         if m.started != 0 && now < m.started + self.set.cold_for {
             m.sends.push_back(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -149,6 +149,8 @@
     /// The fleet before the trial.
     pub calm: Arm,
     pub fleet: usize,
+    pub calm_sends: f64,
+    pub calm_at: u64,
     pub condemned: Option<u32>,
     pub lifted: Option<(u32, u32)>,
     pub looked: u64,
@@ -181,6 +183,8 @@
             variances: BTreeMap::new(),
             calm: Arm::default(),
             fleet: 0,
+            calm_sends: f64::INFINITY,
+            calm_at: 0,
             condemned: None,
             lifted: None,
             looked: now,
