--- a/src/decide.rs
+++ b/src/decide.rs
@@ -479,8 +479,8 @@
                 let first = &self.machines[t.machine];
                 let inside = match scope {
                     Scope::All => true,
-                    Scope::Zone => first.zone == m.zone,
-                    Scope::Cell => first.cell == m.cell,
+                    Scope::Zone => first.zone == m.zone && first.started <= t.sent,
+                    Scope::Cell => first.cell == m.cell && first.started <= t.sent,
                 };
                 inside && self.now < t.sent + window
             }),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -34,6 +34,23 @@
     }
 }
 
+#[test]
+fn a_restarted_machine_vouches_for_no_group() {
+    // Its id may have come back in another zone, where the group that saw the first try is not known.
+    let mut b = Bench::new(settings());
+    b.round(0, |to| {
+        warm(to, "m1", "z2", 1);
+        to.req(7, 1, None, None, 900 * MS);
+    });
+    let now = b.now;
+    b.round(10 * MS, |to| {
+        to.machine("m1", ("z1", 0), "k", 1, Standing::Ready, now + 5 * MS);
+        warm(to, "m2", "z1", 1);
+    });
+    let got = b.round(10 * MS, |to| to.outcome(7, 0, End::Reset, 20 * MS, false, None));
+    assert_eq!(got, ["error 7"]);
+}
+
 #[test]
 fn a_req_held_without_machines_is_answered_once_and_in_time() {
     for route in 0..3 {
