--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -232,3 +232,22 @@
     }
     assert_eq!(b.round(10 * MS, |to| to.req(9, 0, None, None, 900 * MS)), ["try 9 m1"]);
 }
+
+#[test]
+fn reqs_accepted_under_a_higher_cap_earn_nothing_under_a_lower_one() {
+    for (cap, wanted) in [(1.0, 1), (0.5, 0)] {
+        let mut b = Bench::new(settings());
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 2);
+            to.news(2, 1, Phase::Trial, 1.0, 0);
+            (0..30).for_each(|id| to.req(id, 0, None, None, 900 * MS));
+        });
+        let got = b.round(10 * MS, |to| {
+            (0..30).for_each(|id| to.outcome(id, 0, End::Done, 10 * MS, true, None));
+            (0..30).for_each(|id| to.withdrawn(id));
+            to.news(2, 1, Phase::Trial, cap, 0);
+            to.req(99, 0, None, None, 900 * MS);
+        });
+        assert_eq!(count(&got, "try 99"), wanted, "{cap}: {got:?}");
+    }
+}
