Let each front earn fractions of a req at a cold machine, in place of room for one each

Cause: with hundreds of fronts, 'room for at least one' was many times what a cold machine bears. What warm machines of its kind answered to this front now stands in for capacity, the parts of all fronts add up, and starting credits are staggered by front number and rank in the sorted list.

--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -69,7 +69,8 @@
     }
     let caps = told.text("family_info.stage_cap")?;
     Ok(Settings {
-        fronts: told.number("balancers")?,
+        me: told.number("me")?,
+        fronts: told.number::<u32>("balancers")?.max(1),
         zone: told.text("zone")?.into(),
         routes,
         tenants,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -121,10 +121,14 @@
         started: u64,
     ) {
         let now = self.now;
+        let kind = self.kind(kind);
         let i = self.find(name).unwrap_or_else(|| {
+            self.names.insert(name.into(), self.machines.len());
             self.machines.push(Machine { name: name.into(), started: u64::MAX, ..Machine::default() });
             self.machines.len() - 1
         });
+        let rank = self.names.range(..name.to_string()).count() as u32;
+        let turn = f64::from((rank + self.set.me) % self.set.fronts) / f64::from(self.set.fronts);
         let m = &mut self.machines[i];
         if m.build != build || m.started != started {
             // A new process: what the old one did says nothing of it.
@@ -132,8 +136,9 @@
             let cold = started != 0 && now < started + self.set.cold_for;
             renew(m, if cold { 1.0 } else { FIRST_ROOM }, now);
             (m.wanted, m.others) = (2, 0.0);
+            (m.credit, m.credited) = (turn, now);
         }
-        (m.zone, m.cell, m.kind) = (place.0.into(), place.1, kind.into());
+        (m.zone, m.cell, m.kind) = (place.0.into(), place.1, kind);
         (m.build, m.standing, m.started) = (build, st, started);
     }
 
@@ -145,6 +150,7 @@
     pub fn req(&mut self, id: u64, route: usize, tenant: Option<usize>, key: Option<&str>, left: u64) {
         let now = self.now;
         self.accepted[route].push_back(now);
+        self.arrivals.add(1.0, now, RATE_FADE);
         let mut earnings = self.set.routes[route].earnings;
         if let Some(t) = tenant {
             self.tenants[t].add(1.0, now, RATE_FADE);
@@ -184,10 +190,13 @@
         let steady =
             self.news.is_none_or(|n| n.phase != Phase::Trial) || self.usual_for(route, Some(i)).is_none();
         if t_warm && end == End::Done && !self.on_trial(build) && steady {
-            let u = self.usual.entry((self.machines[i].kind.clone(), route)).or_default();
+            let u = self.usual.entry((self.machines[i].kind, route)).or_default();
             u[0].add(took as f64, now, USUAL_FADE);
             u[1].add(1.0, now, USUAL_FADE);
         }
+        if t_warm && end == End::Done {
+            self.kinds[self.machines[i].kind].served.add(1.0, now, RATE_FADE);
+        }
         let usual = self.usual_for(route, None);
         let m = &mut self.machines[i];
         m.held -= 1.0;
@@ -438,6 +447,11 @@
                 silent[t.machine] |= t.sent >= self.machines[t.machine].heard;
             }
         }
+        for m in self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside) {
+            if now >= m.started + self.set.cold_for {
+                self.kinds[m.kind].spent.add(LOOK as f64 / 1e6, now, RATE_FADE);
+            }
+        }
         let mut builds = BTreeMap::new();
         for m in self.machines.iter_mut().filter(|m| m.standing == Standing::Ready && !m.aside) {
             let (all, bad) = builds.entry(m.build).or_insert((0.0, 0.0));
@@ -510,25 +524,47 @@
         (tries + 1) as f64 <= self.set.free + cap * taken as f64
     }
 
-    /// Rule 4: this front's prudent part of what a cold machine can take in the rule's window. What the
-    /// fleet's machines bear from this front on average stands in for their capacity, which nobody tells.
-    fn may_warm(&mut self, i: usize, fair: f64) -> bool {
-        let (now, set) = (self.now, &self.set);
-        let m = &mut self.machines[i];
-        let age = now.saturating_sub(m.started);
-        if m.started == 0 || age >= set.cold_for {
+    /// Rule 4: this front's prudent part of what a cold machine can take, earned as time goes. What warm
+    /// machines of its kind have borne from this front stands in for the capacity, which nobody tells, so
+    /// that the parts of all fronts add up to what such a machine bears, however traffic is spread. Parts
+    /// of less than a req count too: fronts begin with credits a step apart, each machine's from another
+    /// front on, and of hundreds only as many send at once as their parts make whole reqs.
+    fn may_warm(&mut self, i: usize) -> bool {
+        let now = self.now;
+        let (kind, age) = (self.machines[i].kind, now.saturating_sub(self.machines[i].started));
+        if self.machines[i].started == 0 || age >= self.set.cold_for {
             return true;
         }
-        m.sends.drain(..m.sends.partition_point(|&t| t + set.fall_for < now));
+        let bears = self.bears(kind);
+        let (set, m) = (&self.set, &mut self.machines[i]);
         let warm = set.cold_from + (1.0 - set.cold_from) * age as f64 / set.cold_for as f64;
-        let room = COLD_PART * set.fall_multiple * warm * fair * set.fall_for as f64 / 1e6;
-        (m.sends.len() as f64) < room.max(1.0)
+        let rate = COLD_PART * set.fall_multiple * warm * bears / 1e6;
+        let most = 1.0 + rate * set.fall_for as f64 / 4.0;
+        m.credit = (m.credit + rate * (now - m.credited) as f64).min(most);
+        m.credited = now;
+        m.credit >= 1.0
     }
 
-    fn pick(&mut self, id: u64) -> Option<usize> {
+    /// Reqs a second that a warm machine of the kind has answered this front: of any kind where this one
+    /// was not seen warm, and where none was, an even part of what comes in.
+    fn bears(&mut self, kind: usize) -> f64 {
         let now = self.now;
+        let (mut all, mut own) = ((0.0, 0.0), (0.0, 0.0));
+        for (k, of) in self.kinds.iter_mut().enumerate() {
+            let (served, spent) = (of.served.read(now, RATE_FADE), of.spent.read(now, RATE_FADE));
+            all = (all.0 + served, all.1 + spent);
+            if k == kind {
+                own = (served, spent);
+            }
+        }
         let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
-        let fair = self.sends.read(now, RATE_FADE) / self.spell(RATE_FADE, SECOND) / ready as f64;
+        match (own, all) {
+            ((served, spent), _) | (_, (served, spent)) if spent >= 1.0 => served / spent,
+            _ => self.arrivals.read(now, RATE_FADE) / self.spell(RATE_FADE, SECOND) / ready as f64,
+        }
+    }
+
+    fn pick(&mut self, id: u64) -> Option<usize> {
         let (mut sides, mut open) = ([Vec::new(), Vec::new()], Vec::new());
         let rq = &self.reqs[&id];
         let route = rq.route;
@@ -548,7 +584,7 @@
         }
         for i in open {
             let build = self.machines[i].build;
-            if self.may_warm(i, fair) && self.may_expose(build, route) {
+            if self.may_warm(i) && self.may_expose(build, route) {
                 sides[usize::from(self.on_trial(build))].push(i);
             }
         }
@@ -623,7 +659,7 @@
             self.news.is_none_or(|n| n.phase != Phase::Trial) || (serving >= self.fleet && !rush && paired);
         m.held += 1.0;
         if m.started != 0 && now < m.started + self.set.cold_for {
-            m.sends.push_back(now);
+            m.credit -= 1.0;
         }
         let age = if m.started == 0 { u64::MAX } else { now.saturating_sub(m.started) };
         let rq = self.reqs.get_mut(&id).unwrap();
--- a/src/front.rs
+++ b/src/front.rs
@@ -42,6 +42,8 @@
 /// The told figures that the module reads.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// This front's number among them.
+    pub me: u32,
     pub fronts: u32,
     pub zone: String,
     pub routes: Vec<Route>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -51,11 +51,19 @@
     }
 }
 
+/// Machines alike: reqs answered by warm ones, and the seconds these stood ready.
+#[derive(Default)]
+pub struct Kind {
+    pub name: String,
+    pub served: Fading,
+    pub spent: Fading,
+}
+
 #[derive(Default)]
 pub struct Machine {
     pub name: String,
     pub zone: String,
-    pub kind: String,
+    pub kind: usize,
     pub cell: u64,
     pub build: u32,
     pub standing: Standing,
@@ -79,7 +87,9 @@
     pub probed: u64,
     pub answered: u32,
     pub wanted: u32,
-    pub sends: VecDeque<u64>,
+    /// Of a cold machine: the part of a req that this front may send.
+    pub credit: f64,
+    pub credited: u64,
 }
 
 #[derive(Default)]
@@ -137,6 +147,8 @@
     pub born: u64,
     pub rng: Rand64,
     pub machines: Vec<Machine>,
+    pub names: BTreeMap<String, usize>,
+    pub kinds: Vec<Kind>,
     pub reqs: BTreeMap<u64, Req>,
     pub waiting: Vec<u64>,
     pub news: Option<News>,
@@ -157,8 +169,9 @@
     /// The vote that stands, and the one that is out, with the time of its cast.
     pub stands: (u32, u32, Verdict, u64),
     pub cast: Option<(u32, u32, Verdict, u64)>,
-    pub usual: BTreeMap<(String, usize), [Fading; 2]>,
+    pub usual: BTreeMap<(usize, usize), [Fading; 2]>,
     pub tenants: Vec<Fading>,
+    pub arrivals: Fading,
     pub sends: Fading,
     pub copies: Fading,
     pub ask_at: u64,
@@ -172,6 +185,8 @@
             born: now,
             rng: Rand64::new(u128::from(seed)),
             machines: Vec::new(),
+            names: BTreeMap::new(),
+            kinds: Vec::new(),
             reqs: BTreeMap::new(),
             waiting: Vec::new(),
             news: None,
@@ -192,6 +207,7 @@
             cast: None,
             usual: BTreeMap::new(),
             tenants: vec![Fading::default(); set.tenants.len()],
+            arrivals: Fading::default(),
             sends: Fading::default(),
             copies: Fading::default(),
             ask_at: if set.ask_list { now } else { u64::MAX },
@@ -222,7 +238,14 @@
     }
 
     pub(crate) fn find(&self, name: &str) -> Option<usize> {
-        self.machines.iter().position(|m| m.name == name)
+        self.names.get(name).copied()
+    }
+
+    pub(crate) fn kind(&mut self, name: &str) -> usize {
+        self.kinds.iter().position(|k| k.name == name).unwrap_or_else(|| {
+            self.kinds.push(Kind { name: name.into(), ..Kind::default() });
+            self.kinds.len() - 1
+        })
     }
 
     pub(crate) fn forget(&mut self, id: u64) {
@@ -262,10 +285,10 @@
     /// Times taken on a route, and how many: on machines of this one's kind, or on all.
     pub(crate) fn usual_sums(&mut self, route: usize, machine: Option<usize>, fade: f64) -> (f64, f64) {
         let now = self.now;
-        let kind = machine.map(|i| &self.machines[i].kind);
+        let kind = machine.map(|i| self.machines[i].kind);
         let mut sums = (0.0, 0.0);
         for ((k, r), u) in &mut self.usual {
-            if *r == route && kind.is_none_or(|kind| kind == k) {
+            if *r == route && kind.is_none_or(|kind| kind == *k) {
                 sums.0 += u[0].read(now, fade);
                 sums.1 += u[1].read(now, fade);
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,6 +53,7 @@
 pub fn settings() -> Settings {
     let route = |name: &str, repeat| Route { name: name.into(), objective: 500 * MS, earnings: 1.0, repeat };
     Settings {
+        me: 0,
         fronts: 1,
         zone: "z1".into(),
         routes: vec![
