--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -99,6 +99,7 @@
         one_way: told.flag("family_info.forward_only")?,
         timed: told.text("family_info.gate_mode")? == "automatic",
         min_dwell: told.time("family_info.min_dwell")?,
+        back_votes: told.number("family_info.to_abort")?,
         votes_per_s: told.number("family_info.api_rate")?,
         vote_life: told.time("family_info.vote_life")?,
         vote_wait: told.time("family_info.vote_wait")?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,10 +50,12 @@
 const LIGHT: f64 = 2.0;
 
 impl Arm {
-    /// Floored, or a side without a hit would make any single hit on the other look certain.
+    /// Floored, or a side without a hit would make any single hit on the other look certain: at a 1% share's,
+    /// and while there are fewer than the paper's hundred outcomes at that of one hit among them.
     fn plain_variance(&self) -> f64 {
-        let p = self.share();
-        (p * (1.0 - p)).max(LEAST_SHARE * (1.0 - LEAST_SHARE))
+        let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0));
+        let binomial = |p: f64| p * (1.0 - p);
+        binomial(self.share()).max(binomial(floor))
     }
     /// How much more its machines differ than chance would have them: what jams, slows or shares one
     /// machine hits its outcomes together, and a build would be judged by the luck of a few machines.
@@ -78,10 +80,14 @@
     z * drift - drift * drift / 2.0
 }
 
-/// Of both sides; the old side's clustering also holds for a new side of too few machines to show it.
+/// Of both sides; the old side's clustering also holds for a new side of too few machines to show it. Few
+/// outcomes say little of their own variance: the fewer, the more the earlier build's share stands in for
+/// theirs, as it would be if the builds were alike.
 fn variances(new: Arm, old: Arm) -> [f64; 2] {
-    let clustering = old.clustering();
-    [new.plain_variance() * new.clustering().max(clustering), old.plain_variance() * clustering]
+    let (clustering, own) = (old.clustering(), (new.outcomes * LEAST_SHARE).min(1.0));
+    let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance();
+    let variance = own * new.plain_variance() + (1.0 - own) * alike;
+    [variance * new.clustering().max(clustering), old.plain_variance() * clustering]
 }
 
 pub fn bounds() -> (f64, f64) {
@@ -380,28 +386,35 @@
         // Until the last stage, whose swap jams the fleet whatever the build.
         sides[SHARED] = if n.cap < 1.0 { [sides[SHARED][1], self.calm] } else { Default::default() };
         let (lower, upper) = bounds();
-        let mut leaning = false;
+        // Few false votes of many fronts make a false verdict of the fleet, which is what α is for: the part
+        // of it that falls to one front is such that as many at once as are needed stay as rare.
+        let (fronts, votes) = (f64::from(self.set.fronts), f64::from(self.set.back_votes.max(1)));
+        let part = (votes.sqrt() - 0.82).max(0.0).powi(2).max(ALPHA * f64::from(votes <= 1.0)) / fronts;
+        let share = (ALPHA / part).ln().max(0.0);
+        let mut top = f64::NEG_INFINITY;
         for (test, [new, old]) in sides.into_iter().enumerate() {
-            if new.outcomes < LEAST_OUTCOMES || old.outcomes < LEAST_OUTCOMES {
+            if new.outcomes < 1.0 || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
             let gap = GAPS[if test < TESTS { test } else { FAILURES }];
-            let wide = if [SLOWNESS, SHARED].contains(&test) { 1.0 } else { GROSS };
             let present = variances(new, old);
             let before = self.variances.insert(test, present).unwrap_or(present);
+            let least = (before[0] / new.outcomes + before[1] / old.outcomes).sqrt() * 3.0;
+            let wide = if [SLOWNESS, SHARED].contains(&test) { gap } else { gap * GROSS };
             let s = score(new, old, before, gap);
-            let both = ((s.exp() + score(new, old, before, wide * gap).exp()) / 2.0).ln();
-            if both >= upper && self.condemned != Some(n.build) {
+            let both = ((s.exp() + score(new, old, before, wide.max(least)).exp()) / 2.0).ln();
+            if both >= upper + share && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
                 let counts = (new.hits, new.outcomes, old.hits, old.outcomes);
                 out.note(&format!("build {} to go back: test {test}, new and old {counts:.1?}", n.build));
             }
-            leaning |= s > 0.0;
+            top = top.max(both - share);
             if test == FAILURES && s <= lower {
                 self.lifted = Some((n.build, n.stage));
             }
         }
-        if now >= n.since + HORIZON || !leaning {
+        self.leaning = top > 0.0;
+        if now >= n.since + HORIZON {
             self.lifted = Some((n.build, n.stage));
         }
     }
@@ -417,8 +430,8 @@
         let lifted = self.lifted == Some((n.build, n.stage));
         let wish = match n.phase {
             Phase::Trial | Phase::Released if back => Verdict::Back,
-            Phase::Trial if !lifted && self.set.timed => Verdict::Hold,
-            Phase::Trial if lifted && !self.set.timed && now >= n.since + self.set.min_dwell => Verdict::On,
+            Phase::Trial if self.leaning && !lifted && self.set.timed => Verdict::Hold,
+            Phase::Trial if !self.set.timed && (lifted || !self.leaning) && now >= n.since + self.set.min_dwell => Verdict::On,
             _ => Verdict::None,
         };
         let (build, stage, verdict, at) = self.stands;
--- a/src/front.rs
+++ b/src/front.rs
@@ -72,6 +72,8 @@
     /// Stages move on by themselves unless held.
     pub timed: bool,
     pub min_dwell: u64,
+    /// Fronts needed to send a build back.
+    pub back_votes: u32,
     pub votes_per_s: f64,
     pub vote_life: u64,
     pub vote_wait: u64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,6 +165,7 @@
     pub calm_at: u64,
     pub condemned: Option<u32>,
     pub lifted: Option<(u32, u32)>,
+    pub leaning: bool,
     pub looked: u64,
     /// The vote that stands, and the one that is out, with the time of its cast.
     pub stands: (u32, u32, Verdict, u64),
@@ -202,6 +203,7 @@
             calm_at: 0,
             condemned: None,
             lifted: None,
+            leaning: false,
             looked: now,
             stands: (0, 0, Verdict::None, now),
             cast: None,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,6 +83,7 @@
         one_way: false,
         timed: true,
         min_dwell: 1000 * MS,
+        back_votes: 1,
         votes_per_s: 100.0,
         vote_life: 5000 * MS,
         vote_wait: 1000 * MS,
