--- a/src/decide.rs
+++ b/src/decide.rs
@@ -141,7 +141,7 @@
             // Slow start: one that comes back slowed as well could do far less than its age says.
             let cold = started != 0 && now < started + self.set.cold_for;
             renew(m, if cold { 1.0 } else { FIRST_ROOM }, now);
-            (m.wanted, m.others) = (2, 0.0);
+            (m.wanted, m.load) = (2, (0.0, 0));
             (m.credit, m.credited) = (turn, now);
         }
         (m.zone, m.cell, m.kind) = (place.0.into(), place.1, kind);
@@ -204,9 +204,16 @@
             self.kinds[self.machines[i].kind].served.add(1.0, now, RATE_FADE);
         }
         let usual = self.usual_for(route, None);
+        self.note_load(i, load);
+        if let Some(u) = usual.filter(|_| end == End::Done) {
+            let (ratio, m) = (took as f64 / u, &mut self.machines[i]);
+            for pace in [&mut m.pace, &mut self.kinds[m.kind].pace] {
+                pace[0].add(ratio, now, RATE_FADE);
+                pace[1].add(1.0, now, RATE_FADE);
+            }
+        }
         let m = &mut self.machines[i];
         m.held -= 1.0;
-        note_load(m, load);
         match end {
             End::Done => {
                 m.heard = now;
@@ -214,7 +221,6 @@
                 m.refused = 0;
                 let ease = took as f64 / objective as f64;
                 m.ease += 0.1 * (ease - m.ease);
-                m.pace += 0.1 * (usual.map_or(1.0, |u| took as f64 / u) - m.pace);
                 if ease < EASE && m.held + 2.0 >= m.room {
                     let fresh = m.started != 0 && now < m.started + 2 * self.set.cold_for;
                     let step = if fresh && m.room < FIRST_ROOM { 1.0 } else { 1.0 / m.room };
@@ -255,9 +261,9 @@
     pub fn probed(&mut self, name: &str, end: End, load: Option<Load>) {
         let now = self.now;
         let Some(i) = self.find(name) else { return };
+        self.note_load(i, load);
         let m = &mut self.machines[i];
         m.probe_out = false;
-        note_load(m, load);
         m.answered = if end == End::Done { m.answered + 1 } else { 0 };
         if m.aside && m.answered >= m.wanted {
             renew(m, 2.0, now);
@@ -610,12 +616,40 @@
             return None;
         }
         let [a, b] = [0; 2].map(|_| side[(self.rng.rand_u64() % side.len() as u64) as usize]);
-        Some(if self.cost(&self.machines[b]) < self.cost(&self.machines[a]) { b } else { a })
+        Some(if self.cost(b) < self.cost(a) { b } else { a })
+    }
+
+    /// Reqs that the machine holds now, and that one of its kind holds on average. A report tells of the
+    /// machine for about a second; beyond that, and where a front has heard nothing, its kind stands in.
+    fn load(&mut self, i: usize) -> (f64, f64) {
+        let (now, m) = (self.now, &self.machines[i]);
+        let [sum, n] = &mut self.kinds[m.kind].load;
+        let mean = sum.read(now, RATE_FADE) / n.read(now, RATE_FADE).max(1e-9);
+        let fresh = (-(now.saturating_sub(m.load.1) as f64) / 1e6).exp();
+        ((mean + (m.load.0 - mean) * fresh).max(m.held), mean)
     }
 
-    fn cost(&self, m: &Machine) -> f64 {
+    /// What answers of the machine took against the usual, filled up with its kind's, times how much more
+    /// it holds than others of its kind.
+    fn cost(&mut self, i: usize) -> f64 {
+        let now = self.now;
+        let (holds, mean) = self.load(i);
+        let m = &mut self.machines[i];
+        let mut pace = 1.0;
+        for [sum, n] in [&mut self.kinds[m.kind].pace, &mut m.pace] {
+            pace = (sum.read(now, RATE_FADE) + 2.0 * pace) / (n.read(now, RATE_FADE) + 2.0);
+        }
         let far = if m.zone != self.set.zone { 1.0 + 10.0 * self.set.cross_zone_price } else { 1.0 };
-        (m.held + m.others + 1.0) * m.pace.max(0.1) * far
+        (holds + 1.0) / (mean + 1.0) * pace.max(0.1) * far
+    }
+
+    fn note_load(&mut self, i: usize, load: Option<Load>) {
+        let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) else { return };
+        let (now, m) = (self.now, &mut self.machines[i]);
+        m.load = (x, now);
+        let [sum, n] = &mut self.kinds[m.kind].load;
+        sum.add(x, now, RATE_FADE);
+        n.add(1.0, now, RATE_FADE);
     }
 
     fn serve(&mut self, out: &mut dyn Writer) {
@@ -665,8 +699,8 @@
         let rush = self.sends.read(now, RATE_FADE) > 1.2 * self.calm_sends * self.spell(RATE_FADE, SECOND);
         let serving = self.machines.iter().filter(|o| serves(o)).count();
         let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
+        let light = self.load(i).0 <= LIGHT;
         let m = &mut self.machines[i];
-        let light = m.held + m.others <= LIGHT;
         // What else jams a fleet is no build's doing: lost machines, a rush, and all before it serves.
         let steady =
             self.news.is_none_or(|n| n.phase != Phase::Trial) || (serving >= self.fleet && !rush && paired);
@@ -748,14 +782,8 @@
 }
 
 fn renew(m: &mut Machine, room: f64, now: u64) {
-    (m.aside, m.heard, m.room, m.pace, m.ease, m.refused) = (false, now, room, 1.0, EASE / 2.0, 0);
-    (m.answers.sum, m.faults.sum) = (0.0, 0.0);
-}
-
-fn note_load(m: &mut Machine, load: Option<Load>) {
-    if let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) {
-        m.others = (x - m.held).max(0.0);
-    }
+    (m.aside, m.heard, m.room, m.ease, m.refused) = (false, now, room, EASE / 2.0, 0);
+    (m.answers, m.faults, m.pace) = Default::default();
 }
 
 /// At most once in half an objective, so that one jam is answered once.
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,9 @@
     pub name: String,
     pub served: Fading,
     pub spent: Fading,
+    /// Reqs that they reported to hold, and times to answer against the usual: sum and count.
+    pub load: [Fading; 2],
+    pub pace: [Fading; 2],
 }
 
 #[derive(Default)]
@@ -68,14 +71,14 @@
     pub build: u32,
     pub standing: Standing,
     pub started: u64,
-    /// Own tries out, and what its reports leave for the other fronts.
+    /// Own tries out, and what it last reported to hold, and when.
     pub held: f64,
-    pub others: f64,
+    pub load: (f64, u64),
     /// How many own tries it may hold; follows how its answers compare with the latency objective.
     pub room: f64,
     pub narrowed: u64,
-    /// Time to answer against the route's usual, and against its objective.
-    pub pace: f64,
+    /// Time to answer against the route's usual (sum and count), and against its objective.
+    pub pace: [Fading; 2],
     pub ease: f64,
     pub refused: u32,
     pub died: u64,
