Remember errors for longer than other evidence; slowness by its own variance

Cause: after the last swap the earlier build's outcomes fade below what the test asks for, and a build that fails from then on was never judged; on thin routes too little was known to compare with. Slowness is no rare event: the earlier build's share must not stand in for its variance.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,7 +33,7 @@
 /// A try is slow when it took this many times what its route usually takes on such a machine.
 const SLOW: f64 = 2.0;
 /// Evidence fades, or a build that turns bad late would hide behind its good start.
-const EVIDENCE_FADE: f64 = 10e6;
+const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 10e6];
 const USUAL_FADE: f64 = 30e6;
 const HEALTH_FADE: f64 = 3e6;
 const RATE_FADE: f64 = 5e6;
@@ -52,16 +52,16 @@
 impl Arm {
     /// Floored, or a side without a hit would make any single hit on the other look certain: at a 1% share's,
     /// and while there are fewer than the paper's hundred outcomes at that of one hit among them.
-    fn plain_variance(&self) -> f64 {
-        let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0));
+    fn plain_variance(&self, rare: f64) -> f64 {
+        let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0)) / rare;
         let binomial = |p: f64| p * (1.0 - p);
         binomial(self.share()).max(binomial(floor))
     }
     /// How much more its machines differ than chance would have them: what jams, slows or shares one
     /// machine hits its outcomes together, and a build would be judged by the luck of a few machines.
-    fn clustering(&self) -> f64 {
+    fn clustering(&self, rare: f64) -> f64 {
         let (p, [kk, kn, nn]) = (self.share(), self.spread);
-        ((kk - 2.0 * p * kn + p * p * nn) / self.outcomes.max(1.0) / self.plain_variance()).max(1.0)
+        ((kk - 2.0 * p * kn + p * p * nn) / self.outcomes.max(1.0) / self.plain_variance(rare)).max(1.0)
     }
 }
 
@@ -71,23 +71,26 @@
 /// ```
 /// use tidescale::decide::{Arm, score};
 /// let arm = |outcomes, hits| Arm { outcomes, hits, ..Arm::default() };
-/// assert!((score(arm(100.0, 10.0), arm(100.0, 1.0), [0.09, 0.0099], 0.03) - 2.252_252).abs() < 1e-5);
+/// let s = score(arm(100.0, 10.0), arm(100.0, 1.0), [0.09, 0.0099], [0.09, 0.0099], 0.03);
+/// assert!((s - 2.252_252).abs() < 1e-5);
 /// ```
-pub fn score(new: Arm, old: Arm, before: [f64; 2], gap: f64) -> f64 {
+pub fn score(new: Arm, old: Arm, present: [f64; 2], before: [f64; 2], gap: f64) -> f64 {
     let root = |v: [f64; 2]| (v[0] / new.outcomes + v[1] / old.outcomes).sqrt();
-    let z = (new.share() - old.share()) / root(variances(new, old));
+    let z = (new.share() - old.share()) / root(present);
     let drift = gap / root(before);
     z * drift - drift * drift / 2.0
 }
 
-/// Of both sides; the old side's clustering also holds for a new side of too few machines to show it. Few
-/// outcomes say little of their own variance: the fewer, the more the earlier build's share stands in for
-/// theirs, as it would be if the builds were alike.
-fn variances(new: Arm, old: Arm) -> [f64; 2] {
-    let (clustering, own) = (old.clustering(), (new.outcomes * LEAST_SHARE).min(1.0));
-    let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance();
-    let variance = own * new.plain_variance() + (1.0 - own) * alike;
-    [variance * new.clustering().max(clustering), old.plain_variance() * clustering]
+/// Of both sides; the old side's clustering also holds for a new side of too few machines to show it. Where
+/// hits are `rare` (0: they are not), few outcomes say little of their own variance: the fewer, the more the
+/// earlier build's share stands in for theirs, as it would be if the builds were alike.
+pub fn variances(new: Arm, old: Arm, rare: f64) -> [f64; 2] {
+    let own = if rare > 0.0 { (new.outcomes * LEAST_SHARE).min(1.0) } else { 1.0 };
+    let rare = rare.max(1.0);
+    let clustering = old.clustering(rare);
+    let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance(rare);
+    let variance = own * new.plain_variance(rare) + (1.0 - own) * alike;
+    [variance * new.clustering(rare).max(clustering), old.plain_variance(rare) * clustering]
 }
 
 pub fn bounds() -> (f64, f64) {
@@ -301,9 +304,8 @@
         if self.now.saturating_sub(age) >= m.started + SETTLING {
             let (build, now) = (m.build, self.now);
             let tally = &mut self.tallies(build, i)[route];
-            for test in [FAILURES, ERRORS] {
-                tally.hits[test].add(1.0, now, EVIDENCE_FADE);
-            }
+            tally.read(now, EVIDENCE_FADE);
+            [FAILURES, ERRORS].into_iter().for_each(|test| tally.hits[test] += 1.0);
         }
     }
 
@@ -331,9 +333,10 @@
         let steady = steady && sent >= self.calm_at;
         let slow = late || self.usual_for(route, Some(i)).is_some_and(|u| took as f64 > SLOW * u);
         let t = &mut self.tallies(build, i)[route];
+        t.read(now, EVIDENCE_FADE);
         let mut add = |test: usize, hit: bool| {
-            t.all[test].add(1.0, now, EVIDENCE_FADE);
-            t.hits[test].add(f64::from(hit), now, EVIDENCE_FADE);
+            t.all[test] += 1.0;
+            t.hits[test] += f64::from(hit);
         };
         add(ERRORS, error);
         if paired {
@@ -368,7 +371,7 @@
             return;
         }
         let now = self.now;
-        // The three tests over all routes, then the failures of each route, which the total dilutes.
+        // The tests over all routes, then the failures of each route, which the total dilutes.
         let mut sides = vec![[Arm::default(); 2]; TESTS + self.set.routes.len()];
         for ((build, i), tallies) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
             // What a machine set aside did is laid to the machine, not to its build.
@@ -378,9 +381,9 @@
             let side = usize::from(*build < n.build);
             let mut own = [(0.0, 0.0); TESTS];
             for (r, t) in tallies.iter_mut().enumerate() {
+                t.read(now, EVIDENCE_FADE);
                 for (test, own) in own.iter_mut().enumerate() {
-                    let n = t.all[test].read(now, EVIDENCE_FADE);
-                    let k = t.hits[test].read(now, EVIDENCE_FADE).min(n);
+                    let (n, k) = (t.all[test], t.hits[test].min(t.all[test]));
                     *own = (own.0 + n, own.1 + k);
                     if test == FAILURES {
                         sides[TESTS + r][side].add(n, k);
@@ -391,6 +394,12 @@
         }
         // Until the last stage, whose swap jams the fleet whatever the build.
         sides[SHARED] = if n.cap < 1.0 { [sides[SHARED][1], self.calm] } else { Default::default() };
+        // Of a route with little traffic too little is known to compare with.
+        for route in TESTS..sides.len() {
+            if sides[route][1].outcomes < LEAST_OUTCOMES {
+                sides[route][1] = sides[FAILURES][1];
+            }
+        }
         let (lower, upper) = bounds();
         // Few false votes of many fronts make a false verdict of the fleet, which is what α is for: the part
         // of it that falls to one front is such that as many at once as are needed stay as rare.
@@ -399,16 +408,18 @@
         let share = (ALPHA / part).ln().max(0.0);
         let mut top = f64::NEG_INFINITY;
         for (test, [new, old]) in sides.into_iter().enumerate() {
-            if new.outcomes < 1.0 || old.outcomes < LEAST_OUTCOMES {
+            let few = if test == SHARED { LEAST_OUTCOMES } else { 1.0 };
+            if new.outcomes < few || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
+            let rare = [1.0, 0.0, 2.0, 0.0].get(test).copied().unwrap_or(1.0);
             let gap = GAPS[if test < TESTS { test } else { FAILURES }];
-            let present = variances(new, old);
+            let present = variances(new, old, rare);
             let before = self.variances.insert(test, present).unwrap_or(present);
             let least = (before[0] / new.outcomes + before[1] / old.outcomes).sqrt() * 3.0;
-            let wide = if [SLOWNESS, SHARED].contains(&test) { gap } else { gap * GROSS };
-            let s = score(new, old, before, gap);
-            let both = ((s.exp() + score(new, old, before, wide.max(least)).exp()) / 2.0).ln();
+            let wide = if rare > 0.0 { gap * GROSS } else { gap };
+            let s = score(new, old, present, before, gap);
+            let both = ((s.exp() + score(new, old, present, before, wide.max(least)).exp()) / 2.0).ln();
             if both >= upper + share && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
                 let counts = (new.hits, new.outcomes, old.hits, old.outcomes);
@@ -437,7 +448,11 @@
         let wish = match n.phase {
             Phase::Trial | Phase::Released if back => Verdict::Back,
             Phase::Trial if self.leaning && !lifted && self.set.timed => Verdict::Hold,
-            Phase::Trial if !self.set.timed && (lifted || !self.leaning) && now >= n.since + self.set.min_dwell => Verdict::On,
+            Phase::Trial
+                if !self.set.timed && (lifted || !self.leaning) && now >= n.since + self.set.min_dwell =>
+            {
+                Verdict::On
+            }
             _ => Verdict::None,
         };
         let (build, stage, verdict, at) = self.stands;
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,11 +25,24 @@
     }
 }
 
-/// Outcomes of one machine under one build on one route, for each test: all of them, and the hits.
+/// Outcomes of one machine under one build on one route, for each test: all of them, and the hits; they
+/// decay, each test's at its pace.
 #[derive(Clone, Copy, Default)]
 pub struct Tally {
-    pub all: [Fading; 4],
-    pub hits: [Fading; 4],
+    pub at: u64,
+    pub all: [f64; 4],
+    pub hits: [f64; 4],
+}
+
+impl Tally {
+    pub fn read(&mut self, now: u64, fades: [f64; 4]) {
+        let passed = (now - self.at) as f64;
+        for (test, fade) in fades.into_iter().enumerate().filter(|_| passed > 0.0) {
+            let kept = (-passed / fade).exp();
+            (self.all[test], self.hits[test]) = (self.all[test] * kept, self.hits[test] * kept);
+        }
+        self.at = now;
+    }
 }
 
 /// One side of the test, as read at a look.
@@ -308,11 +321,12 @@
     }
 
     /// One test's sums of all machines, which start anew.
-    pub(crate) fn drain(&mut self, test: usize, fade: f64) -> Arm {
+    pub(crate) fn drain(&mut self, test: usize, fades: [f64; 4]) -> Arm {
         let mut arm = Arm::default();
         for t in self.evidence.values_mut().flatten() {
-            arm.add(t.all[test].read(self.now, fade), t.hits[test].read(self.now, fade));
-            (t.all[test].sum, t.hits[test].sum) = (0.0, 0.0);
+            t.read(self.now, fades);
+            arm.add(t.all[test], t.hits[test]);
+            (t.all[test], t.hits[test]) = (0.0, 0.0);
         }
         arm
     }
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Bench, MS, count, settings, warm};
-use tidescale::decide::{Arm, bounds, score};
+use tidescale::decide::{Arm, bounds, score, variances};
 use tidescale::front::*;
 
 #[test]
@@ -23,7 +23,7 @@
         (arm(100.0, 10.0), arm(100.0, 0.0), [0.04, 0.0099], 0.05, 4.576_598),
     ];
     for (new, old, before, gap, wanted) in table {
-        let got = score(new, old, before, gap);
+        let got = score(new, old, variances(new, old, 0.0), before, gap);
         assert!((got - wanted).abs() < 1e-4, "{got} against {wanted}");
     }
 }
@@ -39,8 +39,9 @@
     let before = [0.0599, 0.0196];
     let (_, upper) = bounds();
     // The same share of failures, on all machines alike and on one of them.
-    assert!(score(arm([(50.0, 8.0); 4]), old, before, 0.03) > upper);
-    assert!(score(arm([(50.0, 0.0), (50.0, 0.0), (50.0, 0.0), (50.0, 32.0)]), old, before, 0.03) < upper);
+    let judged = |new| score(new, old, variances(new, old, 1.0), before, 0.03);
+    assert!(judged(arm([(50.0, 8.0); 4])) > upper);
+    assert!(judged(arm([(50.0, 0.0), (50.0, 0.0), (50.0, 0.0), (50.0, 32.0)])) < upper);
 }
 
 /// Fifty reqs a second on old and new machines, `failing` of ten failing on the new one.
@@ -92,6 +93,7 @@
             let got = b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS));
             let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
             let end = if new { End::Error } else { End::Done };
+            cast += count(&got, "vote 2 0 Back");
             let got = b.round(10 * MS, |to| to.outcome(id, 0, end, 10 * MS, true, None));
             cast += count(&got, "vote 2 0 Back");
             if cast > 0 {
