--- a/src/decide.rs
+++ b/src/decide.rs
@@ -217,12 +217,14 @@
         }
         let m = &mut self.machines[i];
         m.held -= 1.0;
+        let mut jam = None;
         match end {
             End::Done => {
                 m.heard = now;
                 m.answers.add(1.0, now, HEALTH_FADE);
                 m.refused = 0;
                 let ease = took as f64 / objective as f64;
+                jam = Some(ease);
                 m.ease += 0.1 * (ease - m.ease);
                 if ease < EASE && m.held + 2.0 >= m.room {
                     let fresh = m.started != 0 && now < m.started + 2 * self.set.cold_for;
@@ -232,7 +234,10 @@
                     narrow(m, now, objective);
                 }
             }
-            End::Full => narrow(m, now, objective),
+            End::Full => {
+                jam = Some(1.0);
+                narrow(m, now, objective);
+            }
             End::Error | End::Reset | End::Refused => {
                 // A process that takes no connections serves nothing, however many others do the same.
                 m.refused = if end == End::Refused { m.refused + 1 } else { 0 };
@@ -252,6 +257,9 @@
             }
             End::Cancelled | End::NotSent => {}
         }
+        if let Some(ease) = jam {
+            self.pace_front(ease, objective);
+        }
         let rq = &self.reqs[&id];
         if rq.over {
             self.forget(id);
@@ -261,6 +269,21 @@
         }
     }
 
+    /// Room for tries of this front in all. A front that sends a machine a req every few seconds learns of
+    /// no single machine that the fleet is jammed; its answers together tell.
+    fn pace_front(&mut self, ease: f64, objective: u64) {
+        let now = self.now;
+        let [sum, n] = &mut self.ease;
+        sum.add(ease, now, 1e6);
+        n.add(1.0, now, 1e6);
+        let mean = sum.sum / n.sum;
+        if mean > 0.5 && now >= self.narrowed + objective / 2 {
+            (self.room, self.narrowed) = ((self.room.min(self.held + 1.0) * 0.8).max(1.0), now);
+        } else if mean < 0.5 && self.held + 2.0 >= self.room {
+            self.room += 1.0 / self.room;
+        }
+    }
+
     pub fn probed(&mut self, name: &str, end: End, load: Option<Load>) {
         let now = self.now;
         let Some(i) = self.find(name) else { return };
@@ -675,7 +698,9 @@
         for id in ids {
             if self.hopeless(id) {
                 self.give_up(id, out);
-            } else if let Some(i) = self.pick(id) {
+            } else if self.held < self.room.floor()
+                && let Some(i) = self.pick(id)
+            {
                 self.send(id, i, out);
             } else {
                 self.waiting.push(id);
@@ -730,6 +755,7 @@
         let build = m.build;
         let t = Try { settled, warm, paired, light, steady, ..Try::new(i, build, now) };
         rq.tries.push(t);
+        self.held += 1.0;
         out.upstream_try(id, &m.name, rq.due);
         let route = rq.route;
         if trial {
@@ -746,9 +772,14 @@
             self.accepted.iter_mut().for_each(VecDeque::clear);
         }
         let (mut overdue, mut slow, mut spare) = (Vec::new(), Vec::new(), Vec::new());
+        self.held = 0.0;
         for (id, rq) in &mut self.reqs {
             let objective = self.set.routes[rq.route].objective;
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
+                // What a silent machine keeps takes no room of the others.
+                if now <= t.sent + objective / 2 || self.machines[t.machine].heard > t.sent {
+                    self.held += 1.0;
+                }
                 if !t.counted && now > t.sent + LATE * objective {
                     t.counted = true;
                     overdue.push((*id, n, now - t.sent));
