--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,6 +45,7 @@
 const COLD_PART: f64 = 0.7;
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
+const STALL: u64 = 100 * MS;
 const COPY_SHARE: f64 = 0.08;
 /// With no more tries than this at its machine, a try is slow by its build, not by a queue.
 const LIGHT: f64 = 2.0;
@@ -99,6 +100,8 @@
 
 impl Balancer {
     pub fn round(&mut self, now: u64, inbox: &mut dyn Inbox, out: &mut dyn Writer) {
+        // A front that stood still finds all at once, late by its own doing: times then tell of nothing else.
+        self.stalled = now > self.now + STALL;
         self.now = now;
         inbox.replay(self);
         if now >= self.ask_at {
@@ -198,7 +201,7 @@
         }
         let steady =
             self.news.is_none_or(|n| n.phase != Phase::Trial) || self.usual_for(route, Some(i)).is_none();
-        if t_warm && end == End::Done && !self.on_trial(build) && steady {
+        if t_warm && end == End::Done && !self.on_trial(build) && steady && !self.stalled {
             let u = self.usual.entry((self.machines[i].kind, route)).or_default();
             u[0].add(took as f64, now, USUAL_FADE);
             u[1].add(1.0, now, USUAL_FADE);
@@ -208,7 +211,7 @@
         }
         let usual = self.usual_for(route, None);
         self.note_load(i, load);
-        if let Some(u) = usual.filter(|_| end == End::Done) {
+        if let Some(u) = usual.filter(|_| end == End::Done && !self.stalled) {
             let (ratio, m) = (took as f64 / u, &mut self.machines[i]);
             for pace in [&mut m.pace, &mut self.kinds[m.kind].pace] {
                 pace[0].add(ratio, now, RATE_FADE);
@@ -226,7 +229,8 @@
                 let ease = took as f64 / objective as f64;
                 jam = Some(ease);
                 m.ease += 0.1 * (ease - m.ease);
-                if ease < EASE && m.held + 2.0 >= m.room {
+                if self.stalled {
+                } else if ease < EASE && m.held + 2.0 >= m.room {
                     let fresh = m.started != 0 && now < m.started + 2 * self.set.cold_for;
                     let step = if fresh && m.room < FIRST_ROOM { 1.0 } else { 1.0 / m.room };
                     m.room = (m.room + step).min(MOST_ROOM);
@@ -257,7 +261,7 @@
             }
             End::Cancelled | End::NotSent => {}
         }
-        if let Some(ease) = jam {
+        if let Some(ease) = jam.filter(|_| !self.stalled) {
             self.pace_front(ease, objective);
         }
         let rq = &self.reqs[&id];
@@ -343,7 +347,7 @@
         let error = matches!(end, End::Error | End::Reset);
         // In a queue lateness says nothing of the build either, unless the machine is silent altogether.
         let plain = warm && (light || self.machines[i].heard <= sent);
-        let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late);
+        let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late) && !self.stalled;
         // One process that dies is one failure, not one for each try it held: lost machines and zones are
         // no build's doing, while a build that keeps dying still shows.
         if !settled || !known || (end == End::Reset && now < self.machines[i].died + SECOND) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -160,6 +160,7 @@
 pub struct Balancer {
     pub set: Settings,
     pub now: u64,
+    pub stalled: bool,
     pub born: u64,
     pub rng: Rand64,
     pub machines: Vec<Machine>,
@@ -204,6 +205,7 @@
     pub fn new(set: Settings, seed: u64, now: u64) -> Self {
         Balancer {
             now,
+            stalled: false,
             born: now,
             rng: Rand64::new(u128::from(seed)),
             machines: Vec::new(),
