Judge what the platform counts as one further balancer, the same for all fronts

Cause: where a quarter of hundreds of fronts must vote, most see too few outcomes of their own before the last stage. The counts are one piece of evidence for all, so that they bear no share of alpha; machines stand in for outcomes where the earlier build fails too.

--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -214,12 +214,9 @@
             }
             "SCORECARD" => {
                 let [class, took, since, count, lost, build] = parts(line)?;
-                self.route(class)?;
                 present(took).map_or(Ok(0), micros)?;
                 micros(since)?;
-                number::<u64>(count)?;
-                number::<u64>(lost)?;
-                number::<u32>(build)?;
+                to.tally(number(build)?, self.route(class)?, number(count)?, number(lost)?);
             }
             "MESSAGE" => {
                 let [_by, _body] = parts(line)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -325,6 +325,19 @@
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
     }
 
+    /// What the platform counted of all fronts' tries, in a sample.
+    pub fn tally(&mut self, build: u32, route: usize, count: f64, lost: f64) {
+        let Some(n) = self.news else { return };
+        let serves = |newest| {
+            self.machines.iter().any(|m| m.standing == Standing::Ready && (m.build == n.build) == newest)
+        };
+        if serves(true) && serves(false) {
+            let sums = self.counted.entry((build, route)).or_default();
+            sums[0].add(count, self.now, EVIDENCE_FADE[FAILURES]);
+            sums[1].add(lost, self.now, EVIDENCE_FADE[FAILURES]);
+        }
+    }
+
     pub fn flagged(&mut self, name: &str, route: usize, age: u64) {
         let Some(i) = self.find(name) else { return };
         let m = &self.machines[i];
@@ -427,6 +440,27 @@
                 sides[route][1] = sides[FAILURES][1];
             }
         }
+        // Then what the platform counted, likewise: the same for all fronts, so that all judge it as one.
+        let own_tests = sides.len();
+        sides.resize(own_tests + 1 + self.set.routes.len(), Default::default());
+        let mut machines = [0.0f64; 2];
+        for m in self.machines.iter().filter(|m| m.standing == Standing::Ready && m.build <= n.build) {
+            machines[usize::from(m.build < n.build)] += 1.0;
+        }
+        for ((build, route), sums) in self.counted.iter_mut().filter(|((b, _), _)| *b <= n.build) {
+            let side = usize::from(*build < n.build);
+            let [n, lost] = [0, 1].map(|i| sums[i].read(now, EVIDENCE_FADE[FAILURES]));
+            sides[own_tests][side].add(n, lost);
+            sides[own_tests + 1 + route][side].add(n, lost);
+        }
+        // Counts tell no machines apart: what the earlier build fails beyond the floor may be few of them.
+        for [new, old] in &mut sides[own_tests..] {
+            let few = (1.0 - LEAST_SHARE / old.share().max(LEAST_SHARE)).max(0.0);
+            for (arm, machines) in [new, old].into_iter().zip(machines) {
+                let clustering = 1.0 + few * (arm.outcomes / machines.max(1.0) - 1.0).max(0.0);
+                arm.spread = [clustering * arm.outcomes * arm.plain_variance(1.0), 0.0, 0.0];
+            }
+        }
         let (lower, upper) = bounds();
         // Few false votes of many fronts make a false verdict of the fleet, which is what α is for: the part
         // of it that falls to one front is such that as many at once as are needed stay as rare.
@@ -445,6 +479,7 @@
             let before = self.variances.insert(test, present).unwrap_or(present);
             let least = (before[0] / new.outcomes + before[1] / old.outcomes).sqrt() * 3.0;
             let wide = if rare > 0.0 { gap * GROSS } else { gap };
+            let share = if test < own_tests { share } else { 0.0 };
             let s = score(new, old, present, before, gap);
             let both = ((s.exp() + score(new, old, present, before, wide.max(least)).exp()) / 2.0).ln();
             if both >= upper + share && self.condemned != Some(n.build) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -174,6 +174,8 @@
     pub recount: Option<u64>,
     pub keys: BTreeMap<String, u32>,
     pub evidence: BTreeMap<(u32, usize), Vec<Tally>>,
+    /// The platform's counts by build and route: tries, and those not completed.
+    pub counted: BTreeMap<(u32, usize), [Fading; 2]>,
     pub variances: BTreeMap<usize, [f64; 2]>,
     /// The fleet before the trial.
     pub calm: Arm,
@@ -219,6 +221,7 @@
             recount: None,
             keys: BTreeMap::new(),
             evidence: BTreeMap::new(),
+            counted: BTreeMap::new(),
             variances: BTreeMap::new(),
             calm: Arm::default(),
             fleet: 0,
