--- a/src/decide.rs
+++ b/src/decide.rs
@@ -86,7 +86,11 @@
 /// hits are `rare` (0: they are not), few outcomes say little of their own variance: the fewer, the more the
 /// earlier build's share stands in for theirs, as it would be if the builds were alike.
 pub fn variances(new: Arm, old: Arm, rare: f64) -> [f64; 2] {
-    let own = if rare > 0.0 { (new.outcomes * LEAST_SHARE).min(1.0) } else { 1.0 };
+    let own = match rare {
+        0.0 => 1.0,
+        1.0 => (new.outcomes * LEAST_SHARE).min(1.0),
+        _ => 0.0,
+    };
     let rare = rare.max(1.0);
     let clustering = old.clustering(rare);
     let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance(rare);
