Count time as slow only beyond what the machine's load explains

What a req is expected to take now follows from its route, the hint of its work and the machine's kind, learned before the trial; a try is slow when it took twice that, raised by how much more the machine held than then. In place of tries that met at most two others, of which a large fleet at two thirds of its load gives none.

--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -124,13 +124,11 @@
         match line.split(' ').next().unwrap_or_default() {
             "ASK" => {
                 let [job, class, team, key, left, hint, again, update] = parts(line)?;
-                for optional in [hint].into_iter().filter_map(present) {
-                    number::<f64>(optional)?;
-                }
+                let hint = present(hint).map(number).transpose()?;
                 flag(again)?;
                 flag(update)?;
                 let tenant = self.tenants.iter().position(|t| t == team);
-                to.req(number(job)?, self.route(class)?, tenant, present(key), micros(left)?);
+                to.req(number(job)?, self.route(class)?, tenant, present(key), micros(left)?, hint);
             }
             "OUTCOME" => {
                 let [job, trial, _machine, rc, took, over, info] = parts(line)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -163,22 +163,31 @@
         self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
     }
 
-    pub fn req(&mut self, id: u64, route: usize, tenant: Option<usize>, key: Option<&str>, left: u64) {
+    pub fn req(
+        &mut self,
+        id: u64,
+        route: usize,
+        tenant: Option<usize>,
+        key: Option<&str>,
+        left: u64,
+        work: Option<f64>,
+    ) {
         let now = self.now;
+        let work = work.filter(|w| *w > 0.0).unwrap_or(1.0);
         self.accepted[route].push_back(now);
-        self.arrivals.add(1.0, now, RATE_FADE);
+        self.arrivals.add([1.0], now, RATE_FADE);
         let mut earnings = self.set.routes[route].earnings;
         if let Some(t) = tenant {
-            self.tenants[t].add(1.0, now, RATE_FADE);
-            let rate = self.tenants[t].sum / self.spell(RATE_FADE, SECOND) * f64::from(self.set.fronts);
+            self.tenants[t].add([1.0], now, RATE_FADE);
+            let rate = self.tenants[t].sums[0] / self.spell(RATE_FADE, SECOND) * f64::from(self.set.fronts);
             if rate > self.set.tenants[t].quota_per_s {
                 earnings *= self.set.over_share_earnings;
             }
         }
-        let rank = earnings / self.usual_for(route, None).unwrap_or(1.0).max(1.0);
+        let rank = earnings / self.usual_for(route, 1.0).unwrap_or(1.0).max(1.0);
         let (key, due) = (key.map(String::from), now + left);
         let objective = due.min(now + self.set.routes[route].objective);
-        let rq = Req { route, key, came: now, due, objective, rank, waiting: true, ..Req::default() };
+        let rq = Req { route, key, work, came: now, due, objective, rank, waiting: true, ..Req::default() };
         self.reqs.insert(id, rq);
         self.waiting.push(id);
     }
@@ -189,7 +198,8 @@
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
         t.out = false;
         t.ran &= !matches!(end, End::Full | End::Refused | End::NotSent);
-        let (i, build, t_warm, counted, route) = (t.machine, t.build, t.warm, t.counted, rq.route);
+        let (i, build, t_warm, counted) = (t.machine, t.build, t.warm, t.counted);
+        let (route, work) = (rq.route, rq.work);
         t.counted = true;
         let objective = self.set.routes[route].objective;
         if over {
@@ -203,24 +213,12 @@
         if !counted {
             self.judge(id, n, end, took);
         }
-        let steady =
-            self.news.is_none_or(|n| n.phase != Phase::Trial) || self.usual_for(route, Some(i)).is_none();
-        if t_warm && end == End::Done && !self.on_trial(build) && steady && !self.stalled {
-            let u = self.usual.entry((self.machines[i].kind, route)).or_default();
-            u[0].add(took as f64, now, USUAL_FADE);
-            u[1].add(1.0, now, USUAL_FADE);
-        }
+        self.note_load(i, load);
         if t_warm && end == End::Done {
-            self.kinds[self.machines[i].kind].served.add(1.0, now, RATE_FADE);
+            self.kinds[self.machines[i].kind].borne.add([1.0, 0.0], now, RATE_FADE);
         }
-        let usual = self.usual_for(route, None);
-        self.note_load(i, load);
-        if let Some(u) = usual.filter(|_| end == End::Done && !self.stalled) {
-            let (ratio, m) = (took as f64 / u, &mut self.machines[i]);
-            for pace in [&mut m.pace, &mut self.kinds[m.kind].pace] {
-                pace[0].add(ratio, now, RATE_FADE);
-                pace[1].add(1.0, now, RATE_FADE);
-            }
+        if end == End::Done && !self.stalled {
+            self.learn(i, route, work, took, t_warm && !self.on_trial(build));
         }
         let m = &mut self.machines[i];
         m.held -= 1.0;
@@ -228,7 +226,7 @@
         match end {
             End::Done => {
                 m.heard = now;
-                m.answers.add(1.0, now, HEALTH_FADE);
+                m.health.add([1.0, 0.0], now, HEALTH_FADE);
                 m.refused = 0;
                 let ease = took as f64 / objective as f64;
                 jam = Some(ease);
@@ -252,15 +250,13 @@
                 if m.refused >= 2 && self.set.probes && !m.aside {
                     (m.aside, m.answered, m.probed) = (true, 0, now);
                 }
-                m.answers.add(1.0, now, HEALTH_FADE);
-                m.faults.add(1.0, now, HEALTH_FADE);
+                m.health.add([1.0, 1.0], now, HEALTH_FADE);
                 if end == End::Error {
                     m.heard = now;
                 }
             }
             End::TimedOut => {
-                m.answers.add(1.0, now, HEALTH_FADE);
-                m.faults.add(1.0, now, HEALTH_FADE);
+                m.health.add([1.0, 1.0], now, HEALTH_FADE);
                 narrow(m, now, objective);
             }
             End::Cancelled | End::NotSent => {}
@@ -281,10 +277,8 @@
     /// no single machine that the fleet is jammed; its answers together tell.
     fn pace_front(&mut self, ease: f64, objective: u64) {
         let now = self.now;
-        let [sum, n] = &mut self.ease;
-        sum.add(ease, now, 1e6);
-        n.add(1.0, now, 1e6);
-        let mean = sum.sum / n.sum;
+        self.ease.add([ease, 1.0], now, 1e6);
+        let mean = self.ease.sums[0] / self.ease.sums[1];
         if mean > 0.5 && now >= self.narrowed + objective / 2 {
             (self.room, self.narrowed) = ((self.room.min(self.held + 1.0) * 0.8).max(1.0), now);
         } else if mean < 0.5 && self.held + 2.0 >= self.room {
@@ -323,7 +317,7 @@
         if self.news.is_none_or(|n| n.build < build) {
             self.variances.clear();
             (self.calm, self.calm_at) = (self.drain(SHARED, EVIDENCE_FADE), self.now);
-            self.calm_sends = self.sends.read(self.now, RATE_FADE) / self.spell(RATE_FADE, SECOND);
+            self.calm_sends = self.sends.read(self.now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
             self.fleet = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside).count();
         }
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
@@ -337,8 +331,7 @@
         };
         if serves(true) && serves(false) {
             let sums = self.counted.entry((build, route)).or_default();
-            sums[0].add(count, self.now, EVIDENCE_FADE[FAILURES]);
-            sums[1].add(lost, self.now, EVIDENCE_FADE[FAILURES]);
+            sums.add([count, lost], self.now, EVIDENCE_FADE[FAILURES]);
         }
     }
 
@@ -358,12 +351,17 @@
     /// swap, a jam or a lost zone does to the fleet would be held against the build that runs by then.
     fn judge(&mut self, id: u64, n: usize, end: End, took: u64) {
         let (now, rq) = (self.now, &self.reqs[&id]);
-        let route = rq.route;
-        let Try { build, machine: i, paired, steady, settled, warm, light, sent, .. } = rq.tries[n];
+        let (route, work) = (rq.route, rq.work);
+        let Try { build, machine: i, paired, steady, settled, warm, load, sent, .. } = rq.tries[n];
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
-        // In a queue lateness says nothing of the build either, unless the machine is silent altogether.
-        let plain = warm && (light || self.machines[i].heard <= sent);
+        // In a queue lateness says nothing of the build either, unless the machine is silent altogether: time
+        // counts as slow only beyond what the machine's load explains.
+        let load = 1.0 + load.max(self.load(i).0);
+        let slow = self
+            .usual_on(i, route, work)
+            .map(|(usual, met)| took as f64 > SLOW * usual * (load / met).max(1.0));
+        let plain = warm && (slow.unwrap_or(load <= 1.0 + LIGHT) || self.machines[i].heard <= sent);
         let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late) && !self.stalled;
         // One process that dies is one failure, not one for each try it held: lost machines and zones are
         // no build's doing, while a build that keeps dying still shows.
@@ -375,7 +373,6 @@
         }
         // Those still out when the trial began were long ones, and would make it look slow.
         let steady = steady && sent >= self.calm_at;
-        let slow = late || self.usual_for(route, Some(i)).is_some_and(|u| took as f64 > SLOW * u);
         let t = &mut self.tallies(build, i)[route];
         t.read(now, EVIDENCE_FADE);
         let mut add = |test: usize, hit: bool| {
@@ -386,18 +383,44 @@
         if paired {
             add(FAILURES, error || late || end == End::TimedOut);
         }
-        if steady && warm && light && end != End::Error {
-            add(SHARED, slow);
-        }
-        if warm && light && paired && end != End::Error {
-            add(SLOWNESS, slow);
+        if let Some(slow) = slow.filter(|_| warm && end != End::Error) {
+            if steady {
+                add(SHARED, slow);
+            }
+            if paired {
+                add(SLOWNESS, slow);
+            }
         }
     }
 
-    /// What the route usually takes: on machines of this one's kind, or on all.
-    fn usual_for(&mut self, route: usize, machine: Option<usize>) -> Option<f64> {
-        let (sum, n) = self.usual_sums(route, machine, USUAL_FADE);
-        (n >= 5.0).then(|| sum / n)
+    /// What so much work of the route usually takes.
+    fn usual_for(&mut self, route: usize, work: f64) -> Option<f64> {
+        let [took, works, n] = self.usual[route].read(self.now, USUAL_FADE);
+        (n >= 5.0).then(|| took / works * work)
+    }
+
+    /// The same on machines of this one's kind, and how much these held then.
+    fn usual_on(&mut self, i: usize, route: usize, work: f64) -> Option<(f64, f64)> {
+        let usual = self.usual_for(route, work)?;
+        let [pace, held, n] = self.kinds[self.machines[i].kind].usual.read(self.now, USUAL_FADE);
+        Some((usual * (pace + 2.0) / (n + 2.0), (held + 2.0) / (n + 2.0)))
+    }
+
+    /// What an answer tells of its machine's pace, and of what is usual while no trial is on.
+    fn learn(&mut self, i: usize, route: usize, work: f64, took: u64, earlier: bool) {
+        let (now, took) = (self.now, took as f64);
+        let usual = self.usual_for(route, work);
+        let (load, kind) = (1.0 + self.load(i).0, self.machines[i].kind);
+        if let Some(u) = usual {
+            self.machines[i].pace.add([took / u, 1.0], now, RATE_FADE);
+            self.kinds[kind].pace.add([took / u, 1.0], now, RATE_FADE);
+        }
+        if earlier && (self.news.is_none_or(|n| n.phase != Phase::Trial) || usual.is_none()) {
+            self.usual[route].add([took, work, 1.0], now, USUAL_FADE);
+            if let Some(u) = usual {
+                self.kinds[kind].usual.add([took / u, load, 1.0], now, USUAL_FADE);
+            }
+        }
     }
 
     /// A build that the news has not named, or not named as released, is on trial; without any news, each
@@ -453,7 +476,7 @@
         }
         for ((build, route), sums) in self.counted.iter_mut().filter(|((b, _), _)| *b <= n.build) {
             let side = usize::from(*build < n.build);
-            let [n, lost] = [0, 1].map(|i| sums[i].read(now, EVIDENCE_FADE[FAILURES]));
+            let [n, lost] = sums.read(now, EVIDENCE_FADE[FAILURES]);
             sides[own_tests][side].add(n, lost);
             sides[own_tests + 1 + route][side].add(n, lost);
         }
@@ -549,14 +572,14 @@
         }
         for m in self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside) {
             if now >= m.started + self.set.cold_for {
-                self.kinds[m.kind].spent.add(LOOK as f64 / 1e6, now, RATE_FADE);
+                self.kinds[m.kind].borne.add([0.0, LOOK as f64 / 1e6], now, RATE_FADE);
             }
         }
         let mut builds = BTreeMap::new();
         for m in self.machines.iter_mut().filter(|m| m.standing == Standing::Ready && !m.aside) {
             let (all, bad) = builds.entry(m.build).or_insert((0.0, 0.0));
-            *all += m.answers.read(now, HEALTH_FADE);
-            *bad += m.faults.read(now, HEALTH_FADE);
+            let [a, f] = m.health.read(now, HEALTH_FADE);
+            (*all, *bad) = (*all + a, *bad + f);
         }
         for (i, m) in self.machines.iter_mut().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
             if m.aside {
@@ -566,7 +589,7 @@
                 }
                 continue;
             }
-            let (a, f) = (m.answers.read(now, HEALTH_FADE), m.faults.read(now, HEALTH_FADE));
+            let [a, f] = m.health.read(now, HEALTH_FADE);
             // Against its build's other machines: a build that fails everywhere is the test's to judge, and
             // setting its machines aside would leave the test without outcomes.
             let (all, bad) = builds.get(&m.build).copied().unwrap_or_default();
@@ -651,7 +674,7 @@
         let now = self.now;
         let (mut all, mut own) = ((0.0, 0.0), (0.0, 0.0));
         for (k, of) in self.kinds.iter_mut().enumerate() {
-            let (served, spent) = (of.served.read(now, RATE_FADE), of.spent.read(now, RATE_FADE));
+            let [served, spent] = of.borne.read(now, RATE_FADE);
             all = (all.0 + served, all.1 + spent);
             if k == kind {
                 own = (served, spent);
@@ -660,7 +683,7 @@
         let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
         match (own, all) {
             ((served, spent), _) | (_, (served, spent)) if spent >= 1.0 => served / spent,
-            _ => self.arrivals.read(now, RATE_FADE) / self.spell(RATE_FADE, SECOND) / ready as f64,
+            _ => self.arrivals.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND) / ready as f64,
         }
     }
 
@@ -704,8 +727,8 @@
     /// machine for about a second; beyond that, and where a front has heard nothing, its kind stands in.
     fn load(&mut self, i: usize) -> (f64, f64) {
         let (now, m) = (self.now, &self.machines[i]);
-        let [sum, n] = &mut self.kinds[m.kind].load;
-        let mean = sum.read(now, RATE_FADE) / n.read(now, RATE_FADE).max(1e-9);
+        let [sum, n] = self.kinds[m.kind].load.read(now, RATE_FADE);
+        let mean = sum / n.max(1e-9);
         let fresh = (-(now.saturating_sub(m.load.1) as f64) / 1e6).exp();
         ((mean + (m.load.0 - mean) * fresh).max(m.held), mean)
     }
@@ -717,8 +740,9 @@
         let (holds, mean) = self.load(i);
         let m = &mut self.machines[i];
         let mut pace = 1.0;
-        for [sum, n] in [&mut self.kinds[m.kind].pace, &mut m.pace] {
-            pace = (sum.read(now, RATE_FADE) + 2.0 * pace) / (n.read(now, RATE_FADE) + 2.0);
+        for paces in [&mut self.kinds[m.kind].pace, &mut m.pace] {
+            let [sum, n] = paces.read(now, RATE_FADE);
+            pace = (sum + 2.0 * pace) / (n + 2.0);
         }
         let far = if m.zone != self.set.zone { 1.0 + 10.0 * self.set.cross_zone_price } else { 1.0 };
         (holds + 1.0) / (mean + 1.0) * pace.max(0.1) * far
@@ -728,9 +752,7 @@
         let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) else { return };
         let (now, m) = (self.now, &mut self.machines[i]);
         m.load = (x, now);
-        let [sum, n] = &mut self.kinds[m.kind].load;
-        sum.add(x, now, RATE_FADE);
-        n.add(1.0, now, RATE_FADE);
+        self.kinds[m.kind].load.add([x, 1.0], now, RATE_FADE);
     }
 
     fn serve(&mut self, out: &mut dyn Writer) {
@@ -752,7 +774,7 @@
     }
 
     fn hopeless(&mut self, id: u64) -> bool {
-        let usual = self.usual_for(self.reqs[&id].route, None).unwrap_or(0.0) as u64;
+        let usual = self.usual_for(self.reqs[&id].route, self.reqs[&id].work).unwrap_or(0.0) as u64;
         let rq = &self.reqs[&id];
         // Never more than half the objective: what was learned in a jam would shed each req on arrival,
         // and nothing would be learned again.
@@ -779,10 +801,10 @@
         let newest = self.news.map_or(u32::MAX, |n| n.build);
         let side = self.machines[i].build < newest;
         let serves = |o: &Machine| o.standing == Standing::Ready && !o.aside;
-        let rush = self.sends.read(now, RATE_FADE) > 1.2 * self.calm_sends * self.spell(RATE_FADE, SECOND);
+        let rush = self.sends.read(now, RATE_FADE)[0] > 1.2 * self.calm_sends * self.spell(RATE_FADE, SECOND);
         let serving = self.machines.iter().filter(|o| serves(o)).count();
         let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
-        let light = self.load(i).0 <= LIGHT;
+        let load = self.load(i).0;
         let m = &mut self.machines[i];
         // What else jams a fleet is no build's doing: lost machines, a rush, and all before it serves.
         let steady =
@@ -796,7 +818,7 @@
         rq.waiting = false;
         let (settled, warm) = (age >= SETTLING, age >= self.set.cold_for.max(SETTLING));
         let build = m.build;
-        let t = Try { settled, warm, paired, light, steady, ..Try::new(i, build, now) };
+        let t = Try { settled, warm, paired, load, steady, ..Try::new(i, build, now) };
         rq.tries.push(t);
         self.held += 1.0;
         out.upstream_try(id, &m.name, rq.due);
@@ -804,7 +826,7 @@
         if trial {
             self.expose(build, route);
         }
-        self.sends.add(1.0, now, RATE_FADE);
+        self.sends.add([1.0], now, RATE_FADE);
     }
 
     /// What only the passing of time brings: failures that need no answer, second copies, the recount.
@@ -859,20 +881,20 @@
     /// own load.
     fn copy(&mut self, id: u64, out: &mut dyn Writer) {
         let now = self.now;
-        let spent = self.copies.read(now, RATE_FADE);
-        if spent > COPY_SHARE * self.sends.read(now, RATE_FADE) || !self.waiting.is_empty() {
+        let [spent] = self.copies.read(now, RATE_FADE);
+        if spent > COPY_SHARE * self.sends.read(now, RATE_FADE)[0] || !self.waiting.is_empty() {
             return;
         }
         let Some(i) = self.pick(id) else { return };
         self.send(id, i, out);
-        self.copies.add(1.0, now, RATE_FADE);
+        self.copies.add([1.0], now, RATE_FADE);
         self.reqs.get_mut(&id).unwrap().copied = true;
     }
 }
 
 fn renew(m: &mut Machine, room: f64, now: u64) {
     (m.aside, m.heard, m.room, m.ease, m.refused) = (false, now, room, EASE / 2.0, 0);
-    (m.answers, m.faults, m.pace) = Default::default();
+    (m.health, m.pace) = Default::default();
 }
 
 /// At most once in half an objective, so that one jam is answered once.
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,22 +6,29 @@
 
 use crate::front::{Phase, Settings, Standing, Verdict};
 
-/// A sum that decays; brought up to date when read.
-#[derive(Clone, Copy, Default)]
-pub struct Fading {
-    pub sum: f64,
+/// Sums that decay together; brought up to date when read.
+#[derive(Clone, Copy)]
+pub struct Fading<const N: usize> {
     pub at: u64,
+    pub sums: [f64; N],
+}
+
+impl<const N: usize> Default for Fading<N> {
+    fn default() -> Self {
+        Fading { at: 0, sums: [0.0; N] }
+    }
 }
 
-impl Fading {
-    pub fn read(&mut self, now: u64, fade: f64) -> f64 {
-        self.sum *= (-((now - self.at) as f64) / fade).exp();
+impl<const N: usize> Fading<N> {
+    pub fn read(&mut self, now: u64, fade: f64) -> [f64; N] {
+        let kept = (-((now - self.at) as f64) / fade).exp();
+        self.sums = self.sums.map(|x| x * kept);
         self.at = now;
-        self.sum
+        self.sums
     }
-    pub fn add(&mut self, x: f64, now: u64, fade: f64) {
+    pub fn add(&mut self, xs: [f64; N], now: u64, fade: f64) {
         self.read(now, fade);
-        self.sum += x;
+        self.sums.iter_mut().zip(xs).for_each(|(sum, x)| *sum += x);
     }
 }
 
@@ -64,15 +71,18 @@
     }
 }
 
-/// Machines alike: reqs answered by warm ones, and the seconds these stood ready.
+/// Machines alike, as seen on all of them.
 #[derive(Default)]
 pub struct Kind {
     pub name: String,
-    pub served: Fading,
-    pub spent: Fading,
-    /// Reqs that they reported to hold, and times to answer against the usual: sum and count.
-    pub load: [Fading; 2],
-    pub pace: [Fading; 2],
+    /// Reqs that warm ones answered, and the seconds these stood ready.
+    pub borne: Fading<2>,
+    /// Reqs that they reported to hold, and reports.
+    pub load: Fading<2>,
+    /// Times to answer against the route's usual, and answers.
+    pub pace: Fading<2>,
+    /// The same before a trial, with what they then held: times, reqs held with the one answered, answers.
+    pub usual: Fading<3>,
 }
 
 #[derive(Default)]
@@ -90,13 +100,13 @@
     /// How many own tries it may hold; follows how its answers compare with the latency objective.
     pub room: f64,
     pub narrowed: u64,
-    /// Time to answer against the route's usual (sum and count), and against its objective.
-    pub pace: [Fading; 2],
+    /// Times to answer against the route's usual, and answers; time against its objective.
+    pub pace: Fading<2>,
     pub ease: f64,
     pub refused: u32,
     pub died: u64,
-    pub answers: Fading,
-    pub faults: Fading,
+    /// Answers, and failed ones.
+    pub health: Fading<2>,
     pub heard: u64,
     pub aside: bool,
     pub probe_out: bool,
@@ -119,8 +129,8 @@
     pub counted: bool,
     pub settled: bool,
     pub warm: bool,
-    /// Its machine had little to do when it was sent.
-    pub light: bool,
+    /// What its machine held when it was sent.
+    pub load: f64,
     /// The other side of the trial had a machine in service when it was sent.
     pub paired: bool,
     /// Comparable with the fleet before the trial.
@@ -137,6 +147,8 @@
 pub struct Req {
     pub route: usize,
     pub key: Option<String>,
+    /// Work as hinted, or one.
+    pub work: f64,
     pub came: u64,
     pub due: u64,
     pub objective: u64,
@@ -175,7 +187,7 @@
     pub keys: BTreeMap<String, u32>,
     pub evidence: BTreeMap<(u32, usize), Vec<Tally>>,
     /// The platform's counts by build and route: tries, and those not completed.
-    pub counted: BTreeMap<(u32, usize), [Fading; 2]>,
+    pub counted: BTreeMap<(u32, usize), Fading<2>>,
     pub variances: BTreeMap<usize, [f64; 2]>,
     /// The fleet before the trial.
     pub calm: Arm,
@@ -189,16 +201,17 @@
     /// The vote that stands, and the one that is out, with the time of its cast.
     pub stands: (u32, u32, Verdict, u64),
     pub cast: Option<(u32, u32, Verdict, u64)>,
-    pub usual: BTreeMap<(usize, usize), [Fading; 2]>,
-    pub tenants: Vec<Fading>,
+    /// By route, before a trial: time to answer, work as hinted (or one each), answers.
+    pub usual: Vec<Fading<3>>,
+    pub tenants: Vec<Fading<1>>,
     /// Tries out, room for them, and how long answers take against their objectives (sum and count).
     pub held: f64,
     pub room: f64,
     pub narrowed: u64,
-    pub ease: [Fading; 2],
-    pub arrivals: Fading,
-    pub sends: Fading,
-    pub copies: Fading,
+    pub ease: Fading<2>,
+    pub arrivals: Fading<1>,
+    pub sends: Fading<1>,
+    pub copies: Fading<1>,
     pub ask_at: u64,
     pub swept: u64,
 }
@@ -233,12 +246,12 @@
             looked: now,
             stands: (0, 0, Verdict::None, now),
             cast: None,
-            usual: BTreeMap::new(),
+            usual: vec![Fading::default(); set.routes.len()],
             tenants: vec![Fading::default(); set.tenants.len()],
             held: 0.0,
             room: 64.0,
             narrowed: 0,
-            ease: [Fading::default(); 2],
+            ease: Fading::default(),
             arrivals: Fading::default(),
             sends: Fading::default(),
             copies: Fading::default(),
@@ -314,20 +327,6 @@
         sent[route].push_back(self.now);
     }
 
-    /// Times taken on a route, and how many: on machines of this one's kind, or on all.
-    pub(crate) fn usual_sums(&mut self, route: usize, machine: Option<usize>, fade: f64) -> (f64, f64) {
-        let now = self.now;
-        let kind = machine.map(|i| self.machines[i].kind);
-        let mut sums = (0.0, 0.0);
-        for ((k, r), u) in &mut self.usual {
-            if *r == route && kind.is_none_or(|kind| kind == *k) {
-                sums.0 += u[0].read(now, fade);
-                sums.1 += u[1].read(now, fade);
-            }
-        }
-        sums
-    }
-
     /// Seconds that a fading count stands for, of a front that has run at least this long.
     pub(crate) fn spell(&self, fade: f64, least: u64) -> f64 {
         let lived = (self.now - self.born).max(least) as f64;
