--- a/src/decide.rs
+++ b/src/decide.rs
@@ -277,10 +277,10 @@
     /// no single machine that the fleet is jammed; its answers together tell.
     fn pace_front(&mut self, ease: f64, objective: u64) {
         let now = self.now;
-        self.ease.add([ease, 1.0], now, 1e6);
+        self.ease.add([f64::from(ease > 0.35), 1.0], now, 1e6);
         let mean = self.ease.sums[0] / self.ease.sums[1];
         if mean > 0.5 && now >= self.narrowed + objective / 2 {
-            (self.room, self.narrowed) = ((self.room.min(self.held + 1.0) * 0.8).max(1.0), now);
+            (self.room, self.narrowed) = ((self.room.min(2.0 * self.held + 4.0) * 0.8).max(1.0), now);
         } else if mean < 0.5 && self.held + 2.0 >= self.room {
             self.room += 1.0 / self.room;
         }
