--- a/src/decide.rs
+++ b/src/decide.rs
@@ -379,7 +379,8 @@
             t.all[test] += 1.0;
             t.hits[test] += f64::from(hit);
         };
-        add(ERRORS, error);
+        // Resets come from links and lost machines too, with nothing of the same time to compare them with.
+        add(ERRORS, end == End::Error);
         if paired {
             add(FAILURES, error || late || end == End::TimedOut);
         }
