Send heavy reqs only to kinds that do them in time, while there are any

Worth goes by work there; a slow kind takes the longest reqs past their objective whatever its load. Elsewhere work is not told, and only a kind too slow for a whole route is passed over.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -712,6 +712,23 @@
                 sides[usize::from(self.on_trial(build))].push(i);
             }
         }
+        // Heavy reqs go where they can be done in time, and leave the rest to light ones.
+        let (now, left) = (self.now, self.reqs[&id].objective.saturating_sub(self.now) as f64);
+        if let Some(usual) = self.usual_for(route, self.reqs[&id].work) {
+            let slow: Vec<bool> = self
+                .kinds
+                .iter_mut()
+                .map(|k| {
+                    let [sum, n] = k.pace.read(now, RATE_FADE);
+                    usual * (sum + 2.0) / (n + 2.0) > 0.6 * left
+                })
+                .collect();
+            for side in &mut sides {
+                if !side.iter().all(|&i| slow[self.machines[i].kind]) {
+                    side.retain(|&i| !slow[self.machines[i].kind]);
+                }
+            }
+        }
         // The share of machines that can take a req now: cold ones would leave their part to the warm ones
         // of their build, which a good build would then be blamed for.
         let share = sides[1].len() as f64 / (sides[0].len() + sides[1].len()).max(1) as f64;
