--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 const FIRST_ROOM: f64 = 6.0;
 const MOST_ROOM: f64 = 64.0;
 /// Prudent part of what a cold machine can take, left to all fronts together.
-const COLD_PART: f64 = 0.7;
+const COLD_PART: f64 = 1.0;
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
 const STALL: u64 = 100 * MS;
