Give a cold machine its due part as soon as it makes a req

Cause: of hundreds of fronts, each with a small part of a req due at a cold machine, few met a req and the random choice at once, so that cold machines stood idle through their cold time while warm ones jammed, most in the last stage. A part that makes a req now goes first, before the share and the two choices, if the req can still be done in time there.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 const FIRST_ROOM: f64 = 6.0;
 const MOST_ROOM: f64 = 64.0;
 /// Prudent part of what a cold machine can take, left to all fronts together.
-const COLD_PART: f64 = 1.0;
+const COLD_PART: f64 = 0.65;
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
 const STALL: u64 = 100 * MS;
@@ -648,20 +648,22 @@
         (tries + 1) as f64 <= self.set.free + cap * taken as f64
     }
 
-    /// Rule 4: this front's prudent part of what a cold machine can take, earned as time goes. What warm
-    /// machines of its kind have borne from this front stands in for the capacity, which nobody tells, so
-    /// that the parts of all fronts add up to what such a machine bears, however traffic is spread. Parts
-    /// of less than a req count too: fronts begin with credits a step apart, each machine's from another
-    /// front on, and of hundreds only as many send at once as their parts make whole reqs.
-    fn may_warm(&mut self, i: usize) -> bool {
+    /// The part of its capacity that a machine has for certain.
+    fn warmth(&self, started: u64) -> f64 {
+        let age = self.now.saturating_sub(started) as f64 / self.set.cold_for as f64;
+        if started == 0 { 1.0 } else { (self.set.cold_from + (1.0 - self.set.cold_from) * age).min(1.0) }
+    }
+
+    /// Rule 4: this front's prudent part of what a cold machine can take, earned as time goes and due as
+    /// soon as it makes a req. What warm machines of its kind have borne from this front stands in for the
+    /// capacity, which nobody tells, so that the parts of all fronts add up to what such a machine bears,
+    /// however traffic is spread. Fronts begin with credits a step apart, each machine's from another front
+    /// on: of hundreds, which cannot all use it, every n-th of the sorted list does, from a start of its own.
+    fn due(&mut self, i: usize) -> bool {
         let now = self.now;
-        let (kind, age) = (self.machines[i].kind, now.saturating_sub(self.machines[i].started));
-        if self.machines[i].started == 0 || age >= self.set.cold_for {
-            return true;
-        }
-        let bears = self.bears(kind);
+        let warm = self.warmth(self.machines[i].started);
+        let bears = self.bears(self.machines[i].kind);
         let (set, m) = (&self.set, &mut self.machines[i]);
-        let warm = set.cold_from + (1.0 - set.cold_from) * age as f64 / set.cold_for as f64;
         let rate = COLD_PART * set.fall_multiple * warm * bears / 1e6;
         let most = 1.0 + rate * set.fall_for as f64 / 4.0;
         m.credit = (m.credit + rate * (now - m.credited) as f64).min(most);
@@ -706,31 +708,39 @@
         if !open.iter().all(tried) {
             open.retain(|i| !tried(i));
         }
+        let left = rq.objective.saturating_sub(self.now) as f64;
+        let usual = self.usual_for(route, rq.work).unwrap_or(0.0);
+        let now = self.now;
+        let times: Vec<f64> = self
+            .kinds
+            .iter_mut()
+            .map(|k| {
+                let [sum, n] = k.pace.read(now, RATE_FADE);
+                usual * (sum + 2.0) / (n + 2.0)
+            })
+            .collect();
         for i in open {
-            let build = self.machines[i].build;
-            if self.may_warm(i) && self.may_expose(build, route) {
+            let m = &self.machines[i];
+            let (build, started, time) = (m.build, m.started, times[m.kind]);
+            if !self.may_expose(build, route) {
+                continue;
+            }
+            let warm = self.warmth(started);
+            if warm >= 1.0 {
                 sides[usize::from(self.on_trial(build))].push(i);
+            } else if self.due(i) && time < 0.6 * left * warm {
+                return Some(i);
             }
         }
         // Heavy reqs go where they can be done in time, and leave the rest to light ones.
-        let (now, left) = (self.now, self.reqs[&id].objective.saturating_sub(self.now) as f64);
-        if let Some(usual) = self.usual_for(route, self.reqs[&id].work) {
-            let slow: Vec<bool> = self
-                .kinds
-                .iter_mut()
-                .map(|k| {
-                    let [sum, n] = k.pace.read(now, RATE_FADE);
-                    usual * (sum + 2.0) / (n + 2.0) > 0.6 * left
-                })
-                .collect();
-            for side in &mut sides {
-                if !side.iter().all(|&i| slow[self.machines[i].kind]) {
-                    side.retain(|&i| !slow[self.machines[i].kind]);
-                }
+        for side in &mut sides {
+            let slow = |i: &usize| times[self.machines[*i].kind] > 0.6 * left;
+            if !side.iter().all(slow) {
+                side.retain(|i| !slow(i));
             }
         }
-        // The share of machines that can take a req now: cold ones would leave their part to the warm ones
-        // of their build, which a good build would then be blamed for.
+        // The share of warm machines: cold ones have had theirs, and would leave it to the warm ones of
+        // their build, which a good build would then be blamed for.
         let share = sides[1].len() as f64 / (sides[0].len() + sides[1].len()).max(1) as f64;
         let first = usize::from(self.rng.rand_float() < share);
         let side = if sides[first].is_empty() { &sides[1 - first] } else { &sides[first] };
