--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,6 +41,7 @@
 const EASE: f64 = 0.25;
 const FIRST_ROOM: f64 = 6.0;
 const MOST_ROOM: f64 = 64.0;
+const FIRST_ROOM_IN_ALL: f64 = 64.0;
 /// Prudent part of what a cold machine can take, left to all fronts together.
 const COLD_PART: f64 = 0.65;
 const PROBE_EVERY: u64 = 400 * MS;
@@ -122,6 +123,18 @@
             self.look(out);
             self.vote(out);
             self.judge_machines(out);
+            // Not far above what is in use, but for what a stall has kept: a jam must not find room for its queue.
+            self.room = self.room.min((2.0 * self.held + 4.0).max(0.95 * self.room));
+        }
+        if self.stalled {
+            self.room = FIRST_ROOM_IN_ALL;
+        }
+        for i in std::mem::take(&mut self.suspects) {
+            let m = &mut self.machines[i];
+            if !m.probe_out {
+                (m.probe_out, m.probed) = (true, now);
+                out.probe(&m.name);
+            }
         }
         self.serve(out);
     }
@@ -175,7 +188,6 @@
         let now = self.now;
         let work = work.filter(|w| *w > 0.0).unwrap_or(1.0);
         self.accepted[route].push_back(now);
-        self.arrivals.add([1.0], now, RATE_FADE);
         let mut earnings = self.set.routes[route].earnings;
         if let Some(t) = tenant {
             self.tenants[t].add([1.0], now, RATE_FADE);
@@ -185,6 +197,7 @@
             }
         }
         let rank = earnings / self.usual_for(route, 1.0).unwrap_or(1.0).max(1.0);
+        self.arrivals.add([1.0], now, RATE_FADE);
         let (key, due) = (key.map(String::from), now + left);
         let objective = due.min(now + self.set.routes[route].objective);
         let rq = Req { route, key, work, came: now, due, objective, rank, waiting: true, ..Req::default() };
@@ -197,6 +210,10 @@
         let Some(rq) = self.reqs.get_mut(&id) else { return };
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
         t.out = false;
+        if end == End::Reset && self.set.probes {
+            rq.suspect = Some(t.machine);
+            self.suspects.push(t.machine);
+        }
         t.ran &= !matches!(end, End::Full | End::Refused | End::NotSent);
         let (i, build, t_warm, counted) = (t.machine, t.build, t.warm, t.counted);
         let (route, work) = (rq.route, rq.work);
@@ -242,10 +259,13 @@
             }
             End::Full => {
                 jam = Some(1.0);
+                self.machines[i].pace.add([1.0 / EASE, 1.0], now, RATE_FADE);
+                let m = &mut self.machines[i];
                 narrow(m, now, objective);
             }
             End::Error | End::Reset | End::Refused => {
                 // A process that takes no connections serves nothing, however many others do the same.
+                m.pace.add([1.0 / EASE, 1.0], now, RATE_FADE);
                 m.refused = if end == End::Refused { m.refused + 1 } else { 0 };
                 if m.refused >= 2 && self.set.probes && !m.aside {
                     (m.aside, m.answered, m.probed) = (true, 0, now);
@@ -277,10 +297,12 @@
     /// no single machine that the fleet is jammed; its answers together tell.
     fn pace_front(&mut self, ease: f64, objective: u64) {
         let now = self.now;
-        self.ease.add([f64::from(ease > 0.35), 1.0], now, 1e6);
+        self.ease.add([f64::from(ease > EASE), 1.0], now, 1e6);
         let mean = self.ease.sums[0] / self.ease.sums[1];
         if mean > 0.5 && now >= self.narrowed + objective / 2 {
-            (self.room, self.narrowed) = ((self.room.min(2.0 * self.held + 4.0) * 0.8).max(1.0), now);
+            // What is answered, at its usual pace, keeps its room whatever else is slow.
+            let least = self.worked.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
+            (self.room, self.narrowed) = ((self.room.min(2.0 * self.held + 4.0) * 0.8).max(least.max(1.0)), now);
         } else if mean < 0.5 && self.held + 2.0 >= self.room {
             self.room += 1.0 / self.room;
         }
@@ -292,6 +314,11 @@
         self.note_load(i, load);
         let m = &mut self.machines[i];
         m.probe_out = false;
+        // A req that went down with its machine may have brought it down, and would bring down the next.
+        for rq in self.reqs.values_mut().filter(|rq| rq.suspect == Some(i)) {
+            (rq.suspect, rq.deadly) = (None, end != End::Done);
+        }
+        let m = &mut self.machines[i];
         m.answered = if end == End::Done { m.answered + 1 } else { 0 };
         if m.aside && m.answered >= m.wanted {
             renew(m, 2.0, now);
@@ -411,6 +438,7 @@
     fn learn(&mut self, i: usize, route: usize, work: f64, took: u64, earlier: bool) {
         let (now, took) = (self.now, took as f64);
         let usual = self.usual_for(route, work);
+        self.worked.add([usual.unwrap_or(0.0) / 1e6], now, RATE_FADE);
         let (load, kind) = (1.0 + self.load(i).0, self.machines[i].kind);
         if let Some(u) = usual {
             self.machines[i].pace.add([took / u, 1.0], now, RATE_FADE);
@@ -607,7 +635,7 @@
     fn may_try(&self, rq: &Req, m: &Machine) -> bool {
         let mut ran = rq.tries.iter().filter(|t| t.ran);
         let out = rq.tries.iter().any(|t| t.out);
-        if rq.tries.len() >= self.set.max_tries || (out && !self.set.copies) {
+        if rq.tries.len() >= self.set.max_tries || (out && !self.set.copies) || rq.deadly {
             return false;
         }
         match self.set.routes[rq.route].repeat {
@@ -791,6 +819,8 @@
         for id in ids {
             if self.hopeless(id) {
                 self.give_up(id, out);
+            } else if self.reqs[&id].suspect.is_some() {
+                self.waiting.push(id);
             } else if self.held < self.room.floor()
                 && let Some(i) = self.pick(id)
             {
@@ -870,7 +900,8 @@
             let objective = self.set.routes[rq.route].objective;
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
                 // What a silent machine keeps takes no room of the others.
-                if now <= t.sent + objective / 2 || self.machines[t.machine].heard > t.sent {
+                let patience = if self.machines[t.machine].heard > t.sent { objective } else { objective / 2 };
+                if now <= t.sent + patience {
                     self.held += 1.0;
                 }
                 if !t.counted && now > t.sent + LATE * objective {
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,6 +157,9 @@
     pub over: bool,
     pub opened: bool,
     pub copied: bool,
+    /// The machine that broke off its last try, until a probe tells whether it still runs; it does not.
+    pub suspect: Option<usize>,
+    pub deadly: bool,
     pub tries: Vec<Try>,
 }
 
@@ -180,6 +183,7 @@
     pub kinds: Vec<Kind>,
     pub reqs: BTreeMap<u64, Req>,
     pub waiting: Vec<u64>,
+    pub suspects: Vec<usize>,
     pub news: Option<News>,
     pub accepted: Vec<VecDeque<u64>>,
     pub exposed: BTreeMap<u32, Vec<VecDeque<u64>>>,
@@ -210,6 +214,8 @@
     pub narrowed: u64,
     pub ease: Fading<2>,
     pub arrivals: Fading<1>,
+    /// Seconds that reqs completed usually take.
+    pub worked: Fading<1>,
     pub sends: Fading<1>,
     pub copies: Fading<1>,
     pub ask_at: u64,
@@ -228,6 +234,7 @@
             kinds: Vec::new(),
             reqs: BTreeMap::new(),
             waiting: Vec::new(),
+            suspects: Vec::new(),
             news: None,
             accepted: vec![VecDeque::new(); set.routes.len()],
             exposed: BTreeMap::new(),
@@ -253,6 +260,7 @@
             narrowed: 0,
             ease: Fading::default(),
             arrivals: Fading::default(),
+            worked: Fading::default(),
             sends: Fading::default(),
             copies: Fading::default(),
             ask_at: if set.ask_list { now } else { u64::MAX },
