--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,7 +55,7 @@
     /// Floored, or a side without a hit would make any single hit on the other look certain: at a 1% share's,
     /// and while there are fewer than the paper's hundred outcomes at that of one hit among them.
     fn plain_variance(&self, rare: f64) -> f64 {
-        let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0)) / rare;
+        let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0) / rare);
         let binomial = |p: f64| p * (1.0 - p);
         binomial(self.share()).max(binomial(floor))
     }
@@ -529,7 +529,7 @@
             if new.outcomes < few || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
-            let rare = [1.0, 0.0, 2.0, 0.0].get(test).copied().unwrap_or(1.0);
+            let rare = [1.0, 0.0, 4.0, 0.0].get(test).copied().unwrap_or(1.0);
             let gap = GAPS[if test < TESTS { test } else { FAILURES }];
             let present = variances(new, old, rare);
             let before = self.variances.insert(test, present).unwrap_or(present);
