--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,6 +27,8 @@
 const SHARED: usize = 3;
 const TESTS: usize = 4;
 const GAPS: [f64; TESTS] = [0.03, 0.15, 0.03, 0.25];
+/// What evidence of lateness and loss must show beyond the bounds.
+const DOUBT: f64 = 1.5;
 const ALPHA: f64 = 0.05;
 const BETA: f64 = 0.20;
 const LATE: u64 = 2;
@@ -92,10 +94,12 @@
         1.0 => (new.outcomes * LEAST_SHARE).min(1.0),
         _ => 0.0,
     };
-    let rare = rare.max(1.0);
+    let (own_only, rare) = (rare == 0.0, rare.max(1.0));
     let clustering = old.clustering(rare);
     let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance(rare);
-    let variance = own * new.plain_variance(rare) + (1.0 - own) * alike;
+    let few = if own_only { 1.0 } else { 0.0 };
+    let seen = Arm { hits: new.hits + few, outcomes: new.outcomes + 2.0 * few, ..new }.plain_variance(rare);
+    let variance = own * seen + (1.0 - own) * alike;
     [variance * new.clustering(rare).max(clustering), old.plain_variance(rare) * clustering]
 }
 
@@ -302,7 +306,8 @@
         if mean > 0.5 && now >= self.narrowed + objective / 2 {
             // What is answered, at its usual pace, keeps its room whatever else is slow.
             let least = self.worked.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
-            (self.room, self.narrowed) = ((self.room.min(2.0 * self.held + 4.0) * 0.8).max(least.max(1.0)), now);
+            (self.room, self.narrowed) =
+                ((self.room.min(2.0 * self.held + 4.0) * 0.8).max(least.max(1.0)), now);
         } else if mean < 0.5 && self.held + 2.0 >= self.room {
             self.room += 1.0 / self.room;
         }
@@ -490,10 +495,11 @@
         }
         // Until the last stage, whose swap jams the fleet whatever the build.
         sides[SHARED] = if n.cap < 1.0 { [sides[SHARED][1], self.calm] } else { Default::default() };
-        // Of a route with little traffic too little is known to compare with.
+        // Of a route with little traffic too little is known to compare with, above all where nothing failed.
         for route in TESTS..sides.len() {
-            if sides[route][1].outcomes < LEAST_OUTCOMES {
-                sides[route][1] = sides[FAILURES][1];
+            let [own, all] = [sides[route][1], sides[FAILURES][1]];
+            if own.outcomes < LEAST_OUTCOMES || own.share() < all.share() {
+                sides[route][1] = all;
             }
         }
         // Then what the platform counted, likewise: the same for all fronts, so that all judge it as one.
@@ -537,7 +543,10 @@
             let wide = if rare > 0.0 { gap * GROSS } else { gap };
             let share = if test < own_tests { share } else { 0.0 };
             let s = score(new, old, present, before, gap);
-            let both = ((s.exp() + score(new, old, present, before, wide.max(least)).exp()) / 2.0).ln();
+            let far = score(new, old, present, before, wide.max(least));
+            // Late and lost answers come of machines, links and load as well; errors do not.
+            let doubt = if test == ERRORS { 0.0 } else { if test < own_tests { DOUBT } else { 2f64.ln() } };
+            let both = (s.exp() + far.exp()).ln() - doubt;
             if both >= upper + share && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
                 let counts = (new.hits, new.outcomes, old.hits, old.outcomes);
@@ -900,7 +909,8 @@
             let objective = self.set.routes[rq.route].objective;
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
                 // What a silent machine keeps takes no room of the others.
-                let patience = if self.machines[t.machine].heard > t.sent { objective } else { objective / 2 };
+                let patience =
+                    if self.machines[t.machine].heard > t.sent { objective } else { objective / 2 };
                 if now <= t.sent + patience {
                     self.held += 1.0;
                 }
