--- a/src/decide.rs
+++ b/src/decide.rs
@@ -493,8 +493,12 @@
             }
             own.iter().zip(&mut sides).for_each(|(own, arms)| arms[side].add(own.0, own.1));
         }
-        // Until the last stage, whose swap jams the fleet whatever the build.
-        sides[SHARED] = if n.cap < 1.0 { [sides[SHARED][1], self.calm] } else { Default::default() };
+        // The whole fleet against before; a few usual outcomes stand in where there were few.
+        let [mut now_all, old] = sides[SHARED];
+        now_all.join(old);
+        let mut calm = self.calm;
+        calm.add(LEAST_OUTCOMES, 0.15 * LEAST_OUTCOMES);
+        sides[SHARED] = [now_all, calm];
         // Of a route with little traffic too little is known to compare with, above all where nothing failed.
         for route in TESTS..sides.len() {
             let [own, all] = [sides[route][1], sides[FAILURES][1]];
@@ -868,14 +872,17 @@
         let newest = self.news.map_or(u32::MAX, |n| n.build);
         let side = self.machines[i].build < newest;
         let serves = |o: &Machine| o.standing == Standing::Ready && !o.aside;
-        let rush = self.sends.read(now, RATE_FADE)[0] > 1.2 * self.calm_sends * self.spell(RATE_FADE, SECOND);
+        let chance = 2.0 * (self.calm_sends * 1e6 / RATE_FADE / 2.0).sqrt();
+        let rush = self.sends.read(now, RATE_FADE)[0]
+            > (1.2 * self.calm_sends + chance) * self.spell(RATE_FADE, SECOND);
         let serving = self.machines.iter().filter(|o| serves(o)).count();
         let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
+        let begun = self.machines.iter().any(|o| serves(o) && o.build == newest);
         let load = self.load(i).0;
         let m = &mut self.machines[i];
         // What else jams a fleet is no build's doing: lost machines, a rush, and all before it serves.
-        let steady =
-            self.news.is_none_or(|n| n.phase != Phase::Trial) || (serving >= self.fleet && !rush && paired);
+        let steady = self.news.is_none_or(|n| n.phase != Phase::Trial)
+            || (serving * 10 >= self.fleet * 9 && !rush && begun);
         m.held += 1.0;
         if m.started != 0 && now < m.started + self.set.cold_for {
             m.credit -= 1.0;
