--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -128,6 +128,7 @@
                 flag(again)?;
                 flag(update)?;
                 let tenant = self.tenants.iter().position(|t| t == team);
+                let hint = hint.filter(|w| *w > 0.0).unwrap_or(1.0);
                 to.req(number(job)?, self.route(class)?, tenant, present(key), micros(left)?, hint);
             }
             "OUTCOME" => {
@@ -155,7 +156,8 @@
             }
             "CONTESTED" => {
                 let [machine, class, since] = parts(line)?;
-                to.flagged(machine, self.route(class)?, micros(since)?);
+                self.route(class)?;
+                to.flagged(machine, micros(since)?);
             }
             "PHASE_TOLD" => {
                 let [stage, rc, code, course, since, allowed, build] = parts(line)?;
@@ -207,14 +209,17 @@
                     };
                     let started = present(since).map_or(Ok(0), micros)?;
                     let cell = present(cell).map_or(Ok(0), number)?;
-                    to.machine(machine, (zone, cell), kind, number(ver)?, standing, started);
+                    to.machine(machine, (zone, cell, kind), number(ver)?, standing, started);
                 }
             }
             "SCORECARD" => {
                 let [class, took, since, count, lost, build] = parts(line)?;
                 present(took).map_or(Ok(0), micros)?;
                 micros(since)?;
-                to.tally(number(build)?, self.route(class)?, number(count)?, number(lost)?);
+                self.route(class)?;
+                number::<u32>(build)?;
+                number::<f64>(count)?;
+                number::<f64>(lost)?;
             }
             "MESSAGE" => {
                 let [_by, _body] = parts(line)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,11 +3,11 @@
 //! the interface, with the settings and both traits, is `src/front.rs`. `docs/design.md` tells what comes
 //! from the design page and what was added.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Scope, Standing, Verdict, Writer};
 pub use crate::state::{Arm, Balancer};
-use crate::state::{Machine, News, Req, Try};
+use crate::state::{Machine, News, Req, Room, TESTS, Try};
 
 const MS: u64 = 1_000;
 const SECOND: u64 = 1_000_000;
@@ -16,48 +16,46 @@
 const HORIZON: u64 = 3 * SECOND;
 const SETTLING: u64 = 3 * SECOND;
 const LEAST_OUTCOMES: f64 = 20.0;
-/// For failures half the weight lies on a gap so many times as wide: a small one is slow to see large ones.
-const GROSS: f64 = 4.0;
 const LEAST_SHARE: f64 = 0.01;
+const ALPHA: f64 = 0.05;
+const BETA: f64 = 0.20;
+const LATE: u64 = 2;
 const FAILURES: usize = 0;
 const SLOWNESS: usize = 1;
-/// Errors and resets alone, also compared across time: neither overload nor a swap brings them.
+/// Errors alone, also compared across time: neither overload nor a swap brings them.
 const ERRORS: usize = 2;
-/// Slowness of the earlier build's machines against before the trial: a build may slow the whole fleet.
+/// Slowness of the whole fleet against before the trial: a build may slow the earlier one's machines too.
 const SHARED: usize = 3;
-const TESTS: usize = 4;
 const GAPS: [f64; TESTS] = [0.03, 0.15, 0.03, 0.25];
-/// What evidence of lateness and loss must show beyond the bounds.
-const DOUBT: f64 = 1.5;
-const ALPHA: f64 = 0.05;
-const BETA: f64 = 0.20;
-const LATE: u64 = 2;
-/// A try is slow when it took this many times what its route usually takes on such a machine.
-const SLOW: f64 = 2.0;
+/// For failures half the weight lies on a gap so many times as wide: a small one is slow to see large ones.
+const GROSS: f64 = 4.0;
+/// How rare hits are against the floor of their variance; 0: not rare.
+const RARE: [f64; TESTS] = [1.0, 0.0, 4.0, 0.0];
+/// What evidence must show beyond the bounds: late and lost answers come of machines, links and load too.
+const DOUBT: [f64; TESTS] = [1.5, 1.5, 0.0, 1.5];
 /// Evidence fades, or a build that turns bad late would hide behind its good start.
 const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 10e6];
+/// A try is slow when it took this many times what its route usually takes on such a machine.
+const SLOW: f64 = 2.0;
+/// With no more tries than this at its machine, a try is late by its build, not by a queue.
+const LIGHT: f64 = 2.0;
 const USUAL_FADE: f64 = 30e6;
-const HEALTH_FADE: f64 = 3e6;
 const RATE_FADE: f64 = 5e6;
+const EASE_FADE: f64 = 1e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
 const FIRST_ROOM: f64 = 6.0;
-const MOST_ROOM: f64 = 64.0;
-const FIRST_ROOM_IN_ALL: f64 = 64.0;
 /// Prudent part of what a cold machine can take, left to all fronts together.
 const COLD_PART: f64 = 0.65;
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
 const STALL: u64 = 100 * MS;
-const COPY_SHARE: f64 = 0.08;
-/// With no more tries than this at its machine, a try is slow by its build, not by a queue.
-const LIGHT: f64 = 2.0;
 
 impl Arm {
     /// Floored, or a side without a hit would make any single hit on the other look certain: at a 1% share's,
     /// and while there are fewer than the paper's hundred outcomes at that of one hit among them.
     fn plain_variance(&self, rare: f64) -> f64 {
-        let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0) / rare);
+        let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0) / rare.max(1.0));
         let binomial = |p: f64| p * (1.0 - p);
         binomial(self.share()).max(binomial(floor))
     }
@@ -89,16 +87,10 @@
 /// hits are `rare` (0: they are not), few outcomes say little of their own variance: the fewer, the more the
 /// earlier build's share stands in for theirs, as it would be if the builds were alike.
 pub fn variances(new: Arm, old: Arm, rare: f64) -> [f64; 2] {
-    let own = match rare {
-        0.0 => 1.0,
-        1.0 => (new.outcomes * LEAST_SHARE).min(1.0),
-        _ => 0.0,
-    };
-    let (own_only, rare) = (rare == 0.0, rare.max(1.0));
-    let clustering = old.clustering(rare);
+    let own = if rare == 0.0 { 1.0 } else { (new.outcomes * LEAST_SHARE / rare.powi(4)).min(1.0) };
     let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance(rare);
-    let few = if own_only { 1.0 } else { 0.0 };
-    let seen = Arm { hits: new.hits + few, outcomes: new.outcomes + 2.0 * few, ..new }.plain_variance(rare);
+    let seen = Arm { hits: new.hits + 1.0, outcomes: new.outcomes + 2.0, ..new }.plain_variance(rare);
+    let clustering = old.clustering(rare);
     let variance = own * seen + (1.0 - own) * alike;
     [variance * new.clustering(rare).max(clustering), old.plain_variance(rare) * clustering]
 }
@@ -110,7 +102,7 @@
 impl Balancer {
     pub fn round(&mut self, now: u64, inbox: &mut dyn Inbox, out: &mut dyn Writer) {
         // A front that stood still finds all at once, late by its own doing: times then tell of nothing else.
-        self.stalled = now > self.now + STALL;
+        self.stalled = now > self.wake_at + STALL;
         self.now = now;
         inbox.replay(self);
         if now >= self.ask_at {
@@ -120,7 +112,6 @@
         if now >= self.swept + SWEEP {
             self.swept = now;
             self.sweep(out);
-            out.wake(SWEEP);
         }
         if now >= self.looked + LOOK {
             self.looked = now;
@@ -128,48 +119,44 @@
             self.vote(out);
             self.judge_machines(out);
             // Not far above what is in use, but for what a stall has kept: a jam must not find room for its queue.
-            self.room = self.room.min((2.0 * self.held + 4.0).max(0.95 * self.room));
+            self.room.tries = self.room.tries.min((2.0 * self.held + 4.0).max(0.95 * self.room.tries));
         }
         if self.stalled {
-            self.room = FIRST_ROOM_IN_ALL;
+            self.room.tries = f64::INFINITY;
         }
         for i in std::mem::take(&mut self.suspects) {
-            let m = &mut self.machines[i];
-            if !m.probe_out {
-                (m.probe_out, m.probed) = (true, now);
-                out.probe(&m.name);
-            }
+            self.probe(i, out);
         }
         self.serve(out);
+        let pause = if self.reqs.is_empty() { LOOK } else { SWEEP };
+        if now >= self.wake_at || now + pause < self.wake_at {
+            self.wake_at = now + pause;
+            out.wake(pause);
+        }
     }
 
-    /// One entry of the list; `place` is its zone and cell, `started` 0 where it runs since long.
-    pub fn machine(
-        &mut self,
-        name: &str,
-        place: (&str, u64),
-        kind: &str,
-        build: u32,
-        st: Standing,
-        started: u64,
-    ) {
-        let now = self.now;
-        let kind = self.kind(kind);
+    pub fn list(&mut self, whole: bool) {
+        // What a whole list does not name is gone.
+        self.machines.iter_mut().filter(|_| whole).for_each(|m| m.standing = Standing::Gone);
+    }
+
+    /// One entry of the list; `place` is its zone, cell and kind, `started` 0 where it runs since long.
+    pub fn machine(&mut self, name: &str, place: (&str, u64, &str), build: u32, st: Standing, started: u64) {
+        let (now, kind) = (self.now, self.kind(place.2));
         let i = self.find(name).unwrap_or_else(|| {
             self.names.insert(name.into(), self.machines.len());
             self.machines.push(Machine { name: name.into(), started: u64::MAX, ..Machine::default() });
             self.machines.len() - 1
         });
         let rank = self.names.range(..name.to_string()).count() as u32;
-        let turn = f64::from((rank + self.set.me) % self.set.fronts) / f64::from(self.set.fronts);
         let m = &mut self.machines[i];
         if m.build != build || m.started != started {
-            // A new process: what the old one did says nothing of it.
-            // Slow start: one that comes back slowed as well could do far less than its age says.
-            let cold = started != 0 && now < started + self.set.cold_for;
-            renew(m, if cold { 1.0 } else { FIRST_ROOM }, now);
-            (m.wanted, m.load) = (2, (0.0, 0));
-            (m.credit, m.credited) = (turn, now);
+            // A new process: what the old one did says nothing of it. One that comes back slowed as well
+            // could do far less than its age says, hence the slow start.
+            renew(m, if started != 0 && now < started + self.set.cold_for { 1.0 } else { FIRST_ROOM }, now);
+            let turn = (rank + self.set.me) % self.set.fronts;
+            (m.wanted, m.load, m.credited) = (2, (0.0, 0), now);
+            m.credit = f64::from(turn) / f64::from(self.set.fronts);
         }
         (m.zone, m.cell, m.kind) = (place.0.into(), place.1, kind);
         (m.build, m.standing, m.started) = (build, st, started);
@@ -180,20 +167,12 @@
         self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
     }
 
-    pub fn req(
-        &mut self,
-        id: u64,
-        route: usize,
-        tenant: Option<usize>,
-        key: Option<&str>,
-        left: u64,
-        work: Option<f64>,
-    ) {
+    pub fn req(&mut self, id: u64, route: usize, of: Option<usize>, key: Option<&str>, left: u64, work: f64) {
         let now = self.now;
-        let work = work.filter(|w| *w > 0.0).unwrap_or(1.0);
-        self.accepted[route].push_back(now);
+        self.accepted.push_back((now, route));
+        self.arrivals.add([1.0], now, RATE_FADE);
         let mut earnings = self.set.routes[route].earnings;
-        if let Some(t) = tenant {
+        if let Some(t) = of {
             self.tenants[t].add([1.0], now, RATE_FADE);
             let rate = self.tenants[t].sums[0] / self.spell(RATE_FADE, SECOND) * f64::from(self.set.fronts);
             if rate > self.set.tenants[t].quota_per_s {
@@ -201,7 +180,6 @@
             }
         }
         let rank = earnings / self.usual_for(route, 1.0).unwrap_or(1.0).max(1.0);
-        self.arrivals.add([1.0], now, RATE_FADE);
         let (key, due) = (key.map(String::from), now + left);
         let objective = due.min(now + self.set.routes[route].objective);
         let rq = Req { route, key, work, came: now, due, objective, rank, waiting: true, ..Req::default() };
@@ -214,102 +192,65 @@
         let Some(rq) = self.reqs.get_mut(&id) else { return };
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
         t.out = false;
-        if end == End::Reset && self.set.probes {
-            rq.suspect = Some(t.machine);
-            self.suspects.push(t.machine);
-        }
         t.ran &= !matches!(end, End::Full | End::Refused | End::NotSent);
-        let (i, build, t_warm, counted) = (t.machine, t.build, t.warm, t.counted);
-        let (route, work) = (rq.route, rq.work);
+        let (i, build, warm, counted) = (t.machine, t.build, t.warm, t.counted);
         t.counted = true;
-        let objective = self.set.routes[route].objective;
-        if over {
-            (rq.over, rq.waiting) = (true, false);
+        let (route, work) = (rq.route, rq.work);
+        (rq.over, rq.waiting) = (rq.over || over, rq.waiting && !over);
+        if end == End::Reset && self.set.probes {
+            rq.suspect = Some(i);
+            self.suspects.push(i);
         }
-        if end == End::Done
-            && let Some(key) = rq.key.as_ref().filter(|_| self.set.one_way)
-        {
-            self.keys.insert(key.clone(), build);
+        if let Some(key) = rq.key.clone().filter(|_| end == End::Done && self.set.one_way) {
+            self.keys.insert(key, build);
         }
         if !counted {
             self.judge(id, n, end, took);
         }
         self.note_load(i, load);
-        if t_warm && end == End::Done {
+        self.machines[i].held -= 1.0;
+        if end == End::Done && warm {
             self.kinds[self.machines[i].kind].borne.add([1.0, 0.0], now, RATE_FADE);
         }
         if end == End::Done && !self.stalled {
-            self.learn(i, route, work, took, t_warm && !self.on_trial(build));
+            self.learn(i, route, work, took, warm && !self.on_trial(build));
         }
-        let m = &mut self.machines[i];
-        m.held -= 1.0;
-        let mut jam = None;
-        match end {
-            End::Done => {
-                m.heard = now;
-                m.health.add([1.0, 0.0], now, HEALTH_FADE);
-                m.refused = 0;
-                let ease = took as f64 / objective as f64;
-                jam = Some(ease);
-                m.ease += 0.1 * (ease - m.ease);
-                if self.stalled {
-                } else if ease < EASE && m.held + 2.0 >= m.room {
-                    let fresh = m.started != 0 && now < m.started + 2 * self.set.cold_for;
-                    let step = if fresh && m.room < FIRST_ROOM { 1.0 } else { 1.0 / m.room };
-                    m.room = (m.room + step).min(MOST_ROOM);
-                } else if m.ease > EASE {
-                    narrow(m, now, objective);
-                }
-            }
-            End::Full => {
-                jam = Some(1.0);
-                self.machines[i].pace.add([1.0 / EASE, 1.0], now, RATE_FADE);
-                let m = &mut self.machines[i];
-                narrow(m, now, objective);
-            }
-            End::Error | End::Reset | End::Refused => {
-                // A process that takes no connections serves nothing, however many others do the same.
-                m.pace.add([1.0 / EASE, 1.0], now, RATE_FADE);
-                m.refused = if end == End::Refused { m.refused + 1 } else { 0 };
-                if m.refused >= 2 && self.set.probes && !m.aside {
-                    (m.aside, m.answered, m.probed) = (true, 0, now);
-                }
-                m.health.add([1.0, 1.0], now, HEALTH_FADE);
-                if end == End::Error {
-                    m.heard = now;
-                }
-            }
-            End::TimedOut => {
-                m.health.add([1.0, 1.0], now, HEALTH_FADE);
-                narrow(m, now, objective);
-            }
-            End::Cancelled | End::NotSent => {}
-        }
-        if let Some(ease) = jam.filter(|_| !self.stalled) {
-            self.pace_front(ease, objective);
-        }
-        let rq = &self.reqs[&id];
+        self.feel(i, route, end, took);
+        let rq = self.reqs.get_mut(&id).unwrap();
         if rq.over {
             self.forget(id);
         } else if !rq.waiting && !rq.tries.iter().any(|t| t.out) {
-            self.reqs.get_mut(&id).unwrap().waiting = true;
+            rq.waiting = true;
             self.waiting.push(id);
         }
     }
 
-    /// Room for tries of this front in all. A front that sends a machine a req every few seconds learns of
-    /// no single machine that the fleet is jammed; its answers together tell.
-    fn pace_front(&mut self, ease: f64, objective: u64) {
-        let now = self.now;
-        self.ease.add([f64::from(ease > EASE), 1.0], now, 1e6);
-        let mean = self.ease.sums[0] / self.ease.sums[1];
-        if mean > 0.5 && now >= self.narrowed + objective / 2 {
+    /// What an outcome says of its machine's health and of the room, there and of the front in all. A front
+    /// that sends a machine a req every few seconds learns of no single one that the fleet is jammed; its
+    /// answers together tell.
+    fn feel(&mut self, i: usize, route: usize, end: End, took: u64) {
+        let (now, objective) = (self.now, self.set.routes[route].objective);
+        let m = &mut self.machines[i];
+        if matches!(end, End::Done | End::Error) {
+            (m.heard, m.refused) = (now, 0);
+        }
+        if matches!(end, End::Full | End::Error | End::Reset | End::Refused) {
+            m.pace.add([1.0 / EASE, 1.0], now, RATE_FADE);
+        }
+        // A process that takes no connections serves nothing, however many others do the same.
+        m.refused += u32::from(end == End::Refused);
+        if m.refused >= 2 && self.set.probes && !m.aside {
+            (m.aside, m.answered, m.probed) = (true, 0, now);
+        }
+        let ease = if end == End::Done { took as f64 / objective as f64 } else { 1.0 };
+        if self.stalled || !matches!(end, End::Done | End::Full | End::TimedOut) {
+            return;
+        }
+        pace(&mut m.room, ease, m.held, 1.0, now, objective);
+        if end != End::TimedOut {
             // What is answered, at its usual pace, keeps its room whatever else is slow.
             let least = self.worked.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
-            (self.room, self.narrowed) =
-                ((self.room.min(2.0 * self.held + 4.0) * 0.8).max(least.max(1.0)), now);
-        } else if mean < 0.5 && self.held + 2.0 >= self.room {
-            self.room += 1.0 / self.room;
+            pace(&mut self.room, ease, self.held, least.max(1.0), now, objective);
         }
     }
 
@@ -317,13 +258,12 @@
         let now = self.now;
         let Some(i) = self.find(name) else { return };
         self.note_load(i, load);
-        let m = &mut self.machines[i];
-        m.probe_out = false;
         // A req that went down with its machine may have brought it down, and would bring down the next.
         for rq in self.reqs.values_mut().filter(|rq| rq.suspect == Some(i)) {
             (rq.suspect, rq.deadly) = (None, end != End::Done);
         }
         let m = &mut self.machines[i];
+        m.probe_out = false;
         m.answered = if end == End::Done { m.answered + 1 } else { 0 };
         if m.aside && m.answered >= m.wanted {
             renew(m, 2.0, now);
@@ -344,35 +284,22 @@
     pub fn news(&mut self, build: u32, stage: u32, phase: Phase, cap: f64, age: u64) {
         if self.news.is_some_and(|n| n.build == build && cap < n.cap) {
             self.recount = Some(self.now + self.set.grace);
-            self.accepted.iter_mut().for_each(VecDeque::clear);
+            self.accepted.clear();
         }
         if self.news.is_none_or(|n| n.build < build) {
-            self.variances.clear();
+            self.variances = Default::default();
             (self.calm, self.calm_at) = (self.drain(SHARED, EVIDENCE_FADE), self.now);
             self.calm_sends = self.sends.read(self.now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
-            self.fleet = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside).count();
+            self.fleet = self.serving(0).iter().sum();
         }
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
     }
 
-    /// What the platform counted of all fronts' tries, in a sample.
-    pub fn tally(&mut self, build: u32, route: usize, count: f64, lost: f64) {
-        let Some(n) = self.news else { return };
-        let serves = |newest| {
-            self.machines.iter().any(|m| m.standing == Standing::Ready && (m.build == n.build) == newest)
-        };
-        if serves(true) && serves(false) {
-            let sums = self.counted.entry((build, route)).or_default();
-            sums.add([count, lost], self.now, EVIDENCE_FADE[FAILURES]);
-        }
-    }
-
-    pub fn flagged(&mut self, name: &str, route: usize, age: u64) {
+    pub fn flagged(&mut self, name: &str, age: u64) {
         let Some(i) = self.find(name) else { return };
-        let m = &self.machines[i];
-        if self.now.saturating_sub(age) >= m.started + SETTLING {
-            let (build, now) = (m.build, self.now);
-            let tally = &mut self.tallies(build, i)[route];
+        let (now, m) = (self.now, &self.machines[i]);
+        if now.saturating_sub(age) >= m.started + SETTLING {
+            let tally = self.evidence.entry((m.build, i)).or_default();
             tally.read(now, EVIDENCE_FADE);
             [FAILURES, ERRORS].into_iter().for_each(|test| tally.hits[test] += 1.0);
         }
@@ -390,26 +317,24 @@
         // In a queue lateness says nothing of the build either, unless the machine is silent altogether: time
         // counts as slow only beyond what the machine's load explains.
         let load = 1.0 + load.max(self.load(i).0);
-        let slow = self
-            .usual_on(i, route, work)
-            .map(|(usual, met)| took as f64 > SLOW * usual * (load / met).max(1.0));
-        let plain = warm && (slow.unwrap_or(load <= 1.0 + LIGHT) || self.machines[i].heard <= sent);
+        let usual = self.usual_on(i, route, work);
+        let slow = usual.map(|(usual, met)| took as f64 > SLOW * usual * (load / met).max(1.0));
+        let m = &mut self.machines[i];
+        let plain = warm && (slow.unwrap_or(load <= 1.0 + LIGHT) || m.heard <= sent);
         let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late) && !self.stalled;
         // One process that dies is one failure, not one for each try it held: lost machines and zones are
         // no build's doing, while a build that keeps dying still shows.
-        if !settled || !known || (end == End::Reset && now < self.machines[i].died + SECOND) {
+        if !settled || !known || (end == End::Reset && now < m.died + SECOND) {
             return;
         }
         if end == End::Reset {
-            self.machines[i].died = now;
+            m.died = now;
         }
-        // Those still out when the trial began were long ones, and would make it look slow.
-        let steady = steady && sent >= self.calm_at;
-        let t = &mut self.tallies(build, i)[route];
-        t.read(now, EVIDENCE_FADE);
+        let tally = self.evidence.entry((build, i)).or_default();
+        tally.read(now, EVIDENCE_FADE);
         let mut add = |test: usize, hit: bool| {
-            t.all[test] += 1.0;
-            t.hits[test] += f64::from(hit);
+            tally.all[test] += 1.0;
+            tally.hits[test] += f64::from(hit);
         };
         // Resets come from links and lost machines too, with nothing of the same time to compare them with.
         add(ERRORS, end == End::Error);
@@ -417,7 +342,8 @@
             add(FAILURES, error || late || end == End::TimedOut);
         }
         if let Some(slow) = slow.filter(|_| warm && end != End::Error) {
-            if steady {
+            // Those still out when the trial began were long ones, and would make it look slow.
+            if steady && sent >= self.calm_at {
                 add(SHARED, slow);
             }
             if paired {
@@ -441,18 +367,18 @@
 
     /// What an answer tells of its machine's pace, and of what is usual while no trial is on.
     fn learn(&mut self, i: usize, route: usize, work: f64, took: u64, earlier: bool) {
-        let (now, took) = (self.now, took as f64);
+        let (now, took, load) = (self.now, took as f64, 1.0 + self.load(i).0);
         let usual = self.usual_for(route, work);
         self.worked.add([usual.unwrap_or(0.0) / 1e6], now, RATE_FADE);
-        let (load, kind) = (1.0 + self.load(i).0, self.machines[i].kind);
+        let kind = &mut self.kinds[self.machines[i].kind];
         if let Some(u) = usual {
             self.machines[i].pace.add([took / u, 1.0], now, RATE_FADE);
-            self.kinds[kind].pace.add([took / u, 1.0], now, RATE_FADE);
+            kind.pace.add([took / u, 1.0], now, RATE_FADE);
         }
         if earlier && (self.news.is_none_or(|n| n.phase != Phase::Trial) || usual.is_none()) {
             self.usual[route].add([took, work, 1.0], now, USUAL_FADE);
             if let Some(u) = usual {
-                self.kinds[kind].usual.add([took / u, load, 1.0], now, USUAL_FADE);
+                kind.usual.add([took / u, load, 1.0], now, USUAL_FADE);
             }
         }
     }
@@ -466,102 +392,65 @@
         }
     }
 
-    fn look(&mut self, out: &mut dyn Writer) {
-        let Some(n) = self.news else { return };
-        if !matches!(n.phase, Phase::Trial | Phase::Released) {
-            return;
+    /// Machines in service of this build or later ones, and of earlier ones.
+    fn serving(&self, newest: u32) -> [usize; 2] {
+        let mut sides = [0, 0];
+        for m in self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside) {
+            sides[usize::from(m.build < newest)] += 1;
         }
+        sides
+    }
+
+    fn look(&mut self, out: &mut dyn Writer) {
+        let judged = |n: &News| matches!(n.phase, Phase::Trial | Phase::Released);
+        let Some(n) = self.news.filter(judged) else { return };
         let now = self.now;
-        // The tests over all routes, then the failures of each route, which the total dilutes.
-        let mut sides = vec![[Arm::default(); 2]; TESTS + self.set.routes.len()];
-        for ((build, i), tallies) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
+        let mut sides = [[Arm::default(); 2]; TESTS];
+        for (&(build, i), t) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
             // What a machine set aside did is laid to the machine, not to its build.
-            if self.machines[*i].aside && self.machines[*i].build == *build {
+            if self.machines[i].aside && self.machines[i].build == build {
                 continue;
             }
-            let side = usize::from(*build < n.build);
-            let mut own = [(0.0, 0.0); TESTS];
-            for (r, t) in tallies.iter_mut().enumerate() {
-                t.read(now, EVIDENCE_FADE);
-                for (test, own) in own.iter_mut().enumerate() {
-                    let (n, k) = (t.all[test], t.hits[test].min(t.all[test]));
-                    *own = (own.0 + n, own.1 + k);
-                    if test == FAILURES {
-                        sides[TESTS + r][side].add(n, k);
-                    }
-                }
+            t.read(now, EVIDENCE_FADE);
+            for (test, arms) in sides.iter_mut().enumerate() {
+                arms[usize::from(build < n.build)].add(t.all[test], t.hits[test].min(t.all[test]));
             }
-            own.iter().zip(&mut sides).for_each(|(own, arms)| arms[side].add(own.0, own.1));
         }
         // The whole fleet against before; a few usual outcomes stand in where there were few.
-        let [mut now_all, old] = sides[SHARED];
-        now_all.join(old);
+        let [mut fleet, earlier] = sides[SHARED];
+        fleet.join(earlier);
         let mut calm = self.calm;
         calm.add(LEAST_OUTCOMES, 0.15 * LEAST_OUTCOMES);
-        sides[SHARED] = [now_all, calm];
-        // Of a route with little traffic too little is known to compare with, above all where nothing failed.
-        for route in TESTS..sides.len() {
-            let [own, all] = [sides[route][1], sides[FAILURES][1]];
-            if own.outcomes < LEAST_OUTCOMES || own.share() < all.share() {
-                sides[route][1] = all;
-            }
-        }
-        // Then what the platform counted, likewise: the same for all fronts, so that all judge it as one.
-        let own_tests = sides.len();
-        sides.resize(own_tests + 1 + self.set.routes.len(), Default::default());
-        let mut machines = [0.0f64; 2];
-        for m in self.machines.iter().filter(|m| m.standing == Standing::Ready && m.build <= n.build) {
-            machines[usize::from(m.build < n.build)] += 1.0;
-        }
-        for ((build, route), sums) in self.counted.iter_mut().filter(|((b, _), _)| *b <= n.build) {
-            let side = usize::from(*build < n.build);
-            let [n, lost] = sums.read(now, EVIDENCE_FADE[FAILURES]);
-            sides[own_tests][side].add(n, lost);
-            sides[own_tests + 1 + route][side].add(n, lost);
-        }
-        // Counts tell no machines apart: what the earlier build fails beyond the floor may be few of them.
-        for [new, old] in &mut sides[own_tests..] {
-            let few = (1.0 - LEAST_SHARE / old.share().max(LEAST_SHARE)).max(0.0);
-            for (arm, machines) in [new, old].into_iter().zip(machines) {
-                let clustering = 1.0 + few * (arm.outcomes / machines.max(1.0) - 1.0).max(0.0);
-                arm.spread = [clustering * arm.outcomes * arm.plain_variance(1.0), 0.0, 0.0];
-            }
-        }
+        sides[SHARED] = [fleet, calm];
         let (lower, upper) = bounds();
         // Few false votes of many fronts make a false verdict of the fleet, which is what α is for: the part
         // of it that falls to one front is such that as many at once as are needed stay as rare.
         let (fronts, votes) = (f64::from(self.set.fronts), f64::from(self.set.back_votes.max(1)));
         let part = (votes.sqrt() - 0.82).max(0.0).powi(2).max(ALPHA * f64::from(votes <= 1.0)) / fronts;
         let share = (ALPHA / part).ln().max(0.0);
-        let mut top = f64::NEG_INFINITY;
+        self.leaning = false;
         for (test, [new, old]) in sides.into_iter().enumerate() {
             let few = if test == SHARED { LEAST_OUTCOMES } else { 1.0 };
             if new.outcomes < few || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
-            let rare = [1.0, 0.0, 4.0, 0.0].get(test).copied().unwrap_or(1.0);
-            let gap = GAPS[if test < TESTS { test } else { FAILURES }];
-            let present = variances(new, old, rare);
-            let before = self.variances.insert(test, present).unwrap_or(present);
+            let present = variances(new, old, RARE[test]);
+            let before = self.variances[test].replace(present).unwrap_or(present);
             let least = (before[0] / new.outcomes + before[1] / old.outcomes).sqrt() * 3.0;
-            let wide = if rare > 0.0 { gap * GROSS } else { gap };
-            let share = if test < own_tests { share } else { 0.0 };
-            let s = score(new, old, present, before, gap);
+            let wide = GAPS[test] * if RARE[test] > 0.0 { GROSS } else { 1.0 };
+            let s = score(new, old, present, before, GAPS[test]);
             let far = score(new, old, present, before, wide.max(least));
-            // Late and lost answers come of machines, links and load as well; errors do not.
-            let doubt = if test == ERRORS { 0.0 } else { if test < own_tests { DOUBT } else { 2f64.ln() } };
-            let both = (s.exp() + far.exp()).ln() - doubt;
-            if both >= upper + share && self.condemned != Some(n.build) {
+            let both = (s.exp() + far.exp()).ln() - DOUBT[test] - share;
+            if both >= upper && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
                 let counts = (new.hits, new.outcomes, old.hits, old.outcomes);
                 out.note(&format!("build {} to go back: test {test}, new and old {counts:.1?}", n.build));
             }
-            top = top.max(both - share);
+            self.leaning |= both > 0.0;
             if test == FAILURES && s <= lower {
                 self.lifted = Some((n.build, n.stage));
             }
         }
-        self.leaning = top > 0.0;
         if now >= n.since + HORIZON {
             self.lifted = Some((n.build, n.stage));
         }
@@ -574,16 +463,12 @@
             return;
         }
         self.cast = None;
-        let back = self.condemned == Some(n.build);
         let lifted = self.lifted == Some((n.build, n.stage));
+        let dwelt = now >= n.since + self.set.min_dwell;
         let wish = match n.phase {
-            Phase::Trial | Phase::Released if back => Verdict::Back,
-            Phase::Trial if self.leaning && !lifted && self.set.timed => Verdict::Hold,
-            Phase::Trial
-                if !self.set.timed && (lifted || !self.leaning) && now >= n.since + self.set.min_dwell =>
-            {
-                Verdict::On
-            }
+            Phase::Trial | Phase::Released if self.condemned == Some(n.build) => Verdict::Back,
+            Phase::Trial if self.set.timed && self.leaning && !lifted => Verdict::Hold,
+            Phase::Trial if !self.set.timed && (lifted || !self.leaning) && dwelt => Verdict::On,
             _ => Verdict::None,
         };
         let (build, stage, verdict, at) = self.stands;
@@ -591,20 +476,20 @@
         let same = build == n.build && (stage == n.stage || wish == Verdict::Back) && verdict == wish;
         let lapsed = build != n.build || now >= at + self.set.vote_life;
         let idle = wish == Verdict::None && (verdict == Verdict::None || lapsed);
-        if idle || (same && fresh) {
-            return;
-        }
-        let life = self.set.vote_life as f64 / 1e6;
-        if self.rng.rand_float() < self.set.votes_per_s * life / (2.0 * f64::from(self.set.fronts)) {
+        let chance =
+            self.set.votes_per_s * self.set.vote_life as f64 / 1e6 / (2.0 * f64::from(self.set.fronts));
+        if !idle && !(same && fresh) && self.rng.rand_float() < chance {
             out.vote(n.build, n.stage, wish);
             self.cast = Some((n.build, n.stage, wish, now));
         }
     }
 
+    /// Only silence and refused connections set a machine aside: errors make it dear, and the test needs them.
     fn judge_machines(&mut self, out: &mut dyn Writer) {
         let now = self.now;
-        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count();
-        let mut aside = self.machines.iter().filter(|m| m.standing == Standing::Ready && m.aside).count();
+        let ready = |m: &Machine| m.standing == Standing::Ready;
+        let all = self.machines.iter().filter(|m| ready(m)).count();
+        let mut aside = self.machines.iter().filter(|m| ready(m) && m.aside).count();
         let mut silent = vec![false; self.machines.len()];
         for rq in self.reqs.values() {
             let objective = self.set.routes[rq.route].objective;
@@ -612,50 +497,41 @@
                 silent[t.machine] |= t.sent >= self.machines[t.machine].heard;
             }
         }
-        for m in self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside) {
-            if now >= m.started + self.set.cold_for {
-                self.kinds[m.kind].borne.add([0.0, LOOK as f64 / 1e6], now, RATE_FADE);
-            }
-        }
-        let mut builds = BTreeMap::new();
-        for m in self.machines.iter_mut().filter(|m| m.standing == Standing::Ready && !m.aside) {
-            let (all, bad) = builds.entry(m.build).or_insert((0.0, 0.0));
-            let [a, f] = m.health.read(now, HEALTH_FADE);
-            (*all, *bad) = (*all + a, *bad + f);
-        }
-        for (i, m) in self.machines.iter_mut().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
-            if m.aside {
-                if !m.probe_out && now >= m.probed + PROBE_EVERY && self.set.probes {
-                    (m.probe_out, m.probed) = (true, now);
-                    out.probe(&m.name);
-                }
-                continue;
-            }
-            let [a, f] = m.health.read(now, HEALTH_FADE);
-            // Against its build's other machines: a build that fails everywhere is the test's to judge, and
-            // setting its machines aside would leave the test without outcomes.
-            let (all, bad) = builds.get(&m.build).copied().unwrap_or_default();
-            let usual = if all - a > 3.0 { (bad - f) / (all - a) } else { 1.0 };
-            let failing = f >= 2.5 && f / a > 0.25 + 2.0 * usual;
-            if (failing || silent[i]) && self.set.probes && aside * 3 < ready {
+        for (i, silent) in silent.into_iter().enumerate() {
+            let m = &mut self.machines[i];
+            if ready(m) && m.aside && now >= m.probed + PROBE_EVERY {
+                self.probe(i, out);
+            } else if ready(m) && !m.aside && silent && aside * 3 < all && self.set.probes {
                 aside += 1;
                 (m.aside, m.answered, m.probed) = (true, 0, now);
             }
         }
+        for m in self.machines.iter().filter(|m| ready(m) && !m.aside && now >= m.started + self.set.cold_for)
+        {
+            self.kinds[m.kind].borne.add([0.0, LOOK as f64 / 1e6], now, RATE_FADE);
+        }
+    }
+
+    fn probe(&mut self, i: usize, out: &mut dyn Writer) {
+        let m = &mut self.machines[i];
+        if !m.probe_out {
+            (m.probe_out, m.probed) = (true, self.now);
+            out.probe(&m.name);
+        }
     }
 
     /// Rule 2 and the limits on tries: may this req go out to this machine now?
     fn may_try(&self, rq: &Req, m: &Machine) -> bool {
-        let mut ran = rq.tries.iter().filter(|t| t.ran);
-        let out = rq.tries.iter().any(|t| t.out);
-        if rq.tries.len() >= self.set.max_tries || (out && !self.set.copies) || rq.deadly {
+        if rq.tries.len() >= self.set.max_tries || rq.deadly {
             return false;
         }
+        let mut ran = rq.tries.iter().filter(|t| t.ran);
         match self.set.routes[rq.route].repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => ran.next().is_none(),
             Repeat::Deduped { scope, window } => ran.all(|t| {
                 let first = &self.machines[t.machine];
+                // One that has started since may have come back in another group.
                 let inside = match scope {
                     Scope::All => true,
                     Scope::Zone => first.zone == m.zone && first.started <= t.sent,
@@ -674,7 +550,7 @@
     }
 
     /// Rule 5: may one more try of this route go to this build?
-    fn may_expose(&mut self, build: u32, route: usize) -> bool {
+    fn may_expose(&self, build: u32, route: usize) -> bool {
         if !self.on_trial(build) {
             return true;
         }
@@ -685,8 +561,12 @@
         if cap <= 0.0 || guarded {
             return false;
         }
-        let (tries, taken) = self.exposure(build, route);
-        (tries + 1) as f64 <= self.set.free + cap * taken as f64
+        let counts = |r: usize| r == route || !self.set.by_route;
+        // A try exactly a window old still counts, a req of that age no longer does.
+        let (now, window) = (self.now, self.set.exposure_window);
+        let sent = self.exposed.iter().filter(|t| t.1 == build && counts(t.2) && t.0 + window >= now).count();
+        let taken = self.accepted.iter().filter(|t| counts(t.1) && t.0 + window > now).count();
+        (sent + 1) as f64 <= self.set.free + cap * taken as f64
     }
 
     /// The part of its capacity that a machine has for certain.
@@ -716,66 +596,53 @@
     /// was not seen warm, and where none was, an even part of what comes in.
     fn bears(&mut self, kind: usize) -> f64 {
         let now = self.now;
-        let (mut all, mut own) = ((0.0, 0.0), (0.0, 0.0));
-        for (k, of) in self.kinds.iter_mut().enumerate() {
-            let [served, spent] = of.borne.read(now, RATE_FADE);
-            all = (all.0 + served, all.1 + spent);
-            if k == kind {
-                own = (served, spent);
+        let all: Vec<[f64; 2]> = self.kinds.iter_mut().map(|k| k.borne.read(now, RATE_FADE)).collect();
+        let sum = all.iter().fold([0.0, 0.0], |a, b| [a[0] + b[0], a[1] + b[1]]);
+        match [all[kind], sum].into_iter().find(|[_, spent]| *spent >= 1.0) {
+            Some([served, spent]) => served / spent,
+            None => {
+                let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
+                self.arrivals.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND) / ready as f64
             }
         }
-        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
-        match (own, all) {
-            ((served, spent), _) | (_, (served, spent)) if spent >= 1.0 => served / spent,
-            _ => self.arrivals.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND) / ready as f64,
-        }
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
-        let (mut sides, mut open) = ([Vec::new(), Vec::new()], Vec::new());
-        let rq = &self.reqs[&id];
-        let route = rq.route;
+        let (mut sides, mut allowed) = ([Vec::new(), Vec::new()], BTreeMap::new());
+        let (now, rq) = (self.now, &self.reqs[&id]);
+        let (route, left) = (rq.route, 0.6 * rq.objective.saturating_sub(now) as f64);
         // A key that the build on trial has answered goes no lower where keys go one way only.
         let held = self.set.one_way
             && self.news.is_some_and(|n| !matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
-        let floor = rq.key.as_ref().filter(|_| held).and_then(|k| self.keys.get(k)).copied();
-        for (i, m) in self.machines.iter().enumerate().filter(|(_, m)| m.standing == Standing::Ready) {
-            let fits = !m.aside && m.held < m.room.floor() && floor.is_none_or(|b| m.build >= b);
-            if fits && self.may_try(rq, m) {
-                open.push(i);
-            }
-        }
+        let floor = rq.key.as_ref().filter(|_| held).and_then(|k| self.keys.get(k)).copied().unwrap_or(0);
+        let fits = |m: &Machine| {
+            let open = m.standing == Standing::Ready && !m.aside && m.held < m.room.tries.floor();
+            open && m.build >= floor && self.may_try(rq, m)
+        };
+        let mut open: Vec<usize> = (0..self.machines.len()).filter(|i| fits(&self.machines[*i])).collect();
         let tried = |i: &usize| rq.tries.iter().any(|t| t.machine == *i);
         if !open.iter().all(tried) {
             open.retain(|i| !tried(i));
         }
-        let left = rq.objective.saturating_sub(self.now) as f64;
-        let usual = self.usual_for(route, rq.work).unwrap_or(0.0);
-        let now = self.now;
-        let times: Vec<f64> = self
-            .kinds
-            .iter_mut()
-            .map(|k| {
-                let [sum, n] = k.pace.read(now, RATE_FADE);
-                usual * (sum + 2.0) / (n + 2.0)
-            })
-            .collect();
+        let work = rq.work;
+        let usual = self.usual_for(route, work).unwrap_or(0.0);
+        let time = |[sum, n]: [f64; 2]| usual * (sum + 2.0) / (n + 2.0);
+        let times: Vec<f64> = self.kinds.iter_mut().map(|k| time(k.pace.read(now, RATE_FADE))).collect();
         for i in open {
             let m = &self.machines[i];
-            let (build, started, time) = (m.build, m.started, times[m.kind]);
-            if !self.may_expose(build, route) {
+            let (build, warm, time) = (m.build, self.warmth(m.started), times[m.kind]);
+            if !*allowed.entry(build).or_insert_with(|| self.may_expose(build, route)) {
                 continue;
             }
-            let warm = self.warmth(started);
             if warm >= 1.0 {
                 sides[usize::from(self.on_trial(build))].push(i);
-            } else if self.due(i) && time < 0.6 * left * warm {
+            } else if self.due(i) && time < left * warm {
                 return Some(i);
             }
         }
         // Heavy reqs go where they can be done in time, and leave the rest to light ones.
         for side in &mut sides {
-            let slow = |i: &usize| times[self.machines[*i].kind] > 0.6 * left;
+            let slow = |i: &usize| times[self.machines[*i].kind] > left;
             if !side.iter().all(slow) {
                 side.retain(|i| !slow(i));
             }
@@ -805,8 +672,7 @@
     /// What answers of the machine took against the usual, filled up with its kind's, times how much more
     /// it holds than others of its kind.
     fn cost(&mut self, i: usize) -> f64 {
-        let now = self.now;
-        let (holds, mean) = self.load(i);
+        let (now, (holds, mean)) = (self.now, self.load(i));
         let m = &mut self.machines[i];
         let mut pace = 1.0;
         for paces in [&mut self.kinds[m.kind].pace, &mut m.pace] {
@@ -832,14 +698,12 @@
         for id in ids {
             if self.hopeless(id) {
                 self.give_up(id, out);
-            } else if self.reqs[&id].suspect.is_some() {
-                self.waiting.push(id);
-            } else if self.held < self.room.floor()
-                && let Some(i) = self.pick(id)
-            {
-                self.send(id, i, out);
-            } else {
-                self.waiting.push(id);
+                continue;
+            }
+            let ready = self.reqs[&id].suspect.is_none() && self.held < self.room.tries.floor();
+            match if ready { self.pick(id) } else { None } {
+                Some(i) => self.send(id, i, out),
+                None => self.waiting.push(id),
             }
         }
     }
@@ -856,126 +720,88 @@
     fn give_up(&mut self, id: u64, out: &mut dyn Writer) {
         let rq = &self.reqs[&id];
         if self.may_shed(rq) {
-            let come_back = self.set.max_come_back.min(self.set.routes[rq.route].objective / 2);
-            out.shed(id, come_back);
+            out.shed(id, self.set.max_come_back.min(self.set.routes[rq.route].objective / 2));
         } else {
             out.error(id);
         }
-        let rq = self.reqs.get_mut(&id).unwrap();
-        (rq.over, rq.waiting) = (true, false);
-        self.forget(id);
+        self.withdrawn(id);
     }
 
     fn send(&mut self, id: u64, i: usize, out: &mut dyn Writer) {
-        let now = self.now;
-        let trial = self.on_trial(self.machines[i].build);
+        let (now, load) = (self.now, self.load(i).0);
+        let Machine { build, started, .. } = self.machines[i];
         let newest = self.news.map_or(u32::MAX, |n| n.build);
-        let side = self.machines[i].build < newest;
-        let serves = |o: &Machine| o.standing == Standing::Ready && !o.aside;
+        let serving = self.serving(newest);
         let chance = 2.0 * (self.calm_sends * 1e6 / RATE_FADE / 2.0).sqrt();
-        let rush = self.sends.read(now, RATE_FADE)[0]
-            > (1.2 * self.calm_sends + chance) * self.spell(RATE_FADE, SECOND);
-        let serving = self.machines.iter().filter(|o| serves(o)).count();
-        let paired = self.machines.iter().any(|o| serves(o) && (o.build < newest) != side);
-        let begun = self.machines.iter().any(|o| serves(o) && o.build == newest);
-        let load = self.load(i).0;
-        let m = &mut self.machines[i];
+        let rate = self.sends.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
         // What else jams a fleet is no build's doing: lost machines, a rush, and all before it serves.
         let steady = self.news.is_none_or(|n| n.phase != Phase::Trial)
-            || (serving * 10 >= self.fleet * 9 && !rush && begun);
+            || (serving.iter().sum::<usize>() * 10 >= self.fleet * 9
+                && rate <= 1.2 * self.calm_sends + chance
+                && serving[0] > 0);
+        let age = if started == 0 { u64::MAX } else { now.saturating_sub(started) };
+        let m = &mut self.machines[i];
         m.held += 1.0;
-        if m.started != 0 && now < m.started + self.set.cold_for {
-            m.credit -= 1.0;
-        }
-        let age = if m.started == 0 { u64::MAX } else { now.saturating_sub(m.started) };
+        m.credit -= f64::from(age < self.set.cold_for);
         let rq = self.reqs.get_mut(&id).unwrap();
-        rq.waiting = false;
         let (settled, warm) = (age >= SETTLING, age >= self.set.cold_for.max(SETTLING));
-        let build = m.build;
-        let t = Try { settled, warm, paired, load, steady, ..Try::new(i, build, now) };
-        rq.tries.push(t);
-        self.held += 1.0;
+        let paired = serving[usize::from(build >= newest)] > 0;
+        rq.tries.push(Try { settled, warm, paired, load, steady, ..Try::new(i, build, now) });
+        rq.waiting = false;
         out.upstream_try(id, &m.name, rq.due);
-        let route = rq.route;
-        if trial {
-            self.expose(build, route);
-        }
+        self.exposed.push_back((now, build, rq.route));
+        self.held += 1.0;
         self.sends.add([1.0], now, RATE_FADE);
     }
 
-    /// What only the passing of time brings: failures that need no answer, second copies, the recount.
+    /// What only the passing of time brings: failures that need no answer, tries no longer of use, the recount.
     fn sweep(&mut self, out: &mut dyn Writer) {
-        let now = self.now;
+        let (now, window) = (self.now, self.set.exposure_window);
         if self.recount.is_some_and(|t| now >= t) {
             self.recount = None;
-            self.accepted.iter_mut().for_each(VecDeque::clear);
+            self.accepted.clear();
         }
-        let (mut overdue, mut slow, mut spare) = (Vec::new(), Vec::new(), Vec::new());
+        self.accepted.drain(..self.accepted.partition_point(|t| t.0 + window < now));
+        self.exposed.drain(..self.exposed.partition_point(|t| t.0 + window < now));
+        let (mut overdue, mut spare) = (Vec::new(), Vec::new());
         self.held = 0.0;
         for (id, rq) in &mut self.reqs {
             let objective = self.set.routes[rq.route].objective;
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
                 // What a silent machine keeps takes no room of the others.
-                let patience =
-                    if self.machines[t.machine].heard > t.sent { objective } else { objective / 2 };
-                if now <= t.sent + patience {
-                    self.held += 1.0;
-                }
+                let silent = self.machines[t.machine].heard <= t.sent;
+                self.held += f64::from(now <= t.sent + if silent { objective / 2 } else { objective });
                 if !t.counted && now > t.sent + LATE * objective {
                     t.counted = true;
                     overdue.push((*id, n, now - t.sent));
-                }
-                if rq.over && !t.counted {
-                    spare.push((*id, n));
+                } else if !t.counted && rq.over {
                     t.counted = true;
-                }
-            }
-            let out = rq.tries.iter().filter(|t| t.out).count();
-            if !rq.over && !rq.waiting && !rq.copied && !rq.opened && out == 1 {
-                let t = rq.tries.last().unwrap();
-                // Work is the req's own: a long req is as long elsewhere. Only silence speaks for a copy.
-                let silent = self.machines[t.machine].heard <= t.sent;
-                if silent && now > t.sent + objective / 2 && now < rq.objective {
-                    slow.push(*id);
+                    spare.push((*id, n));
                 }
             }
         }
         for (id, n, age) in overdue {
             self.judge(id, n, End::TimedOut, age);
         }
-        if self.set.cancel {
-            for (id, n) in spare {
-                out.cancel_try(id, n);
-            }
-        }
-        for id in slow {
-            self.copy(id, out);
-        }
-    }
-
-    /// A second try while the first is still out. Kept to a share of all sends, or a jam would double its
-    /// own load.
-    fn copy(&mut self, id: u64, out: &mut dyn Writer) {
-        let now = self.now;
-        let [spent] = self.copies.read(now, RATE_FADE);
-        if spent > COPY_SHARE * self.sends.read(now, RATE_FADE)[0] || !self.waiting.is_empty() {
-            return;
+        for (id, n) in spare.into_iter().filter(|_| self.set.cancel) {
+            out.cancel_try(id, n);
         }
-        let Some(i) = self.pick(id) else { return };
-        self.send(id, i, out);
-        self.copies.add([1.0], now, RATE_FADE);
-        self.reqs.get_mut(&id).unwrap().copied = true;
     }
 }
 
 fn renew(m: &mut Machine, room: f64, now: u64) {
-    (m.aside, m.heard, m.room, m.ease, m.refused) = (false, now, room, EASE / 2.0, 0);
-    (m.health, m.pace) = Default::default();
+    (m.aside, m.heard, m.refused, m.pace) = (false, now, 0, Default::default());
+    m.room = Room { tries: room, ..Room::default() };
 }
 
-/// At most once in half an objective, so that one jam is answered once.
-fn narrow(m: &mut Machine, now: u64, objective: u64) {
-    if now >= m.narrowed + objective / 2 {
-        (m.room, m.narrowed) = ((m.room * 0.8).max(1.0), now);
+/// Room follows how long answers take: it grows where it is used up while most are easy, and narrows where
+/// most are not, at most once in half an objective, so that one jam is answered once.
+fn pace(room: &mut Room, ease: f64, held: f64, least: f64, now: u64, objective: u64) {
+    room.ease.add([f64::from(ease > EASE), 1.0], now, EASE_FADE);
+    let jammed = room.ease.sums[0] > 0.5 * room.ease.sums[1];
+    if jammed && now >= room.narrowed + objective / 2 {
+        (room.tries, room.narrowed) = ((room.tries.min(2.0 * held + 4.0) * 0.8).max(least), now);
+    } else if !jammed && held + 2.0 >= room.tries {
+        room.tries += 1.0 / room.tries;
     }
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -53,7 +53,6 @@
     pub ask_list: bool,
     pub cross_zone_price: f64,
     pub probes: bool,
-    pub copies: bool,
     pub cancel: bool,
     pub max_tries: usize,
     /// 0 where no time to come back reaches the client.
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,17 +32,19 @@
     }
 }
 
-/// Outcomes of one machine under one build on one route, for each test: all of them, and the hits; they
-/// decay, each test's at its pace.
+pub const TESTS: usize = 4;
+
+/// Outcomes of one machine under one build, for each test: all of them, and the hits; they decay, each
+/// test's at its pace.
 #[derive(Clone, Copy, Default)]
 pub struct Tally {
     pub at: u64,
-    pub all: [f64; 4],
-    pub hits: [f64; 4],
+    pub all: [f64; TESTS],
+    pub hits: [f64; TESTS],
 }
 
 impl Tally {
-    pub fn read(&mut self, now: u64, fades: [f64; 4]) {
+    pub fn read(&mut self, now: u64, fades: [f64; TESTS]) {
         let passed = (now - self.at) as f64;
         for (test, fade) in fades.into_iter().enumerate().filter(|_| passed > 0.0) {
             let kept = (-passed / fade).exp();
@@ -89,6 +91,15 @@
     pub usual: Fading<3>,
 }
 
+/// How many own tries may be out, and how answers compare with the latency objective.
+#[derive(Default)]
+pub struct Room {
+    pub tries: f64,
+    pub narrowed: u64,
+    /// Answers that took long, and answers.
+    pub ease: Fading<2>,
+}
+
 #[derive(Default)]
 pub struct Machine {
     pub name: String,
@@ -101,16 +112,11 @@
     /// Own tries out, and what it last reported to hold, and when.
     pub held: f64,
     pub load: (f64, u64),
-    /// How many own tries it may hold; follows how its answers compare with the latency objective.
-    pub room: f64,
-    pub narrowed: u64,
-    /// Times to answer against the route's usual, and answers; time against its objective.
+    pub room: Room,
+    /// Times to answer against the route's usual, and answers.
     pub pace: Fading<2>,
-    pub ease: f64,
     pub refused: u32,
     pub died: u64,
-    /// Answers, and failed ones.
-    pub health: Fading<2>,
     pub heard: u64,
     pub aside: bool,
     pub probe_out: bool,
@@ -160,7 +166,6 @@
     pub waiting: bool,
     pub over: bool,
     pub opened: bool,
-    pub copied: bool,
     /// The machine that broke off its last try, until a probe tells whether it still runs; it does not.
     pub suspect: Option<usize>,
     pub deadly: bool,
@@ -189,14 +194,15 @@
     pub waiting: Vec<u64>,
     pub suspects: Vec<usize>,
     pub news: Option<News>,
-    pub accepted: Vec<VecDeque<u64>>,
-    pub exposed: BTreeMap<u32, Vec<VecDeque<u64>>>,
+    /// When, and on which route; of the tries also at which build.
+    pub accepted: VecDeque<(u64, usize)>,
+    pub exposed: VecDeque<(u64, u32, usize)>,
     pub recount: Option<u64>,
     pub keys: BTreeMap<String, u32>,
-    pub evidence: BTreeMap<(u32, usize), Vec<Tally>>,
-    /// The platform's counts by build and route: tries, and those not completed.
-    pub counted: BTreeMap<(u32, usize), Fading<2>>,
-    pub variances: BTreeMap<usize, [f64; 2]>,
+    /// By build and machine.
+    pub evidence: BTreeMap<(u32, usize), Tally>,
+    /// Of the look before.
+    pub variances: [Option<[f64; 2]>; TESTS],
     /// The fleet before the trial.
     pub calm: Arm,
     pub fleet: usize,
@@ -212,18 +218,17 @@
     /// By route, before a trial: time to answer, work as hinted (or one each), answers.
     pub usual: Vec<Fading<3>>,
     pub tenants: Vec<Fading<1>>,
-    /// Tries out, room for them, and how long answers take against their objectives (sum and count).
+    /// Tries out, and room for them in all.
     pub held: f64,
-    pub room: f64,
-    pub narrowed: u64,
-    pub ease: Fading<2>,
+    pub room: Room,
     pub arrivals: Fading<1>,
     /// Seconds that reqs completed usually take.
     pub worked: Fading<1>,
     pub sends: Fading<1>,
-    pub copies: Fading<1>,
     pub ask_at: u64,
     pub swept: u64,
+    /// The next round that was asked for.
+    pub wake_at: u64,
 }
 
 impl Balancer {
@@ -240,13 +245,12 @@
             waiting: Vec::new(),
             suspects: Vec::new(),
             news: None,
-            accepted: vec![VecDeque::new(); set.routes.len()],
-            exposed: BTreeMap::new(),
+            accepted: VecDeque::new(),
+            exposed: VecDeque::new(),
             recount: None,
             keys: BTreeMap::new(),
             evidence: BTreeMap::new(),
-            counted: BTreeMap::new(),
-            variances: BTreeMap::new(),
+            variances: [None; TESTS],
             calm: Arm::default(),
             fleet: 0,
             calm_sends: f64::INFINITY,
@@ -260,27 +264,17 @@
             usual: vec![Fading::default(); set.routes.len()],
             tenants: vec![Fading::default(); set.tenants.len()],
             held: 0.0,
-            room: 64.0,
-            narrowed: 0,
-            ease: Fading::default(),
+            room: Room { tries: f64::INFINITY, ..Room::default() },
             arrivals: Fading::default(),
             worked: Fading::default(),
             sends: Fading::default(),
-            copies: Fading::default(),
             ask_at: if set.ask_list { now } else { u64::MAX },
             swept: 0,
+            wake_at: now,
             set,
         }
     }
 
-    pub fn list(&mut self, whole: bool) {
-        if whole {
-            for m in &mut self.machines {
-                m.standing = Standing::Gone;
-            }
-        }
-    }
-
     pub fn withdrawn(&mut self, id: u64) {
         if let Some(rq) = self.reqs.get_mut(&id) {
             (rq.over, rq.waiting) = (true, false);
@@ -311,34 +305,6 @@
         }
     }
 
-    pub(crate) fn tallies(&mut self, build: u32, machine: usize) -> &mut Vec<Tally> {
-        let routes = self.set.routes.len();
-        self.evidence.entry((build, machine)).or_insert_with(|| vec![Tally::default(); routes])
-    }
-
-    /// Tries at a build and reqs accepted inside the exposure window, on this route or on all as told.
-    pub(crate) fn exposure(&mut self, build: u32, route: usize) -> (usize, usize) {
-        let (now, window, routes) = (self.now, self.set.exposure_window, self.set.routes.len());
-        let sent = self.exposed.entry(build).or_insert_with(|| vec![VecDeque::new(); routes]);
-        let (mut tries, mut taken) = (0, 0);
-        for (r, (sent, accepted)) in sent.iter_mut().zip(&mut self.accepted).enumerate() {
-            // A try exactly a window old still counts, a req of that age no longer does.
-            sent.drain(..sent.partition_point(|&t| t + window < now));
-            accepted.drain(..accepted.partition_point(|&t| t + window <= now));
-            if r == route || !self.set.by_route {
-                tries += sent.len();
-                taken += accepted.len();
-            }
-        }
-        (tries, taken)
-    }
-
-    pub(crate) fn expose(&mut self, build: u32, route: usize) {
-        let routes = self.set.routes.len();
-        let sent = self.exposed.entry(build).or_insert_with(|| vec![VecDeque::new(); routes]);
-        sent[route].push_back(self.now);
-    }
-
     /// Seconds that a fading count stands for, of a front that has run at least this long.
     pub(crate) fn spell(&self, fade: f64, least: u64) -> f64 {
         let lived = (self.now - self.born).max(least) as f64;
@@ -346,9 +312,9 @@
     }
 
     /// One test's sums of all machines, which start anew.
-    pub(crate) fn drain(&mut self, test: usize, fades: [f64; 4]) -> Arm {
+    pub(crate) fn drain(&mut self, test: usize, fades: [f64; TESTS]) -> Arm {
         let mut arm = Arm::default();
-        for t in self.evidence.values_mut().flatten() {
+        for t in self.evidence.values_mut() {
             t.read(self.now, fades);
             arm.add(t.all[test], t.hits[test]);
             (t.all[test], t.hits[test]) = (0.0, 0.0);
