Count as slow what took 1.35 times what the machine's load explains, twice the usual at least

A machine that is slowed at the same demand holds more in the same proportion (Little), so that twice what its load explained asked for half the answers before it showed.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,8 @@
 const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 10e6];
 /// A try is slow when it took this many times what its route usually takes on such a machine.
 const SLOW: f64 = 2.0;
+/// And this much beyond what its machine's load explains: were demand the cause, it would answer more for it.
+const LOADED: f64 = 1.35;
 /// With no more tries than this at its machine, a try is late by its build, not by a queue.
 const LIGHT: f64 = 2.0;
 const USUAL_FADE: f64 = 30e6;
@@ -318,7 +320,7 @@
         // counts as slow only beyond what the machine's load explains.
         let load = 1.0 + load.max(self.load(i).0);
         let usual = self.usual_on(i, route, work);
-        let slow = usual.map(|(usual, met)| took as f64 > SLOW * usual * (load / met).max(1.0));
+        let slow = usual.map(|(usual, met)| took as f64 > usual * SLOW.max(LOADED * load / met));
         let m = &mut self.machines[i];
         let plain = warm && (slow.unwrap_or(load <= 1.0 + LIGHT) || m.heard <= sent);
         let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late) && !self.stalled;
