Let all routes stand in for the usual time of one that is little known

Cause: on thin fronts few routes had five answers before a trial, so that no try there was ever slow. Where no work is told, the latency objective measures it.

--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -128,7 +128,7 @@
                 flag(again)?;
                 flag(update)?;
                 let tenant = self.tenants.iter().position(|t| t == team);
-                let hint = hint.filter(|w| *w > 0.0).unwrap_or(1.0);
+                let hint = hint.unwrap_or(0.0);
                 to.req(number(job)?, self.route(class)?, tenant, present(key), micros(left)?, hint);
             }
             "OUTCOME" => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,6 +42,7 @@
 /// With no more tries than this at its machine, a try is late by its build, not by a queue.
 const LIGHT: f64 = 2.0;
 const USUAL_FADE: f64 = 30e6;
+const LEAST_KNOWN: f64 = 5.0;
 const RATE_FADE: f64 = 5e6;
 const EASE_FADE: f64 = 1e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
@@ -169,7 +170,7 @@
         self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
     }
 
-    pub fn req(&mut self, id: u64, route: usize, of: Option<usize>, key: Option<&str>, left: u64, work: f64) {
+    pub fn req(&mut self, id: u64, route: usize, of: Option<usize>, key: Option<&str>, left: u64, hint: f64) {
         let now = self.now;
         self.accepted.push_back((now, route));
         self.arrivals.add([1.0], now, RATE_FADE);
@@ -181,9 +182,12 @@
                 earnings *= self.set.over_share_earnings;
             }
         }
-        let rank = earnings / self.usual_for(route, 1.0).unwrap_or(1.0).max(1.0);
+        let objective = self.set.routes[route].objective;
+        // Where no work is told, the objective measures it: what takes longer is given longer.
+        let (parts, work) = if hint > 0.0 { (hint, hint) } else { (1.0, objective as f64 / 1e3) };
+        let rank = earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0);
         let (key, due) = (key.map(String::from), now + left);
-        let objective = due.min(now + self.set.routes[route].objective);
+        let objective = due.min(now + objective);
         let rq = Req { route, key, work, came: now, due, objective, rank, waiting: true, ..Req::default() };
         self.reqs.insert(id, rq);
         self.waiting.push(id);
@@ -354,10 +358,11 @@
         }
     }
 
-    /// What so much work of the route usually takes.
+    /// What so much work of the route usually takes; all routes stand in where little is known of one.
     fn usual_for(&mut self, route: usize, work: f64) -> Option<f64> {
-        let [took, works, n] = self.usual[route].read(self.now, USUAL_FADE);
-        (n >= 5.0).then(|| took / works * work)
+        let [all, own] = [self.set.routes.len(), route].map(|r| self.usual[r].read(self.now, USUAL_FADE));
+        let few = LEAST_KNOWN * all[1] / all[2];
+        (all[2] >= LEAST_KNOWN).then(|| (own[0] + few * all[0] / all[1]) / (own[1] + few) * work)
     }
 
     /// The same on machines of this one's kind, and how much these held then.
@@ -378,7 +383,9 @@
             kind.pace.add([took / u, 1.0], now, RATE_FADE);
         }
         if earlier && (self.news.is_none_or(|n| n.phase != Phase::Trial) || usual.is_none()) {
-            self.usual[route].add([took, work, 1.0], now, USUAL_FADE);
+            for r in [self.set.routes.len(), route] {
+                self.usual[r].add([took, work, 1.0], now, USUAL_FADE);
+            }
             if let Some(u) = usual {
                 kind.usual.add([took / u, load, 1.0], now, USUAL_FADE);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,7 +157,7 @@
 pub struct Req {
     pub route: usize,
     pub key: Option<String>,
-    /// Work as hinted, or one.
+    /// As hinted, or what stands in for it.
     pub work: f64,
     pub came: u64,
     pub due: u64,
@@ -215,7 +215,7 @@
     /// The vote that stands, and the one that is out, with the time of its cast.
     pub stands: (u32, u32, Verdict, u64),
     pub cast: Option<(u32, u32, Verdict, u64)>,
-    /// By route, before a trial: time to answer, work as hinted (or one each), answers.
+    /// By route, then of all, before a trial: time to answer, work, answers.
     pub usual: Vec<Fading<3>>,
     pub tenants: Vec<Fading<1>>,
     /// Tries out, and room for them in all.
@@ -261,7 +261,7 @@
             looked: now,
             stands: (0, 0, Verdict::None, now),
             cast: None,
-            usual: vec![Fading::default(); set.routes.len()],
+            usual: vec![Fading::default(); set.routes.len() + 1],
             tenants: vec![Fading::default(); set.tenants.len()],
             held: 0.0,
             room: Room { tries: f64::INFINITY, ..Room::default() },
