--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
 /// What evidence must show beyond the bounds: late and lost answers come of machines, links and load too.
 const DOUBT: [f64; TESTS] = [1.5, 1.5, 0.0, 1.5];
 /// Evidence fades, or a build that turns bad late would hide behind its good start.
-const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 10e6];
+const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 20e6];
 /// A try is slow when it took this many times what its route usually takes on such a machine.
 const SLOW: f64 = 2.0;
 /// And this much beyond what its machine's load explains: were demand the cause, it would answer more for it.
@@ -439,7 +439,7 @@
         let share = (ALPHA / part).ln().max(0.0);
         self.leaning = false;
         for (test, [new, old]) in sides.into_iter().enumerate() {
-            let few = if test == SHARED { LEAST_OUTCOMES } else { 1.0 };
+            let few = if test == SHARED { LEAST_OUTCOMES / 2.0 } else { 1.0 };
             if new.outcomes < few || old.outcomes < LEAST_OUTCOMES {
                 continue;
             }
