--- a/src/decide.rs
+++ b/src/decide.rs
@@ -86,16 +86,14 @@
     z * drift - drift * drift / 2.0
 }
 
-/// Of both sides; the old side's clustering also holds for a new side of too few machines to show it. Where
-/// hits are `rare` (0: they are not), few outcomes say little of their own variance: the fewer, the more the
-/// earlier build's share stands in for theirs, as it would be if the builds were alike.
+/// Of both sides. Where hits are `rare` (0: they are not), few outcomes say little of their own variance: the
+/// fewer, the more the earlier build's share stands in for theirs, as it would be if the builds were alike.
 pub fn variances(new: Arm, old: Arm, rare: f64) -> [f64; 2] {
     let own = if rare == 0.0 { 1.0 } else { (new.outcomes * LEAST_SHARE / rare.powi(4)).min(1.0) };
     let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance(rare);
     let seen = Arm { hits: new.hits + 1.0, outcomes: new.outcomes + 2.0, ..new }.plain_variance(rare);
-    let clustering = old.clustering(rare);
     let variance = own * seen + (1.0 - own) * alike;
-    [variance * new.clustering(rare).max(clustering), old.plain_variance(rare) * clustering]
+    [variance * new.clustering(rare), old.plain_variance(rare) * old.clustering(rare)]
 }
 
 pub fn bounds() -> (f64, f64) {
