--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -144,7 +144,7 @@
                 let [job, took, _machine, trial] = parts(line)?;
                 micros(took)?;
                 number::<usize>(trial)?;
-                to.opened(number(job)?);
+                number::<u64>(job)?;
             }
             "WAKEUP" => {
                 let [token] = parts(line)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -72,13 +72,6 @@
 
 /// One-sided SPRT-z: the score of `new` against `old`, z with the variances of this look, the drift with
 /// those of the look before, so that what is expected was fixed before the outcomes it judges came in.
-///
-/// ```
-/// use tidescale::decide::{Arm, score};
-/// let arm = |outcomes, hits| Arm { outcomes, hits, ..Arm::default() };
-/// let s = score(arm(100.0, 10.0), arm(100.0, 1.0), [0.09, 0.0099], [0.09, 0.0099], 0.03);
-/// assert!((s - 2.252_252).abs() < 1e-5);
-/// ```
 pub fn score(new: Arm, old: Arm, present: [f64; 2], before: [f64; 2], gap: f64) -> f64 {
     let root = |v: [f64; 2]| (v[0] / new.outcomes + v[1] / old.outcomes).sqrt();
     let z = (new.share() - old.share()) / root(present);
@@ -125,9 +118,6 @@
         if self.stalled {
             self.room.tries = f64::INFINITY;
         }
-        for i in std::mem::take(&mut self.suspects) {
-            self.probe(i, out);
-        }
         self.serve(out);
         let pause = if self.reqs.is_empty() { LOOK } else { SWEEP };
         if now >= self.wake_at || now + pause < self.wake_at {
@@ -137,18 +127,13 @@
     }
 
     pub fn list(&mut self, whole: bool) {
-        // What a whole list does not name is gone.
         self.machines.iter_mut().filter(|_| whole).for_each(|m| m.standing = Standing::Gone);
     }
 
     /// One entry of the list; `place` is its zone, cell and kind, `started` 0 where it runs since long.
     pub fn machine(&mut self, name: &str, place: (&str, u64, &str), build: u32, st: Standing, started: u64) {
         let (now, kind) = (self.now, self.kind(place.2));
-        let i = self.find(name).unwrap_or_else(|| {
-            self.names.insert(name.into(), self.machines.len());
-            self.machines.push(Machine { name: name.into(), started: u64::MAX, ..Machine::default() });
-            self.machines.len() - 1
-        });
+        let i = self.place(name);
         let rank = self.names.range(..name.to_string()).count() as u32;
         let m = &mut self.machines[i];
         if m.build != build || m.started != started {
@@ -186,25 +171,19 @@
         let rank = earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0);
         let (key, due) = (key.map(String::from), now + left);
         let objective = due.min(now + objective);
-        let rq = Req { route, key, work, came: now, due, objective, rank, waiting: true, ..Req::default() };
-        self.reqs.insert(id, rq);
-        self.waiting.push(id);
+        self.reqs.insert(id, Req { route, key, work, came: now, due, objective, rank, ..Req::default() });
     }
 
     pub fn outcome(&mut self, id: u64, n: usize, end: End, took: u64, over: bool, load: Option<Load>) {
         let now = self.now;
         let Some(rq) = self.reqs.get_mut(&id) else { return };
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
-        t.out = false;
         t.ran &= !matches!(end, End::Full | End::Refused | End::NotSent);
-        let (i, build, warm, counted) = (t.machine, t.build, t.warm, t.counted);
-        t.counted = true;
+        let Try { machine: i, build, warm, counted, .. } = *t;
+        (t.out, t.counted) = (false, true);
         let (route, work) = (rq.route, rq.work);
-        (rq.over, rq.waiting) = (rq.over || over, rq.waiting && !over);
-        if end == End::Reset && self.set.probes {
-            rq.suspect = Some(i);
-            self.suspects.push(i);
-        }
+        rq.over |= over;
+        rq.suspect = Some(i).filter(|_| end == End::Reset && self.set.probes);
         if let Some(key) = rq.key.clone().filter(|_| end == End::Done && self.set.one_way) {
             self.keys.insert(key, build);
         }
@@ -220,13 +199,7 @@
             self.learn(i, route, work, took, warm && !self.on_trial(build));
         }
         self.feel(i, route, end, took);
-        let rq = self.reqs.get_mut(&id).unwrap();
-        if rq.over {
-            self.forget(id);
-        } else if !rq.waiting && !rq.tries.iter().any(|t| t.out) {
-            rq.waiting = true;
-            self.waiting.push(id);
-        }
+        self.forget(id);
     }
 
     /// What an outcome says of its machine's health and of the room, there and of the front in all. A front
@@ -305,7 +278,7 @@
         if now.saturating_sub(age) >= m.started + SETTLING {
             let tally = self.evidence.entry((m.build, i)).or_default();
             tally.read(now, EVIDENCE_FADE);
-            [FAILURES, ERRORS].into_iter().for_each(|test| tally.hits[test] += 1.0);
+            [FAILURES, ERRORS].map(|test| tally.hits[test] += 1.0);
         }
     }
 
@@ -331,29 +304,16 @@
         if !settled || !known || (end == End::Reset && now < m.died + SECOND) {
             return;
         }
-        if end == End::Reset {
-            m.died = now;
-        }
-        let tally = self.evidence.entry((build, i)).or_default();
-        tally.read(now, EVIDENCE_FADE);
-        let mut add = |test: usize, hit: bool| {
-            tally.all[test] += 1.0;
-            tally.hits[test] += f64::from(hit);
-        };
+        m.died = if end == End::Reset { now } else { m.died };
+        let slow = slow.filter(|_| warm && end != End::Error);
+        let mut hits = [None; TESTS];
+        hits[FAILURES] = Some(error || late || end == End::TimedOut).filter(|_| paired);
+        hits[SLOWNESS] = slow.filter(|_| paired);
         // Resets come from links and lost machines too, with nothing of the same time to compare them with.
-        add(ERRORS, end == End::Error);
-        if paired {
-            add(FAILURES, error || late || end == End::TimedOut);
-        }
-        if let Some(slow) = slow.filter(|_| warm && end != End::Error) {
-            // Those still out when the trial began were long ones, and would make it look slow.
-            if steady && sent >= self.calm_at {
-                add(SHARED, slow);
-            }
-            if paired {
-                add(SLOWNESS, slow);
-            }
-        }
+        hits[ERRORS] = Some(end == End::Error);
+        // Those still out when the trial began were long ones, and would make it look slow.
+        hits[SHARED] = slow.filter(|_| steady && sent >= self.calm_at);
+        self.evidence.entry((build, i)).or_default().add(hits, now, EVIDENCE_FADE);
     }
 
     /// What so much work of the route usually takes; all routes stand in where little is known of one.
@@ -409,8 +369,7 @@
     }
 
     fn look(&mut self, out: &mut dyn Writer) {
-        let judged = |n: &News| matches!(n.phase, Phase::Trial | Phase::Released);
-        let Some(n) = self.news.filter(judged) else { return };
+        let Some(n) = self.news else { return };
         let now = self.now;
         let mut sides = [[Arm::default(); 2]; TESTS];
         for (&(build, i), t) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
@@ -435,6 +394,7 @@
         let (fronts, votes) = (f64::from(self.set.fronts), f64::from(self.set.back_votes.max(1)));
         let part = (votes.sqrt() - 0.82).max(0.0).powi(2).max(ALPHA * f64::from(votes <= 1.0)) / fronts;
         let share = (ALPHA / part).ln().max(0.0);
+        let mut lifted = now >= n.since + HORIZON;
         self.leaning = false;
         for (test, [new, old]) in sides.into_iter().enumerate() {
             let few = if test == SHARED { LEAST_OUTCOMES / 2.0 } else { 1.0 };
@@ -454,11 +414,9 @@
                 out.note(&format!("build {} to go back: test {test}, new and old {counts:.1?}", n.build));
             }
             self.leaning |= both > 0.0;
-            if test == FAILURES && s <= lower {
-                self.lifted = Some((n.build, n.stage));
-            }
+            lifted |= test == FAILURES && s <= lower;
         }
-        if now >= n.since + HORIZON {
+        if lifted {
             self.lifted = Some((n.build, n.stage));
         }
     }
@@ -549,13 +507,6 @@
         }
     }
 
-    fn may_shed(&self, rq: &Req) -> bool {
-        match self.set.routes[rq.route].repeat {
-            Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. } => true,
-            _ => !rq.tries.iter().any(|t| t.ran),
-        }
-    }
-
     /// Rule 5: may one more try of this route go to this build?
     fn may_expose(&self, build: u32, route: usize) -> bool {
         if !self.on_trial(build) {
@@ -605,13 +556,11 @@
         let now = self.now;
         let all: Vec<[f64; 2]> = self.kinds.iter_mut().map(|k| k.borne.read(now, RATE_FADE)).collect();
         let sum = all.iter().fold([0.0, 0.0], |a, b| [a[0] + b[0], a[1] + b[1]]);
-        match [all[kind], sum].into_iter().find(|[_, spent]| *spent >= 1.0) {
-            Some([served, spent]) => served / spent,
-            None => {
-                let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
-                self.arrivals.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND) / ready as f64
-            }
+        if let Some([served, spent]) = [all[kind], sum].into_iter().find(|[_, spent]| *spent >= 1.0) {
+            return served / spent;
         }
+        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).count().max(1);
+        self.arrivals.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND) / ready as f64
     }
 
     fn pick(&mut self, id: u64) -> Option<usize> {
@@ -698,42 +647,40 @@
     }
 
     fn serve(&mut self, out: &mut dyn Writer) {
-        let mut ids = std::mem::take(&mut self.waiting);
-        ids.retain(|id| self.reqs.get(id).is_some_and(|rq| rq.waiting && !rq.over));
         let reqs = &self.reqs;
+        let waits = |rq: &Req| !rq.over && !rq.tries.iter().any(|t| t.out);
+        let mut ids: Vec<u64> = reqs.iter().filter(|(_, rq)| waits(rq)).map(|(id, _)| *id).collect();
         ids.sort_by(|a, b| reqs[b].rank.total_cmp(&reqs[a].rank).then(reqs[b].came.cmp(&reqs[a].came)));
         for id in ids {
-            if self.hopeless(id) {
-                self.give_up(id, out);
+            let (route, work) = (self.reqs[&id].route, self.reqs[&id].work);
+            let usual = self.usual_for(route, work).unwrap_or(0.0) as u64;
+            let (rq, objective) = (&self.reqs[&id], self.set.routes[route].objective);
+            // Never more than half the objective: what was learned in a jam would shed each req on arrival,
+            // and nothing would be learned again.
+            let late = self.now + (usual * 3 / 2).min(objective / 2) >= rq.objective;
+            if late || !self.machines.iter().any(|m| self.may_try(rq, m)) {
+                let harmless = matches!(
+                    self.set.routes[route].repeat,
+                    Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. }
+                );
+                if harmless || !rq.tries.iter().any(|t| t.ran) {
+                    out.shed(id, self.set.max_come_back.min(objective / 2));
+                } else {
+                    out.error(id);
+                }
+                self.withdrawn(id);
                 continue;
             }
-            let ready = self.reqs[&id].suspect.is_none() && self.held < self.room.tries.floor();
-            match if ready { self.pick(id) } else { None } {
-                Some(i) => self.send(id, i, out),
-                None => self.waiting.push(id),
+            if let Some(i) = rq.suspect {
+                self.probe(i, out);
+            } else if self.held < self.room.tries.floor()
+                && let Some(i) = self.pick(id)
+            {
+                self.send(id, i, out);
             }
         }
     }
 
-    fn hopeless(&mut self, id: u64) -> bool {
-        let usual = self.usual_for(self.reqs[&id].route, self.reqs[&id].work).unwrap_or(0.0) as u64;
-        let rq = &self.reqs[&id];
-        // Never more than half the objective: what was learned in a jam would shed each req on arrival,
-        // and nothing would be learned again.
-        let need = (usual * 3 / 2).min(self.set.routes[rq.route].objective / 2);
-        self.now + need >= rq.objective || !self.machines.iter().any(|m| self.may_try(rq, m))
-    }
-
-    fn give_up(&mut self, id: u64, out: &mut dyn Writer) {
-        let rq = &self.reqs[&id];
-        if self.may_shed(rq) {
-            out.shed(id, self.set.max_come_back.min(self.set.routes[rq.route].objective / 2));
-        } else {
-            out.error(id);
-        }
-        self.withdrawn(id);
-    }
-
     fn send(&mut self, id: u64, i: usize, out: &mut dyn Writer) {
         let (now, load) = (self.now, self.load(i).0);
         let Machine { build, started, .. } = self.machines[i];
@@ -754,7 +701,6 @@
         let (settled, warm) = (age >= SETTLING, age >= self.set.cold_for.max(SETTLING));
         let paired = serving[usize::from(build >= newest)] > 0;
         rq.tries.push(Try { settled, warm, paired, load, steady, ..Try::new(i, build, now) });
-        rq.waiting = false;
         out.upstream_try(id, &m.name, rq.due);
         self.exposed.push_back((now, build, rq.route));
         self.held += 1.0;
@@ -764,13 +710,12 @@
     /// What only the passing of time brings: failures that need no answer, tries no longer of use, the recount.
     fn sweep(&mut self, out: &mut dyn Writer) {
         let (now, window) = (self.now, self.set.exposure_window);
-        if self.recount.is_some_and(|t| now >= t) {
-            self.recount = None;
+        if self.recount.take_if(|t| now >= *t).is_some() {
             self.accepted.clear();
         }
         self.accepted.drain(..self.accepted.partition_point(|t| t.0 + window < now));
         self.exposed.drain(..self.exposed.partition_point(|t| t.0 + window < now));
-        let (mut overdue, mut spare) = (Vec::new(), Vec::new());
+        let mut overdue = Vec::new();
         self.held = 0.0;
         for (id, rq) in &mut self.reqs {
             let objective = self.set.routes[rq.route].objective;
@@ -779,20 +724,16 @@
                 let silent = self.machines[t.machine].heard <= t.sent;
                 self.held += f64::from(now <= t.sent + if silent { objective / 2 } else { objective });
                 if !t.counted && now > t.sent + LATE * objective {
-                    t.counted = true;
                     overdue.push((*id, n, now - t.sent));
-                } else if !t.counted && rq.over {
-                    t.counted = true;
-                    spare.push((*id, n));
+                } else if !t.counted && rq.over && self.set.cancel {
+                    out.cancel_try(*id, n);
                 }
+                t.counted |= rq.over || now > t.sent + LATE * objective;
             }
         }
         for (id, n, age) in overdue {
             self.judge(id, n, End::TimedOut, age);
         }
-        for (id, n) in spare.into_iter().filter(|_| self.set.cancel) {
-            out.cancel_try(id, n);
-        }
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,14 @@
         }
         self.at = now;
     }
+    /// One more outcome for each test that takes it.
+    pub fn add(&mut self, hits: [Option<bool>; TESTS], now: u64, fades: [f64; TESTS]) {
+        self.read(now, fades);
+        for (test, hit) in hits.into_iter().enumerate() {
+            self.all[test] += f64::from(hit.is_some());
+            self.hits[test] += f64::from(hit == Some(true));
+        }
+    }
 }
 
 /// One side of the test, as read at a look.
@@ -128,7 +136,7 @@
     pub credited: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 pub struct Try {
     pub machine: usize,
     pub build: u32,
@@ -163,9 +171,7 @@
     pub due: u64,
     pub objective: u64,
     pub rank: f64,
-    pub waiting: bool,
     pub over: bool,
-    pub opened: bool,
     /// The machine that broke off its last try, until a probe tells whether it still runs; it does not.
     pub suspect: Option<usize>,
     pub deadly: bool,
@@ -191,8 +197,6 @@
     pub names: BTreeMap<String, usize>,
     pub kinds: Vec<Kind>,
     pub reqs: BTreeMap<u64, Req>,
-    pub waiting: Vec<u64>,
-    pub suspects: Vec<usize>,
     pub news: Option<News>,
     /// When, and on which route; of the tries also at which build.
     pub accepted: VecDeque<(u64, usize)>,
@@ -242,8 +246,6 @@
             names: BTreeMap::new(),
             kinds: Vec::new(),
             reqs: BTreeMap::new(),
-            waiting: Vec::new(),
-            suspects: Vec::new(),
             news: None,
             accepted: VecDeque::new(),
             exposed: VecDeque::new(),
@@ -277,21 +279,24 @@
 
     pub fn withdrawn(&mut self, id: u64) {
         if let Some(rq) = self.reqs.get_mut(&id) {
-            (rq.over, rq.waiting) = (true, false);
+            rq.over = true;
             self.forget(id);
         }
     }
 
-    pub fn opened(&mut self, id: u64) {
-        if let Some(rq) = self.reqs.get_mut(&id) {
-            rq.opened = true;
-        }
-    }
-
     pub(crate) fn find(&self, name: &str) -> Option<usize> {
         self.names.get(name).copied()
     }
 
+    /// Where the machine of this name is kept, known before or not.
+    pub(crate) fn place(&mut self, name: &str) -> usize {
+        self.find(name).unwrap_or_else(|| {
+            self.names.insert(name.into(), self.machines.len());
+            self.machines.push(Machine { name: name.into(), started: u64::MAX, ..Machine::default() });
+            self.machines.len() - 1
+        })
+    }
+
     pub(crate) fn kind(&mut self, name: &str) -> usize {
         self.kinds.iter().position(|k| k.name == name).unwrap_or_else(|| {
             self.kinds.push(Kind { name: name.into(), ..Kind::default() });
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -17,6 +17,7 @@
     let arm = |outcomes, hits| Arm { outcomes, hits, ..Arm::default() };
     // new, old, variances of the look before, gap -> score
     let table = [
+        (arm(100.0, 10.0), arm(100.0, 1.0), [0.09, 0.0099], 0.03, 2.171_936),
         // No gap seen, both at the floor: minus half the drift squared.
         (arm(100.0, 0.0), arm(100.0, 0.0), [0.0099, 0.0099], 0.03, -0.03f64.powi(2) / (2.0 * 0.000_198)),
         // z = 0.1 / sqrt(0.000962 + 0.000099), with one more hit among two more outcomes; drift = 0.05 / sqrt(0.0004 + 0.000099)
