--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -92,7 +92,6 @@
 struct Host {
     module: Balancer,
     routes: Vec<String>,
-    tenants: Vec<String>,
 }
 
 /// The lines of one instance in one batch; a list's rows are bound when its line is read, since numbers
@@ -100,7 +99,6 @@
 struct Lines<'a> {
     lines: &'a [(String, Option<List>)],
     routes: &'a [String],
-    tenants: &'a [String],
     fault: Option<Fault>,
 }
 
@@ -123,13 +121,12 @@
     fn replay_line(&self, line: &str, rows: Option<&List>, to: &mut Balancer) -> Result<(), Fault> {
         match line.split(' ').next().unwrap_or_default() {
             "ASK" => {
-                let [job, class, team, key, left, hint, again, update] = parts(line)?;
+                let [job, class, _team, key, left, hint, again, update] = parts(line)?;
                 let hint = present(hint).map(number).transpose()?;
                 flag(again)?;
                 flag(update)?;
-                let tenant = self.tenants.iter().position(|t| t == team);
                 let hint = hint.unwrap_or(0.0);
-                to.req(number(job)?, self.route(class)?, tenant, present(key), micros(left)?, hint);
+                to.req(number(job)?, self.route(class)?, present(key), micros(left)?, hint);
             }
             "OUTCOME" => {
                 let [job, trial, _machine, rc, took, over, info] = parts(line)?;
@@ -327,9 +324,8 @@
                         let told = parts.next().ok_or("a start without settings")?;
                         let settings = settings::decode(told)?;
                         let routes = settings.routes.iter().map(|r| r.name.clone()).collect();
-                        let tenants = settings.tenants.iter().map(|t| t.name.clone()).collect();
                         let module = Balancer::new(settings, seed, now);
-                        hosts.insert(at, Host { module, routes, tenants });
+                        hosts.insert(at, Host { module, routes });
                         lines.clear();
                     } else if name == "DOWN" {
                         hosts.remove(&at);
@@ -348,8 +344,8 @@
         for (at, lines) in &news {
             let Some(host) = hosts.get_mut(at) else { continue };
             let _ = writeln!(reply, "INSTANCE {at}");
-            let (routes, tenants) = (&host.routes, &host.tenants);
-            let mut inbox = Lines { lines, routes, tenants, fault: None };
+            let routes = &host.routes;
+            let mut inbox = Lines { lines, routes, fault: None };
             host.module.round(now, &mut inbox, &mut Reply(&mut reply));
             if let Some(fault) = inbox.fault {
                 return Err(fault);
--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use tidescale::front::{Repeat, Route, Scope, Settings, Tenant};
+use tidescale::front::{Repeat, Route, Scope, Settings};
 
 use crate::{Fault, flag, micros, number};
 
@@ -60,21 +60,12 @@
             repeat,
         });
     }
-    let mut tenants = Vec::new();
-    for i in 0..told.count("parties")? {
-        tenants.push(Tenant {
-            name: told.text(&format!("parties.{i}.name"))?.into(),
-            quota_per_s: told.number(&format!("parties.{i}.quota_per_s"))?,
-        });
-    }
     let caps = told.text("family_info.stage_cap")?;
     Ok(Settings {
         me: told.number("me")?,
         fronts: told.number::<u32>("balancers")?.max(1),
         zone: told.text("zone")?.into(),
         routes,
-        tenants,
-        over_share_earnings: told.number("over_share_worth")?,
         ask_list: told.text("membership_mode")? == "ask",
         cross_zone_price: told.number("tariffs.cross_zone")?,
         probes: told.flag("policy_limits.probes")?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Scope, Standing, Verdict, Writer};
+use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Route, Scope, Standing, Verdict, Writer};
 pub use crate::state::{Arm, Balancer};
 use crate::state::{Machine, News, Req, Room, TESTS, Try};
 
@@ -39,8 +39,6 @@
 const SLOW: f64 = 2.0;
 /// And this much beyond what its machine's load explains: were demand the cause, it would answer more for it.
 const LOADED: f64 = 1.35;
-/// With no more tries than this at its machine, a try is late by its build, not by a queue.
-const LIGHT: f64 = 2.0;
 const USUAL_FADE: f64 = 30e6;
 const LEAST_KNOWN: f64 = 5.0;
 const RATE_FADE: f64 = 5e6;
@@ -112,12 +110,10 @@
             self.look(out);
             self.vote(out);
             self.judge_machines(out);
-            // Not far above what is in use, but for what a stall has kept: a jam must not find room for its queue.
+            // Not far above what is in use: a jam must not find room for its queue.
             self.room.tries = self.room.tries.min((2.0 * self.held + 4.0).max(0.95 * self.room.tries));
         }
-        if self.stalled {
-            self.room.tries = f64::INFINITY;
-        }
+        self.room.tries = self.room.tries.max(if self.stalled { f64::INFINITY } else { 0.0 });
         self.serve(out);
         let pause = if self.reqs.is_empty() { LOOK } else { SWEEP };
         if now >= self.wake_at || now + pause < self.wake_at {
@@ -153,19 +149,11 @@
         self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
     }
 
-    pub fn req(&mut self, id: u64, route: usize, of: Option<usize>, key: Option<&str>, left: u64, hint: f64) {
+    pub fn req(&mut self, id: u64, route: usize, key: Option<&str>, left: u64, hint: f64) {
         let now = self.now;
         self.accepted.push_back((now, route));
         self.arrivals.add([1.0], now, RATE_FADE);
-        let mut earnings = self.set.routes[route].earnings;
-        if let Some(t) = of {
-            self.tenants[t].add([1.0], now, RATE_FADE);
-            let rate = self.tenants[t].sums[0] / self.spell(RATE_FADE, SECOND) * f64::from(self.set.fronts);
-            if rate > self.set.tenants[t].quota_per_s {
-                earnings *= self.set.over_share_earnings;
-            }
-        }
-        let objective = self.set.routes[route].objective;
+        let Route { objective, earnings, .. } = self.set.routes[route];
         // Where no work is told, the objective measures it: what takes longer is given longer.
         let (parts, work) = if hint > 0.0 { (hint, hint) } else { (1.0, objective as f64 / 1e3) };
         let rank = earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0);
@@ -202,9 +190,8 @@
         self.forget(id);
     }
 
-    /// What an outcome says of its machine's health and of the room, there and of the front in all. A front
-    /// that sends a machine a req every few seconds learns of no single one that the fleet is jammed; its
-    /// answers together tell.
+    /// What an outcome says of its machine's health and of the room, there and in all: a front that sends a
+    /// machine a req every few seconds learns only from all its answers together that the fleet is jammed.
     fn feel(&mut self, i: usize, route: usize, end: End, took: u64) {
         let (now, objective) = (self.now, self.set.routes[route].objective);
         let m = &mut self.machines[i];
@@ -278,7 +265,8 @@
         if now.saturating_sub(age) >= m.started + SETTLING {
             let tally = self.evidence.entry((m.build, i)).or_default();
             tally.read(now, EVIDENCE_FADE);
-            [FAILURES, ERRORS].map(|test| tally.hits[test] += 1.0);
+            tally.hits[FAILURES] += 1.0;
+            tally.hits[ERRORS] += 1.0;
         }
     }
 
@@ -297,7 +285,7 @@
         let usual = self.usual_on(i, route, work);
         let slow = usual.map(|(usual, met)| took as f64 > usual * SLOW.max(LOADED * load / met));
         let m = &mut self.machines[i];
-        let plain = warm && (slow.unwrap_or(load <= 1.0 + LIGHT) || m.heard <= sent);
+        let plain = warm && (slow == Some(true) || m.heard <= sent);
         let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late) && !self.stalled;
         // One process that dies is one failure, not one for each try it held: lost machines and zones are
         // no build's doing, while a build that keeps dying still shows.
@@ -350,8 +338,7 @@
         }
     }
 
-    /// A build that the news has not named, or not named as released, is on trial; without any news, each
-    /// but the oldest listed.
+    /// What the news has not named, or not as released; without any news, each build but the oldest listed.
     fn on_trial(&self, build: u32) -> bool {
         match self.news {
             Some(n) => build > n.build || (build == n.build && n.phase != Phase::Released),
@@ -441,39 +428,30 @@
         let same = build == n.build && (stage == n.stage || wish == Verdict::Back) && verdict == wish;
         let lapsed = build != n.build || now >= at + self.set.vote_life;
         let idle = wish == Verdict::None && (verdict == Verdict::None || lapsed);
-        let chance =
-            self.set.votes_per_s * self.set.vote_life as f64 / 1e6 / (2.0 * f64::from(self.set.fronts));
-        if !idle && !(same && fresh) && self.rng.rand_float() < chance {
+        let chance = self.set.votes_per_s * self.set.vote_life as f64 / 2e6 / f64::from(self.set.fronts);
+        if !(idle || same && fresh) && self.rng.rand_float() < chance {
             out.vote(n.build, n.stage, wish);
             self.cast = Some((n.build, n.stage, wish, now));
         }
     }
 
-    /// Only silence and refused connections set a machine aside: errors make it dear, and the test needs them.
+    /// Silence and refused connections set a machine aside; errors make it dear, and the test needs them.
     fn judge_machines(&mut self, out: &mut dyn Writer) {
         let now = self.now;
-        let ready = |m: &Machine| m.standing == Standing::Ready;
-        let all = self.machines.iter().filter(|m| ready(m)).count();
-        let mut aside = self.machines.iter().filter(|m| ready(m) && m.aside).count();
-        let mut silent = vec![false; self.machines.len()];
-        for rq in self.reqs.values() {
-            let objective = self.set.routes[rq.route].objective;
-            for t in rq.tries.iter().filter(|t| t.out && now > t.sent + objective) {
-                silent[t.machine] |= t.sent >= self.machines[t.machine].heard;
-            }
-        }
-        for (i, silent) in silent.into_iter().enumerate() {
-            let m = &mut self.machines[i];
-            if ready(m) && m.aside && now >= m.probed + PROBE_EVERY {
-                self.probe(i, out);
-            } else if ready(m) && !m.aside && silent && aside * 3 < all && self.set.probes {
+        let ready: Vec<usize> =
+            (0..self.machines.len()).filter(|i| self.machines[*i].standing == Standing::Ready).collect();
+        let mut aside = ready.iter().filter(|i| self.machines[**i].aside).count();
+        for i in &ready {
+            let m = &mut self.machines[*i];
+            if m.aside && now >= m.probed + PROBE_EVERY {
+                self.probe(*i, out);
+            } else if !m.aside && m.silent && aside * 3 < ready.len() {
                 aside += 1;
                 (m.aside, m.answered, m.probed) = (true, 0, now);
+            } else if !m.aside && now >= m.started + self.set.cold_for {
+                self.kinds[m.kind].borne.add([0.0, LOOK as f64 / 1e6], now, RATE_FADE);
             }
-        }
-        for m in self.machines.iter().filter(|m| ready(m) && !m.aside && now >= m.started + self.set.cold_for)
-        {
-            self.kinds[m.kind].borne.add([0.0, LOOK as f64 / 1e6], now, RATE_FADE);
+            self.machines[*i].silent = false;
         }
     }
 
@@ -535,9 +513,8 @@
 
     /// Rule 4: this front's prudent part of what a cold machine can take, earned as time goes and due as
     /// soon as it makes a req. What warm machines of its kind have borne from this front stands in for the
-    /// capacity, which nobody tells, so that the parts of all fronts add up to what such a machine bears,
-    /// however traffic is spread. Fronts begin with credits a step apart, each machine's from another front
-    /// on: of hundreds, which cannot all use it, every n-th of the sorted list does, from a start of its own.
+    /// capacity, so that the parts of all fronts add up, however traffic is spread. Fronts begin with credits
+    /// a step apart: of hundreds, each takes every n-th cold machine of the sorted list, from its own start.
     fn due(&mut self, i: usize) -> bool {
         let now = self.now;
         let warm = self.warmth(self.machines[i].started);
@@ -550,8 +527,8 @@
         m.credit >= 1.0
     }
 
-    /// Reqs a second that a warm machine of the kind has answered this front: of any kind where this one
-    /// was not seen warm, and where none was, an even part of what comes in.
+    /// Reqs a second that a warm machine of the kind has answered this front; else one of any kind, and
+    /// where none was seen warm, an even part of what comes in.
     fn bears(&mut self, kind: usize) -> f64 {
         let now = self.now;
         let all: Vec<[f64; 2]> = self.kinds.iter_mut().map(|k| k.borne.read(now, RATE_FADE)).collect();
@@ -566,7 +543,7 @@
     fn pick(&mut self, id: u64) -> Option<usize> {
         let (mut sides, mut allowed) = ([Vec::new(), Vec::new()], BTreeMap::new());
         let (now, rq) = (self.now, &self.reqs[&id]);
-        let (route, left) = (rq.route, 0.6 * rq.objective.saturating_sub(now) as f64);
+        let (route, work, left) = (rq.route, rq.work, 0.6 * rq.objective.saturating_sub(now) as f64);
         // A key that the build on trial has answered goes no lower where keys go one way only.
         let held = self.set.one_way
             && self.news.is_some_and(|n| !matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
@@ -580,19 +557,16 @@
         if !open.iter().all(tried) {
             open.retain(|i| !tried(i));
         }
-        let work = rq.work;
         let usual = self.usual_for(route, work).unwrap_or(0.0);
         let time = |[sum, n]: [f64; 2]| usual * (sum + 2.0) / (n + 2.0);
         let times: Vec<f64> = self.kinds.iter_mut().map(|k| time(k.pace.read(now, RATE_FADE))).collect();
         for i in open {
             let m = &self.machines[i];
             let (build, warm, time) = (m.build, self.warmth(m.started), times[m.kind]);
-            if !*allowed.entry(build).or_insert_with(|| self.may_expose(build, route)) {
-                continue;
-            }
-            if warm >= 1.0 {
+            let allowed = *allowed.entry(build).or_insert_with(|| self.may_expose(build, route));
+            if allowed && warm >= 1.0 {
                 sides[usize::from(self.on_trial(build))].push(i);
-            } else if self.due(i) && time < left * warm {
+            } else if allowed && self.due(i) && time < left * warm {
                 return Some(i);
             }
         }
@@ -659,11 +633,8 @@
             // and nothing would be learned again.
             let late = self.now + (usual * 3 / 2).min(objective / 2) >= rq.objective;
             if late || !self.machines.iter().any(|m| self.may_try(rq, m)) {
-                let harmless = matches!(
-                    self.set.routes[route].repeat,
-                    Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. }
-                );
-                if harmless || !rq.tries.iter().any(|t| t.ran) {
+                let harmless = |r| matches!(r, Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. });
+                if harmless(self.set.routes[route].repeat) || !rq.tries.iter().any(|t| t.ran) {
                     out.shed(id, self.set.max_come_back.min(objective / 2));
                 } else {
                     out.error(id);
@@ -707,7 +678,7 @@
         self.sends.add([1.0], now, RATE_FADE);
     }
 
-    /// What only the passing of time brings: failures that need no answer, tries no longer of use, the recount.
+    /// What only the passing of time brings: failures without an answer, tries of no more use, the recount.
     fn sweep(&mut self, out: &mut dyn Writer) {
         let (now, window) = (self.now, self.set.exposure_window);
         if self.recount.take_if(|t| now >= *t).is_some() {
@@ -721,7 +692,9 @@
             let objective = self.set.routes[rq.route].objective;
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
                 // What a silent machine keeps takes no room of the others.
-                let silent = self.machines[t.machine].heard <= t.sent;
+                let m = &mut self.machines[t.machine];
+                let silent = m.heard <= t.sent;
+                m.silent |= silent && now > t.sent + objective && self.set.probes;
                 self.held += f64::from(now <= t.sent + if silent { objective / 2 } else { objective });
                 if !t.counted && now > t.sent + LATE * objective {
                     overdue.push((*id, n, now - t.sent));
@@ -742,8 +715,8 @@
     m.room = Room { tries: room, ..Room::default() };
 }
 
-/// Room follows how long answers take: it grows where it is used up while most are easy, and narrows where
-/// most are not, at most once in half an objective, so that one jam is answered once.
+/// Room grows where it is used up while most answers are easy, and narrows where most are not, at most
+/// once in half an objective, so that one jam is answered once.
 fn pace(room: &mut Room, ease: f64, held: f64, least: f64, now: u64, objective: u64) {
     room.ease.add([f64::from(ease > EASE), 1.0], now, EASE_FADE);
     let jammed = room.ease.sums[0] > 0.5 * room.ease.sums[1];
--- a/src/front.rs
+++ b/src/front.rs
@@ -33,12 +33,6 @@
     pub repeat: Repeat,
 }
 
-#[derive(Clone, Debug)]
-pub struct Tenant {
-    pub name: String,
-    pub quota_per_s: f64,
-}
-
 /// The told figures that the module reads.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -47,8 +41,6 @@
     pub fronts: u32,
     pub zone: String,
     pub routes: Vec<Route>,
-    pub tenants: Vec<Tenant>,
-    pub over_share_earnings: f64,
     /// The machine list has to be asked for.
     pub ask_list: bool,
     pub cross_zone_price: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,6 +126,8 @@
     pub refused: u32,
     pub died: u64,
     pub heard: u64,
+    /// It let a try pass its objective without any answer since.
+    pub silent: bool,
     pub aside: bool,
     pub probe_out: bool,
     pub probed: u64,
@@ -221,7 +223,6 @@
     pub cast: Option<(u32, u32, Verdict, u64)>,
     /// By route, then of all, before a trial: time to answer, work, answers.
     pub usual: Vec<Fading<3>>,
-    pub tenants: Vec<Fading<1>>,
     /// Tries out, and room for them in all.
     pub held: f64,
     pub room: Room,
@@ -264,7 +265,6 @@
             stands: (0, 0, Verdict::None, now),
             cast: None,
             usual: vec![Fading::default(); set.routes.len() + 1],
-            tenants: vec![Fading::default(); set.tenants.len()],
             held: 0.0,
             room: Room { tries: f64::INFINITY, ..Room::default() },
             arrivals: Fading::default(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -61,8 +61,6 @@
             route("hold", Repeat::Deduped { scope: Scope::Zone, window: 300 * MS }),
             route("pay", Repeat::NonRetriable),
         ],
-        tenants: vec![],
-        over_share_earnings: 1.0,
         ask_list: false,
         cross_zone_price: 0.0,
         probes: true,
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -54,7 +54,7 @@
     });
     let mut on_new = 0;
     for id in 0..seconds * 50 {
-        let got = b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS, 1.0));
+        let got = b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
         let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
         all.extend(got);
         let mut bad = false;
@@ -91,7 +91,7 @@
         });
         let mut cast = 0;
         for id in 0..500 {
-            let got = b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS, 1.0));
+            let got = b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
             let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
             let end = if new { End::Error } else { End::Done };
             cast += count(&got, "vote 2 0 Back");
@@ -121,8 +121,7 @@
         // Calm rounds, then one in which all that the new machine holds ends at once.
         for round in 0..60 {
             let some: Vec<u64> = ids.by_ref().take(8).collect();
-            let sent =
-                b.round(10 * MS, |to| some.iter().for_each(|id| to.req(*id, 0, None, None, 900 * MS, 1.0)));
+            let sent = b.round(10 * MS, |to| some.iter().for_each(|id| to.req(*id, 0, None, 900 * MS, 1.0)));
             all.extend(b.round(10 * MS, |to| {
                 for id in some {
                     let hit = round >= 57 && sent.contains(&format!("try {id} n1"));
@@ -152,7 +151,7 @@
                     to.news(2, 0, Phase::Trial, 0.1, 0);
                 });
             }
-            all.extend(b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS, 1.0)));
+            all.extend(b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0)));
             all.extend(b.round(took * MS, |to| to.outcome(id, 0, End::Done, took * MS, true, None)));
         }
         assert_eq!(count(&all, "vote 2 0 Back") > 0, back);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -25,7 +25,7 @@
         let mut b = Bench::new(settings());
         let sent = b.round(0, |to| {
             warm(to, "m1", "z1", 1);
-            to.req(7, route, None, None, 900 * MS, 1.0);
+            to.req(7, route, None, 900 * MS, 1.0);
         });
         assert_eq!(sent, ["try 7 m1"]);
         b.round(0, |to| warm(to, "m2", zone, 1));
@@ -40,7 +40,7 @@
     let mut b = Bench::new(settings());
     b.round(0, |to| {
         warm(to, "m1", "z2", 1);
-        to.req(7, 1, None, None, 900 * MS, 1.0);
+        to.req(7, 1, None, 900 * MS, 1.0);
     });
     let now = b.now;
     b.round(10 * MS, |to| {
@@ -57,7 +57,7 @@
         let mut b = Bench::new(settings());
         b.round(0, |to| {
             warm(to, "m1", "z1", 1);
-            to.req(7, 0, None, None, 900 * MS, 1.0);
+            to.req(7, 0, None, 900 * MS, 1.0);
         });
         b.round(0, |to| warm(to, "m2", "z1", 1));
         let got = b.round(10 * MS, |to| to.outcome(7, 0, End::Reset, 10 * MS, false, None));
@@ -70,7 +70,7 @@
 fn a_req_held_without_machines_is_answered_once_and_in_time() {
     for route in 0..3 {
         let mut b = Bench::new(settings());
-        let mut all = b.round(0, |to| to.req(7, route, None, None, 200 * MS, 1.0));
+        let mut all = b.round(0, |to| to.req(7, route, None, 200 * MS, 1.0));
         for _ in 0..40 {
             all.extend(b.round(10 * MS, |_| {}));
             assert!(b.now < 100_200 * MS || all.len() == 1);
@@ -87,7 +87,7 @@
         let got = b.round(0, |to| {
             to.list(false);
             to.machine("m1", ("z1", 0, "k"), 1, standing, 0);
-            to.req(7, 0, None, None, 900 * MS, 1.0);
+            to.req(7, 0, None, 900 * MS, 1.0);
         });
         assert_eq!(got.len(), 0, "{got:?}");
     }
@@ -99,7 +99,7 @@
     b.round(0, |to| warm(to, "m1", "z1", 1));
     let got = b.round(0, |to| {
         to.list(true);
-        to.req(7, 0, None, None, 900 * MS, 1.0);
+        to.req(7, 0, None, 900 * MS, 1.0);
     });
     assert_eq!(got.len(), 0, "{got:?}");
 }
@@ -110,7 +110,7 @@
     let got = b.round(0, |to| {
         warm(to, "m1", "z1", build);
         to.news(2, stage, Phase::Trial, cap, 0);
-        (0..reqs).for_each(|id| to.req(id, route, None, None, 900 * MS, 1.0));
+        (0..reqs).for_each(|id| to.req(id, route, None, 900 * MS, 1.0));
     });
     count(&got, "try")
 }
@@ -142,7 +142,7 @@
         let got = b.round(0, |to| {
             warm(to, "m1", "z1", 2);
             to.news(2, 1, Phase::Trial, 0.1, 0);
-            (0..10).for_each(|id| to.req(id, usize::from(id >= 5), None, None, 900 * MS, 1.0));
+            (0..10).for_each(|id| to.req(id, usize::from(id >= 5), None, 900 * MS, 1.0));
         });
         let first = (0..5).filter(|id| got.contains(&format!("try {id} m1"))).count();
         assert_eq!(if by_route { first } else { count(&got, "try") }, wanted);
@@ -156,10 +156,10 @@
         b.round(0, |to| {
             warm(to, "m1", "z1", 2);
             to.news(2, 1, Phase::Trial, 0.1, 0);
-            (0..2).for_each(|id| to.req(id, 0, None, None, 900 * MS, 1.0));
+            (0..2).for_each(|id| to.req(id, 0, None, 900 * MS, 1.0));
         });
         b.round(20 * MS, |to| (0..2).for_each(|id| to.outcome(id, 0, End::Done, 20 * MS, true, None)));
-        let got = b.round(pass - 20 * MS, |to| to.req(9, 0, None, None, 900 * MS, 1.0));
+        let got = b.round(pass - 20 * MS, |to| to.req(9, 0, None, 900 * MS, 1.0));
         assert_eq!(count(&got, "try"), wanted);
     }
 }
@@ -175,7 +175,7 @@
         b.round(0, |to| {
             warm(to, "new", "z1", 2);
             to.news(2, 1, Phase::Trial, 1.0, 0);
-            to.req(1, 0, None, Some("k"), 900 * MS, 1.0);
+            to.req(1, 0, Some("k"), 900 * MS, 1.0);
         });
         b.round(10 * MS, |to| to.outcome(1, 0, End::Done, 10 * MS, true, None));
         let got = b.round(10 * MS, |to| {
@@ -184,7 +184,7 @@
             }
             warm(to, "old", "z1", 1);
             to.news(2, 1, phase, 1.0, 0);
-            to.req(2, 0, None, Some("k"), 900 * MS, 1.0);
+            to.req(2, 0, Some("k"), 900 * MS, 1.0);
         });
         assert_eq!(got, [wanted]);
     }
@@ -202,7 +202,7 @@
             // Spread over the second, as the fronts of a deployment are.
             b.round(u64::from(me) * 10 * MS, |_| {});
             for id in 0.. {
-                b.round(10 * MS, |to| to.req(id, 0, None, None, 900 * MS, 1.0));
+                b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
                 b.round(10 * MS, |to| to.outcome(id, 0, End::Done, 10 * MS, true, None));
                 if b.now > start + 10_000 * MS {
                     break;
@@ -218,7 +218,7 @@
                 let due = step % (pass / (10 * MS)) == 0;
                 let got = b.round(10 * MS, |to| {
                     if due {
-                        to.req(10_000 + step, 0, None, None, 900 * MS, 1.0);
+                        to.req(10_000 + step, 0, None, 900 * MS, 1.0);
                     }
                 });
                 for rq in got.iter().filter_map(|l| l.strip_prefix("try ")?.strip_suffix(" cold")) {
@@ -238,7 +238,7 @@
     let mut b = Bench::new(settings());
     b.round(0, |to| {
         warm(to, "m1", "z1", 1);
-        to.req(1, 0, None, None, 2000 * MS, 1.0);
+        to.req(1, 0, None, 2000 * MS, 1.0);
     });
     b.round(0, |to| warm(to, "m2", "z1", 1));
     let got: Vec<_> = (0..40).flat_map(|_| b.round(10 * MS, |_| {})).collect();
@@ -252,7 +252,7 @@
     let mut b = Bench::new(settings());
     b.round(0, |to| {
         warm(to, "m1", "z1", 1);
-        (1..3).for_each(|id| to.req(id, 2, None, None, 5000 * MS, 1.0));
+        (1..3).for_each(|id| to.req(id, 2, None, 5000 * MS, 1.0));
     });
     b.round(0, |to| (1..3).for_each(|id| to.outcome(id, 0, End::Refused, MS, false, None)));
     let mut probes = 0;
@@ -267,7 +267,7 @@
             break;
         }
     }
-    assert_eq!(b.round(10 * MS, |to| to.req(9, 0, None, None, 900 * MS, 1.0)), ["try 9 m1"]);
+    assert_eq!(b.round(10 * MS, |to| to.req(9, 0, None, 900 * MS, 1.0)), ["try 9 m1"]);
 }
 
 #[test]
@@ -277,13 +277,13 @@
         b.round(0, |to| {
             warm(to, "m1", "z1", 2);
             to.news(2, 1, Phase::Trial, 1.0, 0);
-            (0..30).for_each(|id| to.req(id, 0, None, None, 900 * MS, 1.0));
+            (0..30).for_each(|id| to.req(id, 0, None, 900 * MS, 1.0));
         });
         let got = b.round(10 * MS, |to| {
             (0..30).for_each(|id| to.outcome(id, 0, End::Done, 10 * MS, true, None));
             (0..30).for_each(|id| to.withdrawn(id));
             to.news(2, 1, Phase::Trial, cap, 0);
-            to.req(99, 0, None, None, 900 * MS, 1.0);
+            to.req(99, 0, None, 900 * MS, 1.0);
         });
         assert_eq!(count(&got, "try 99"), wanted, "{cap}: {got:?}");
     }
