--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,7 +11,6 @@
 
 const MS: u64 = 1_000;
 const SECOND: u64 = 1_000_000;
-// The design page's test; the figures it marks as its own are starting values.
 const LOOK: u64 = 250 * MS;
 const HORIZON: u64 = 3 * SECOND;
 const SETTLING: u64 = 3 * SECOND;
@@ -35,9 +34,9 @@
 const DOUBT: [f64; TESTS] = [1.5, 1.5, 0.0, 1.5];
 /// Evidence fades, or a build that turns bad late would hide behind its good start.
 const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 20e6];
-/// A try is slow when it took this many times what its route usually takes on such a machine.
+/// A try is slow when it took so many times what its route usually takes on such a machine, and so many
+/// times what the machine's load explains: were demand the cause, it would answer more for it.
 const SLOW: f64 = 2.0;
-/// And this much beyond what its machine's load explains: were demand the cause, it would answer more for it.
 const LOADED: f64 = 1.35;
 const USUAL_FADE: f64 = 30e6;
 const LEAST_KNOWN: f64 = 5.0;
@@ -210,17 +209,14 @@
         if self.stalled || !matches!(end, End::Done | End::Full | End::TimedOut) {
             return;
         }
-        pace(&mut m.room, ease, m.held, 1.0, now, objective);
+        pace(&mut m.room, ease, m.held, now, objective);
         if end != End::TimedOut {
-            // What is answered, at its usual pace, keeps its room whatever else is slow.
-            let least = self.worked.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
-            pace(&mut self.room, ease, self.held, least.max(1.0), now, objective);
+            pace(&mut self.room, ease, self.held, now, objective);
         }
     }
 
     pub fn probed(&mut self, name: &str, end: End, load: Option<Load>) {
-        let now = self.now;
-        let Some(i) = self.find(name) else { return };
+        let (now, Some(i)) = (self.now, self.find(name)) else { return };
         self.note_load(i, load);
         // A req that went down with its machine may have brought it down, and would bring down the next.
         for rq in self.reqs.values_mut().filter(|rq| rq.suspect == Some(i)) {
@@ -304,7 +300,7 @@
         self.evidence.entry((build, i)).or_default().add(hits, now, EVIDENCE_FADE);
     }
 
-    /// What so much work of the route usually takes; all routes stand in where little is known of one.
+    /// What so much work usually takes; all routes stand in where little is known of one.
     fn usual_for(&mut self, route: usize, work: f64) -> Option<f64> {
         let [all, own] = [self.set.routes.len(), route].map(|r| self.usual[r].read(self.now, USUAL_FADE));
         let few = LEAST_KNOWN * all[1] / all[2];
@@ -322,7 +318,6 @@
     fn learn(&mut self, i: usize, route: usize, work: f64, took: u64, earlier: bool) {
         let (now, took, load) = (self.now, took as f64, 1.0 + self.load(i).0);
         let usual = self.usual_for(route, work);
-        self.worked.add([usual.unwrap_or(0.0) / 1e6], now, RATE_FADE);
         let kind = &mut self.kinds[self.machines[i].kind];
         if let Some(u) = usual {
             self.machines[i].pace.add([took / u, 1.0], now, RATE_FADE);
@@ -356,8 +351,7 @@
     }
 
     fn look(&mut self, out: &mut dyn Writer) {
-        let Some(n) = self.news else { return };
-        let now = self.now;
+        let (now, Some(n)) = (self.now, self.news) else { return };
         let mut sides = [[Arm::default(); 2]; TESTS];
         for (&(build, i), t) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
             // What a machine set aside did is laid to the machine, not to its build.
@@ -378,9 +372,9 @@
         let (lower, upper) = bounds();
         // Few false votes of many fronts make a false verdict of the fleet, which is what α is for: the part
         // of it that falls to one front is such that as many at once as are needed stay as rare.
-        let (fronts, votes) = (f64::from(self.set.fronts), f64::from(self.set.back_votes.max(1)));
-        let part = (votes.sqrt() - 0.82).max(0.0).powi(2).max(ALPHA * f64::from(votes <= 1.0)) / fronts;
-        let share = (ALPHA / part).ln().max(0.0);
+        let votes = f64::from(self.set.back_votes.max(1));
+        let part = if votes > 1.0 { (votes.sqrt() - 0.82).powi(2) } else { ALPHA };
+        let share = (ALPHA / part * f64::from(self.set.fronts)).ln().max(0.0);
         let mut lifted = now >= n.since + HORIZON;
         self.leaning = false;
         for (test, [new, old]) in sides.into_iter().enumerate() {
@@ -397,8 +391,8 @@
             let both = (s.exp() + far.exp()).ln() - DOUBT[test] - share;
             if both >= upper && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
-                let counts = (new.hits, new.outcomes, old.hits, old.outcomes);
-                out.note(&format!("build {} to go back: test {test}, new and old {counts:.1?}", n.build));
+                let told = [new.hits, new.outcomes, old.hits, old.outcomes];
+                out.note(&format!("build {} to go back: test {test}, new and old {told:.1?}", n.build));
             }
             self.leaning |= both > 0.0;
             lifted |= test == FAILURES && s <= lower;
@@ -409,8 +403,7 @@
     }
 
     fn vote(&mut self, out: &mut dyn Writer) {
-        let Some(n) = self.news else { return };
-        let now = self.now;
+        let (now, Some(n)) = (self.now, self.news) else { return };
         if self.cast.is_some_and(|c| now < c.3 + self.set.vote_wait + SECOND) {
             return;
         }
@@ -717,11 +710,11 @@
 
 /// Room grows where it is used up while most answers are easy, and narrows where most are not, at most
 /// once in half an objective, so that one jam is answered once.
-fn pace(room: &mut Room, ease: f64, held: f64, least: f64, now: u64, objective: u64) {
+fn pace(room: &mut Room, ease: f64, held: f64, now: u64, objective: u64) {
     room.ease.add([f64::from(ease > EASE), 1.0], now, EASE_FADE);
     let jammed = room.ease.sums[0] > 0.5 * room.ease.sums[1];
     if jammed && now >= room.narrowed + objective / 2 {
-        (room.tries, room.narrowed) = ((room.tries.min(2.0 * held + 4.0) * 0.8).max(least), now);
+        (room.tries, room.narrowed) = ((room.tries.min(2.0 * held + 4.0) * 0.8).max(1.0), now);
     } else if !jammed && held + 2.0 >= room.tries {
         room.tries += 1.0 / room.tries;
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,8 +227,6 @@
     pub held: f64,
     pub room: Room,
     pub arrivals: Fading<1>,
-    /// Seconds that reqs completed usually take.
-    pub worked: Fading<1>,
     pub sends: Fading<1>,
     pub ask_at: u64,
     pub swept: u64,
@@ -268,7 +266,6 @@
             held: 0.0,
             room: Room { tries: f64::INFINITY, ..Room::default() },
             arrivals: Fading::default(),
-            worked: Fading::default(),
             sends: Fading::default(),
             ask_at: if set.ask_list { now } else { u64::MAX },
             swept: 0,
