--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,8 +52,7 @@
 const STALL: u64 = 100 * MS;
 
 impl Arm {
-    /// Floored, or a side without a hit would make any single hit on the other look certain: at a 1% share's,
-    /// and while there are fewer than the paper's hundred outcomes at that of one hit among them.
+    /// Floored at a 1% share's, or at that of one hit among few outcomes: no side without hits is certain.
     fn plain_variance(&self, rare: f64) -> f64 {
         let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0) / rare.max(1.0));
         let binomial = |p: f64| p * (1.0 - p);
@@ -139,7 +138,7 @@
             (m.wanted, m.load, m.credited) = (2, (0.0, 0), now);
             m.credit = f64::from(turn) / f64::from(self.set.fronts);
         }
-        (m.zone, m.cell, m.kind) = (place.0.into(), place.1, kind);
+        (m.zone, m.cell, m.kind, m.far) = (place.0.into(), place.1, kind, place.0 != self.set.zone);
         (m.build, m.standing, m.started) = (build, st, started);
     }
 
@@ -322,6 +321,7 @@
         if let Some(u) = usual {
             self.machines[i].pace.add([took / u, 1.0], now, RATE_FADE);
             kind.pace.add([took / u, 1.0], now, RATE_FADE);
+            self.zones[usize::from(self.machines[i].far)].add([took / u, 1.0], now, RATE_FADE);
         }
         if earlier && (self.news.is_none_or(|n| n.phase != Phase::Trial) || usual.is_none()) {
             for r in [self.set.routes.len(), route] {
@@ -520,8 +520,7 @@
         m.credit >= 1.0
     }
 
-    /// Reqs a second that a warm machine of the kind has answered this front; else one of any kind, and
-    /// where none was seen warm, an even part of what comes in.
+    /// Reqs a second answered by a warm machine of the kind, else of any, else an even part of what comes in.
     fn bears(&mut self, kind: usize) -> f64 {
         let now = self.now;
         let all: Vec<[f64; 2]> = self.kinds.iter_mut().map(|k| k.borne.read(now, RATE_FADE)).collect();
@@ -570,15 +569,18 @@
                 side.retain(|i| !slow(i));
             }
         }
-        // The share of warm machines: cold ones have had theirs, and would leave it to the warm ones of
-        // their build, which a good build would then be blamed for.
+        // By warm machines: cold ones have had theirs, and would leave it to the warm ones of their build.
         let share = sides[1].len() as f64 / (sides[0].len() + sides[1].len()).max(1) as f64;
         let first = usize::from(self.rng.rand_float() < share);
         let side = if sides[first].is_empty() { &sides[1 - first] } else { &sides[first] };
-        if side.is_empty() {
-            return None;
-        }
-        let [a, b] = [0; 2].map(|_| side[(self.rng.rand_u64() % side.len() as u64) as usize]);
+        side.first()?;
+        // One of the two from the own zone, unless it is so much busier that crossing is worth its price.
+        let own: Vec<usize> = side.iter().copied().filter(|i| !self.machines[*i].far).collect();
+        let paces =
+            self.zones.each_mut().map(|z| z.read(now, RATE_FADE)).map(|[sum, n]| (sum + 5.0) / (n + 5.0));
+        let lean = paces[0] <= (0.8 + 10.0 * self.set.cross_zone_price) * paces[1] && !own.is_empty();
+        let pools = [if lean { &own } else { side }, side];
+        let [a, b] = pools.map(|pool| pool[(self.rng.rand_u64() % pool.len() as u64) as usize]);
         Some(if self.cost(b) < self.cost(a) { b } else { a })
     }
 
@@ -602,7 +604,7 @@
             let [sum, n] = paces.read(now, RATE_FADE);
             pace = (sum + 2.0 * pace) / (n + 2.0);
         }
-        let far = if m.zone != self.set.zone { 1.0 + 10.0 * self.set.cross_zone_price } else { 1.0 };
+        let far = 1.0 + f64::from(m.far) * 10.0 * self.set.cross_zone_price;
         (holds + 1.0) / (mean + 1.0) * pace.max(0.1) * far
     }
 
@@ -622,8 +624,7 @@
             let (route, work) = (self.reqs[&id].route, self.reqs[&id].work);
             let usual = self.usual_for(route, work).unwrap_or(0.0) as u64;
             let (rq, objective) = (&self.reqs[&id], self.set.routes[route].objective);
-            // Never more than half the objective: what was learned in a jam would shed each req on arrival,
-            // and nothing would be learned again.
+            // At most half the objective: else a jam would shed all on arrival, and nothing be learned again.
             let late = self.now + (usual * 3 / 2).min(objective / 2) >= rq.objective;
             if late || !self.machines.iter().any(|m| self.may_try(rq, m)) {
                 let harmless = |r| matches!(r, Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. });
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,6 +112,8 @@
 pub struct Machine {
     pub name: String,
     pub zone: String,
+    /// In another zone than this front.
+    pub far: bool,
     pub kind: usize,
     pub cell: u64,
     pub build: u32,
@@ -226,6 +228,8 @@
     /// Tries out, and room for them in all.
     pub held: f64,
     pub room: Room,
+    /// Times to answer against the usual, and answers, in the own zone and in others.
+    pub zones: [Fading<2>; 2],
     pub arrivals: Fading<1>,
     pub sends: Fading<1>,
     pub ask_at: u64,
@@ -265,6 +269,7 @@
             usual: vec![Fading::default(); set.routes.len() + 1],
             held: 0.0,
             room: Room { tries: f64::INFINITY, ..Room::default() },
+            zones: Default::default(),
             arrivals: Fading::default(),
             sends: Fading::default(),
             ask_at: if set.ask_list { now } else { u64::MAX },
