--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,7 +41,6 @@
 const USUAL_FADE: f64 = 30e6;
 const LEAST_KNOWN: f64 = 5.0;
 const RATE_FADE: f64 = 5e6;
-const EASE_FADE: f64 = 1e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
 const FIRST_ROOM: f64 = 6.0;
@@ -75,14 +74,15 @@
     z * drift - drift * drift / 2.0
 }
 
-/// Of both sides. Where hits are `rare` (0: they are not), few outcomes say little of their own variance: the
-/// fewer, the more the earlier build's share stands in for theirs, as it would be if the builds were alike.
+/// Of both sides; the old one's clustering also holds for a new one of too few machines to show it. Where
+/// hits are `rare`, the fewer the outcomes, the more the old share stands in, as if the builds were alike.
 pub fn variances(new: Arm, old: Arm, rare: f64) -> [f64; 2] {
     let own = if rare == 0.0 { 1.0 } else { (new.outcomes * LEAST_SHARE / rare.powi(4)).min(1.0) };
     let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance(rare);
     let seen = Arm { hits: new.hits + 1.0, outcomes: new.outcomes + 2.0, ..new }.plain_variance(rare);
     let variance = own * seen + (1.0 - own) * alike;
-    [variance * new.clustering(rare), old.plain_variance(rare) * old.clustering(rare)]
+    let clustering = old.clustering(rare);
+    [variance * new.clustering(rare).max(clustering), old.plain_variance(rare) * clustering]
 }
 
 pub fn bounds() -> (f64, f64) {
@@ -134,9 +134,8 @@
             // A new process: what the old one did says nothing of it. One that comes back slowed as well
             // could do far less than its age says, hence the slow start.
             renew(m, if started != 0 && now < started + self.set.cold_for { 1.0 } else { FIRST_ROOM }, now);
-            let turn = (rank + self.set.me) % self.set.fronts;
             (m.wanted, m.load, m.credited) = (2, (0.0, 0), now);
-            m.credit = f64::from(turn) / f64::from(self.set.fronts);
+            m.credit = f64::from((rank + self.set.me) % self.set.fronts) / f64::from(self.set.fronts);
         }
         (m.zone, m.cell, m.kind, m.far) = (place.0.into(), place.1, kind, place.0 != self.set.zone);
         (m.build, m.standing, m.started) = (build, st, started);
@@ -154,7 +153,8 @@
         let Route { objective, earnings, .. } = self.set.routes[route];
         // Where no work is told, the objective measures it: what takes longer is given longer.
         let (parts, work) = if hint > 0.0 { (hint, hint) } else { (1.0, objective as f64 / 1e3) };
-        let rank = earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0);
+        // In steps, or of routes nearly alike one would go without any service in a jam.
+        let rank = (earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0)).log(1.6).round();
         let (key, due) = (key.map(String::from), now + left);
         let objective = due.min(now + objective);
         self.reqs.insert(id, Req { route, key, work, came: now, due, objective, rank, ..Req::default() });
@@ -265,9 +265,8 @@
         }
     }
 
-    /// Counts one try into the evidence. A cold machine is slow whatever it runs, so that its lateness
-    /// says nothing; and only tries sent while the other side served too are compared with it, or what a
-    /// swap, a jam or a lost zone does to the fleet would be held against the build that runs by then.
+    /// Counts one try into the evidence; against the other side only if that served too when it was sent, or
+    /// what a swap, a jam or a lost zone does would be held against the build that runs by then.
     fn judge(&mut self, id: u64, n: usize, end: End, took: u64) {
         let (now, rq) = (self.now, &self.reqs[&id]);
         let (route, work) = (rq.route, rq.work);
@@ -278,17 +277,18 @@
         // counts as slow only beyond what the machine's load explains.
         let load = 1.0 + load.max(self.load(i).0);
         let usual = self.usual_on(i, route, work);
-        let slow = usual.map(|(usual, met)| took as f64 > usual * SLOW.max(LOADED * load / met));
+        let slow = usual.map(|(usual, met)| {
+            took as f64 > usual / self.warmth(self.machines[i].started) * SLOW.max(LOADED * load / met)
+        });
         let m = &mut self.machines[i];
         let plain = warm && (slow == Some(true) || m.heard <= sent);
         let known = error || matches!(end, End::Done | End::TimedOut) && (plain || !late) && !self.stalled;
-        // One process that dies is one failure, not one for each try it held: lost machines and zones are
-        // no build's doing, while a build that keeps dying still shows.
+        // A process that dies is one failure, not one for each try it held; a build that keeps dying shows.
         if !settled || !known || (end == End::Reset && now < m.died + SECOND) {
             return;
         }
         m.died = if end == End::Reset { now } else { m.died };
-        let slow = slow.filter(|_| warm && end != End::Error);
+        let slow = slow.filter(|_| end != End::Error);
         let mut hits = [None; TESTS];
         hits[FAILURES] = Some(error || late || end == End::TimedOut).filter(|_| paired);
         hits[SLOWNESS] = slow.filter(|_| paired);
@@ -360,15 +360,16 @@
             }
             t.read(now, EVIDENCE_FADE);
             for (test, arms) in sides.iter_mut().enumerate() {
-                arms[usize::from(build < n.build)].add(t.all[test], t.hits[test].min(t.all[test]));
+                let side = usize::from(build < n.build && test != SHARED);
+                arms[side].add(t.all[test], t.hits[test].min(t.all[test]));
             }
         }
         // The whole fleet against before; a few usual outcomes stand in where there were few.
-        let [mut fleet, earlier] = sides[SHARED];
-        fleet.join(earlier);
-        let mut calm = self.calm;
-        calm.add(LEAST_OUTCOMES, 0.15 * LEAST_OUTCOMES);
-        sides[SHARED] = [fleet, calm];
+        sides[SHARED][1] = self.calm;
+        sides[SHARED][1].add(LEAST_OUTCOMES, 0.15 * LEAST_OUTCOMES);
+        // Errors with none of the same time beside them may be those of a few machines, one at each here.
+        let alone = f64::from(self.serving(n.build)[1] == 0) * LEAST_OUTCOMES;
+        sides[ERRORS][1].add(alone, 0.15 * alone);
         let (lower, upper) = bounds();
         // Few false votes of many fronts make a false verdict of the fleet, which is what α is for: the part
         // of it that falls to one front is such that as many at once as are needed stay as rare.
@@ -712,7 +713,7 @@
 /// Room grows where it is used up while most answers are easy, and narrows where most are not, at most
 /// once in half an objective, so that one jam is answered once.
 fn pace(room: &mut Room, ease: f64, held: f64, now: u64, objective: u64) {
-    room.ease.add([f64::from(ease > EASE), 1.0], now, EASE_FADE);
+    room.ease.add([f64::from(ease > EASE), 1.0], now, 1e6);
     let jammed = room.ease.sums[0] > 0.5 * room.ease.sums[1];
     if jammed && now >= room.narrowed + objective / 2 {
         (room.tries, room.narrowed) = ((room.tries.min(2.0 * held + 4.0) * 0.8).max(1.0), now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,10 +75,6 @@
     pub fn share(&self) -> f64 {
         if self.outcomes > 0.0 { self.hits / self.outcomes } else { 0.0 }
     }
-    pub fn join(&mut self, o: Arm) {
-        (self.outcomes, self.hits) = (self.outcomes + o.outcomes, self.hits + o.hits);
-        self.spread = [0, 1, 2].map(|i| self.spread[i] + o.spread[i]);
-    }
     pub fn add(&mut self, n: f64, k: f64) {
         (self.outcomes, self.hits) = (self.outcomes + n, self.hits + k);
         self.spread = [self.spread[0] + k * k, self.spread[1] + k * n, self.spread[2] + n * n];
