--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,7 +39,6 @@
 const SLOW: f64 = 2.0;
 const LOADED: f64 = 1.35;
 const USUAL_FADE: f64 = 30e6;
-const LEAST_KNOWN: f64 = 5.0;
 const RATE_FADE: f64 = 5e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
@@ -54,8 +53,8 @@
     /// Floored at a 1% share's, or at that of one hit among few outcomes: no side without hits is certain.
     fn plain_variance(&self, rare: f64) -> f64 {
         let floor = LEAST_SHARE.max(1.0 / (self.outcomes + 3.0) / rare.max(1.0));
-        let binomial = |p: f64| p * (1.0 - p);
-        binomial(self.share()).max(binomial(floor))
+        let p = self.share().clamp(floor, 1.0 - floor);
+        p * (1.0 - p)
     }
     /// How much more its machines differ than chance would have them: what jams, slows or shares one
     /// machine hits its outcomes together, and a build would be judged by the luck of a few machines.
@@ -131,8 +130,7 @@
         let rank = self.names.range(..name.to_string()).count() as u32;
         let m = &mut self.machines[i];
         if m.build != build || m.started != started {
-            // A new process: what the old one did says nothing of it. One that comes back slowed as well
-            // could do far less than its age says, hence the slow start.
+            // A new process. One that comes back slowed could do far less than its age says: a slow start.
             renew(m, if started != 0 && now < started + self.set.cold_for { 1.0 } else { FIRST_ROOM }, now);
             (m.wanted, m.load, m.credited) = (2, (0.0, 0), now);
             m.credit = f64::from((rank + self.set.me) % self.set.fronts) / f64::from(self.set.fronts);
@@ -141,8 +139,8 @@
         (m.build, m.standing, m.started) = (build, st, started);
     }
 
+    /// The notice does not say whether a watch still stands; spread out, or all fronts call at once.
     pub fn list_failed(&mut self) {
-        // The notice does not say whether a watch still stands; spread out, or all fronts call at once.
         self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
     }
 
@@ -153,8 +151,10 @@
         let Route { objective, earnings, .. } = self.set.routes[route];
         // Where no work is told, the objective measures it: what takes longer is given longer.
         let (parts, work) = if hint > 0.0 { (hint, hint) } else { (1.0, objective as f64 / 1e3) };
-        // In steps, or of routes nearly alike one would go without any service in a jam.
-        let rank = (earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0)).log(1.6).round();
+        // In steps from the best, or of routes nearly alike one would go without any service in a jam.
+        let rank = earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0);
+        self.best = rank.max(0.99 * self.best);
+        let rank = (rank / self.best).log2().round();
         let (key, due) = (key.map(String::from), now + left);
         let objective = due.min(now + objective);
         self.reqs.insert(id, Req { route, key, work, came: now, due, objective, rank, ..Req::default() });
@@ -273,8 +273,7 @@
         let Try { build, machine: i, paired, steady, settled, warm, load, sent, .. } = rq.tries[n];
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
-        // In a queue lateness says nothing of the build either, unless the machine is silent altogether: time
-        // counts as slow only beyond what the machine's load explains.
+        // Time counts as slow, and lateness at all, only beyond what load explains, unless all is silent there.
         let load = 1.0 + load.max(self.load(i).0);
         let usual = self.usual_on(i, route, work);
         let slow = usual.map(|(usual, met)| {
@@ -302,8 +301,8 @@
     /// What so much work usually takes; all routes stand in where little is known of one.
     fn usual_for(&mut self, route: usize, work: f64) -> Option<f64> {
         let [all, own] = [self.set.routes.len(), route].map(|r| self.usual[r].read(self.now, USUAL_FADE));
-        let few = LEAST_KNOWN * all[1] / all[2];
-        (all[2] >= LEAST_KNOWN).then(|| (own[0] + few * all[0] / all[1]) / (own[1] + few) * work)
+        let few = 5.0 * all[1] / all[2];
+        (all[2] >= 5.0).then(|| (own[0] + few * all[0] / all[1]) / (own[1] + few) * work)
     }
 
     /// The same on machines of this one's kind, and how much these held then.
@@ -389,7 +388,9 @@
             let wide = GAPS[test] * if RARE[test] > 0.0 { GROSS } else { 1.0 };
             let s = score(new, old, present, before, GAPS[test]);
             let far = score(new, old, present, before, wide.max(least));
-            let both = (s.exp() + far.exp()).ln() - DOUBT[test] - share;
+            // What one machine does may be its neighbour's doing: the fewer there are, the more is doubted.
+            let doubt = DOUBT[test] * (1.0 + 2.0 * new.spread[2] / new.outcomes.powi(2));
+            let both = (s.exp() + far.exp()).ln() - doubt - share;
             if both >= upper && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
                 let told = [new.hits, new.outcomes, old.hits, old.outcomes];
@@ -545,11 +546,10 @@
             let open = m.standing == Standing::Ready && !m.aside && m.held < m.room.tries.floor();
             open && m.build >= floor && self.may_try(rq, m)
         };
-        let mut open: Vec<usize> = (0..self.machines.len()).filter(|i| fits(&self.machines[*i])).collect();
-        let tried = |i: &usize| rq.tries.iter().any(|t| t.machine == *i);
-        if !open.iter().all(tried) {
-            open.retain(|i| !tried(i));
-        }
+        let open: Vec<usize> = (0..self.machines.len()).filter(|i| fits(&self.machines[*i])).collect();
+        let untried = |i: &usize| !rq.tries.iter().any(|t| t.machine == *i);
+        let fresh: Vec<usize> = open.iter().copied().filter(untried).collect();
+        let open = if fresh.is_empty() { open } else { fresh };
         let usual = self.usual_for(route, work).unwrap_or(0.0);
         let time = |[sum, n]: [f64; 2]| usual * (sum + 2.0) / (n + 2.0);
         let times: Vec<f64> = self.kinds.iter_mut().map(|k| time(k.pace.read(now, RATE_FADE))).collect();
@@ -565,10 +565,9 @@
         }
         // Heavy reqs go where they can be done in time, and leave the rest to light ones.
         for side in &mut sides {
-            let slow = |i: &usize| times[self.machines[*i].kind] > left;
-            if !side.iter().all(slow) {
-                side.retain(|i| !slow(i));
-            }
+            let fast = |i: &usize| times[self.machines[*i].kind] <= left;
+            let fast: Vec<usize> = side.iter().copied().filter(fast).collect();
+            *side = if fast.is_empty() { std::mem::take(side) } else { fast };
         }
         // By warm machines: cold ones have had theirs, and would leave it to the warm ones of their build.
         let share = sides[1].len() as f64 / (sides[0].len() + sides[1].len()).max(1) as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -226,6 +226,8 @@
     pub room: Room,
     /// Times to answer against the usual, and answers, in the own zone and in others.
     pub zones: [Fading<2>; 2],
+    /// The best rank of late.
+    pub best: f64,
     pub arrivals: Fading<1>,
     pub sends: Fading<1>,
     pub ask_at: u64,
@@ -266,6 +268,7 @@
             held: 0.0,
             room: Room { tries: f64::INFINITY, ..Room::default() },
             zones: Default::default(),
+            best: 0.0,
             arrivals: Fading::default(),
             sends: Fading::default(),
             ask_at: if set.ask_list { now } else { u64::MAX },
