--- a/src/decide.rs
+++ b/src/decide.rs
@@ -352,11 +352,7 @@
     fn look(&mut self, out: &mut dyn Writer) {
         let (now, Some(n)) = (self.now, self.news) else { return };
         let mut sides = [[Arm::default(); 2]; TESTS];
-        for (&(build, i), t) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
-            // What a machine set aside did is laid to the machine, not to its build.
-            if self.machines[i].aside && self.machines[i].build == build {
-                continue;
-            }
+        for (&(build, _), t) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
             t.read(now, EVIDENCE_FADE);
             for (test, arms) in sides.iter_mut().enumerate() {
                 let side = usize::from(build < n.build && test != SHARED);
@@ -378,8 +374,10 @@
         let mut lifted = now >= n.since + HORIZON;
         self.leaning = false;
         for (test, [new, old]) in sides.into_iter().enumerate() {
-            let few = if test == SHARED { LEAST_OUTCOMES / 2.0 } else { 1.0 };
-            if new.outcomes < few || old.outcomes < LEAST_OUTCOMES {
+            // A front that started lately knows of no time before.
+            let fleet = test == SHARED;
+            let (few, least) = (if fleet { LEAST_OUTCOMES / 2.0 } else { 1.0 }, LEAST_OUTCOMES);
+            if new.outcomes < few || old.outcomes < least + f64::from(fleet) {
                 continue;
             }
             let present = variances(new, old, RARE[test]);
