Test the new defences; ranks are whole steps

The test of routes nearly alike found minus nothing ranked below nothing, so that the best two steps were three.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -154,7 +154,7 @@
         // In steps from the best, or of routes nearly alike one would go without any service in a jam.
         let rank = earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0);
         self.best = rank.max(0.99 * self.best);
-        let rank = (rank / self.best).log2().round();
+        let rank = (rank / self.best).log2().round() as i32;
         let (key, due) = (key.map(String::from), now + left);
         let objective = due.min(now + objective);
         self.reqs.insert(id, Req { route, key, work, came: now, due, objective, rank, ..Req::default() });
@@ -617,7 +617,7 @@
         let reqs = &self.reqs;
         let waits = |rq: &Req| !rq.over && !rq.tries.iter().any(|t| t.out);
         let mut ids: Vec<u64> = reqs.iter().filter(|(_, rq)| waits(rq)).map(|(id, _)| *id).collect();
-        ids.sort_by(|a, b| reqs[b].rank.total_cmp(&reqs[a].rank).then(reqs[b].came.cmp(&reqs[a].came)));
+        ids.sort_by(|a, b| reqs[b].rank.cmp(&reqs[a].rank).then(reqs[b].came.cmp(&reqs[a].came)));
         for id in ids {
             let (route, work) = (self.reqs[&id].route, self.reqs[&id].work);
             let usual = self.usual_for(route, work).unwrap_or(0.0) as u64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -170,7 +170,8 @@
     pub came: u64,
     pub due: u64,
     pub objective: u64,
-    pub rank: f64,
+    /// Steps under the best that go first.
+    pub rank: i32,
     pub over: bool,
     /// The machine that broke off its last try, until a probe tells whether it still runs; it does not.
     pub suspect: Option<usize>,
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -157,3 +157,82 @@
         assert_eq!(count(&all, "vote 2 0 Back") > 0, back);
     }
 }
+
+#[test]
+fn errors_with_none_beside_them_need_to_be_many() {
+    for (hits, back) in [(2, false), (12, true)] {
+        let mut b = Bench::new(Settings { stage_caps: vec![1.0], guarded_stages: 0, ..settings() });
+        b.round(0, |to| warm(to, "o1", "z1", 1));
+        let mut all = Vec::new();
+        for id in 0..66 {
+            if id == 50 {
+                b.round(0, |to| {
+                    to.list(true);
+                    (0..16).for_each(|m| warm(to, &format!("n{m}"), "z1", 2));
+                    to.news(2, 0, Phase::Trial, 1.0, 0);
+                });
+            }
+            let end = if id >= 66 - hits { End::Error } else { End::Done };
+            all.extend(b.round(20 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0)));
+            all.extend(b.round(20 * MS, |to| to.outcome(id, 0, end, 20 * MS, true, None)));
+        }
+        all.extend(b.round(250 * MS, |_| {}));
+        assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{hits}");
+    }
+}
+
+#[test]
+fn a_build_whose_machines_hang_is_sent_back_though_they_are_set_aside() {
+    let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
+    let mut all = b.round(0, |to| {
+        [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
+        to.news(2, 0, Phase::Trial, 0.5, 0);
+    });
+    for id in 0..200 {
+        let got = b.round(10 * MS, |to| to.req(id, 0, None, 3000 * MS, 1.0));
+        if got.iter().any(|l| l.starts_with("try") && l.contains(" o")) {
+            all.extend(b.round(10 * MS, |to| to.outcome(id, 0, End::Done, 10 * MS, true, None)));
+        }
+        all.extend(got);
+    }
+    assert!(count(&all, "probe n") > 0 && count(&all, "vote 2 0 Back") > 0);
+}
+
+#[test]
+fn a_front_that_knows_no_time_before_lays_no_slowness_to_a_released_build() {
+    let mut b = Bench::new(settings());
+    let mut all = b.round(0, |to| {
+        ["m1", "m2", "m3"].into_iter().for_each(|m| warm(to, m, "z1", 1));
+        to.news(1, 2, Phase::Released, 1.0, 0);
+    });
+    for id in 0..120 {
+        let took = if id < 10 { 10 } else { 60 };
+        all.extend(b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0)));
+        all.extend(b.round(took * MS, |to| to.outcome(id, 0, End::Done, took * MS, true, None)));
+    }
+    assert_eq!(count(&all, "vote"), 0);
+}
+
+#[test]
+fn a_slow_build_is_found_by_a_front_that_knows_little_of_each_route() {
+    for (took, back) in [(20, false), (70, true)] {
+        let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
+        b.round(0, |to| ["o1", "o2"].into_iter().for_each(|m| warm(to, m, "z1", 1)));
+        let mut all = Vec::new();
+        // Three answers a route before the trial.
+        for id in 0..200 {
+            if id == 9 {
+                b.round(0, |to| {
+                    ["n1", "n2"].into_iter().for_each(|m| warm(to, m, "z1", 2));
+                    to.news(2, 0, Phase::Trial, 0.5, 0);
+                });
+            }
+            let got = b.round(10 * MS, |to| to.req(id, (id % 3) as usize, None, 900 * MS, 0.0));
+            let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
+            let took = if new { took } else { 20 };
+            all.extend(got);
+            all.extend(b.round(took * MS, |to| to.outcome(id, 0, End::Done, took * MS, true, None)));
+        }
+        assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{took}");
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -288,3 +288,43 @@
         assert_eq!(count(&got, "try 99"), wanted, "{cap}: {got:?}");
     }
 }
+
+#[test]
+fn routes_nearly_alike_take_turns_where_room_is_short() {
+    // What the older of two waiting reqs earns -> which goes first: the newer, unless it earns far less.
+    for (earnings, wanted) in [(1.2, "try 8 m1"), (4.0, "try 7 m1")] {
+        let mut set = settings();
+        set.routes[2].earnings = earnings;
+        let mut b = Bench::new(set);
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 1);
+            (0..6).for_each(|id| to.req(id, 0, None, 900 * MS, 1.0));
+        });
+        let waiting = b.round(MS, |to| to.req(7, 2, None, 900 * MS, 1.0));
+        b.round(MS, |to| to.req(8, 0, None, 900 * MS, 1.0));
+        assert_eq!(waiting.len(), 0);
+        let got = b.round(MS, |to| to.outcome(0, 0, End::Error, 3 * MS, true, None));
+        assert_eq!(got, [wanted]);
+    }
+}
+
+#[test]
+fn the_own_zone_is_preferred_while_its_answers_take_no_longer() {
+    // How long answers take in the own zone, in the other -> at least, at most so many of 300 tries at home.
+    for (own, other, least, most) in [(10, 10, 190, 300), (40, 10, 0, 160)] {
+        let mut b = Bench::new(Settings { cross_zone_price: 0.02, ..settings() });
+        b.round(0, |to| ["f1", "f2", "f3", "f4"].into_iter().for_each(|m| warm(to, m, "z2", 1)));
+        let mut home = 0;
+        for id in 0..330 {
+            if id == 30 {
+                b.round(0, |to| ["h1", "h2"].into_iter().for_each(|m| warm(to, m, "z1", 1)));
+            }
+            let got = b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
+            let here = got.iter().any(|l| l.contains(" h"));
+            home += usize::from(here);
+            let took = if here { own } else { other } * MS;
+            b.round(took, |to| to.outcome(id, 0, End::Done, took, true, None));
+        }
+        assert!((least..=most).contains(&home), "{own} {other}: {home}");
+    }
+}
