--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,7 +3,7 @@
 //! the interface, with the settings and both traits, is `src/front.rs`. `docs/design.md` tells what comes
 //! from the design page and what was added.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Route, Scope, Standing, Verdict, Writer};
 pub use crate::state::{Arm, Balancer};
@@ -226,8 +226,7 @@
         m.answered = if end == End::Done { m.answered + 1 } else { 0 };
         if m.aside && m.answered >= m.wanted {
             renew(m, 2.0, now);
-            // Longer next time: some machines answer probes and fail reqs.
-            m.wanted = (m.wanted * 2).min(16);
+            m.wanted = (m.wanted * 2).min(16); // Some machines answer probes and fail reqs.
         }
     }
 
@@ -273,7 +272,7 @@
         let Try { build, machine: i, paired, steady, settled, warm, load, sent, .. } = rq.tries[n];
         let late = took > LATE * self.set.routes[route].objective;
         let error = matches!(end, End::Error | End::Reset);
-        // Time counts as slow, and lateness at all, only beyond what load explains, unless all is silent there.
+        // Time counts as slow, and lateness at all, only beyond what load explains, but for silent machines.
         let load = 1.0 + load.max(self.load(i).0);
         let usual = self.usual_on(i, route, work);
         let slow = usual.map(|(usual, met)| {
@@ -375,9 +374,8 @@
         self.leaning = false;
         for (test, [new, old]) in sides.into_iter().enumerate() {
             // A front that started lately knows of no time before.
-            let fleet = test == SHARED;
-            let (few, least) = (if fleet { LEAST_OUTCOMES / 2.0 } else { 1.0 }, LEAST_OUTCOMES);
-            if new.outcomes < few || old.outcomes < least + f64::from(fleet) {
+            let fleet = f64::from(test == SHARED);
+            if new.outcomes < 1.0 + 9.0 * fleet || old.outcomes < LEAST_OUTCOMES + fleet {
                 continue;
             }
             let present = variances(new, old, RARE[test]);
@@ -614,11 +612,12 @@
     }
 
     fn serve(&mut self, out: &mut dyn Writer) {
-        let reqs = &self.reqs;
         let waits = |rq: &Req| !rq.over && !rq.tries.iter().any(|t| t.out);
-        let mut ids: Vec<u64> = reqs.iter().filter(|(_, rq)| waits(rq)).map(|(id, _)| *id).collect();
-        ids.sort_by(|a, b| reqs[b].rank.cmp(&reqs[a].rank).then(reqs[b].came.cmp(&reqs[a].came)));
-        for id in ids {
+        let waiting = self.reqs.iter().filter(|(_, rq)| waits(rq));
+        let mut ids: Vec<_> = waiting.map(|(id, rq)| (Reverse(rq.rank), Reverse(rq.came), *id)).collect();
+        ids.sort_unstable();
+        let mut full = vec![false; self.set.routes.len()];
+        for (.., id) in ids {
             let (route, work) = (self.reqs[&id].route, self.reqs[&id].work);
             let usual = self.usual_for(route, work).unwrap_or(0.0) as u64;
             let (rq, objective) = (&self.reqs[&id], self.set.routes[route].objective);
@@ -634,12 +633,15 @@
                 self.withdrawn(id);
                 continue;
             }
+            // Where one finds no machine, no other first try of its route does: a jam must not cost CPU too.
+            let plain = rq.tries.is_empty() && !self.set.one_way;
             if let Some(i) = rq.suspect {
                 self.probe(i, out);
-            } else if self.held < self.room.tries.floor()
-                && let Some(i) = self.pick(id)
-            {
-                self.send(id, i, out);
+            } else if self.held < self.room.tries.floor() && !(plain && full[route]) {
+                match self.pick(id) {
+                    Some(i) => self.send(id, i, out),
+                    None => full[route] |= plain,
+                }
             }
         }
     }
