--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,8 +21,7 @@
 const LATE: u64 = 2;
 const FAILURES: usize = 0;
 const SLOWNESS: usize = 1;
-/// Errors alone, also compared across time: neither overload nor a swap brings them.
-const ERRORS: usize = 2;
+const ERRORS: usize = 2; // Also compared across time: neither overload nor a swap brings them.
 /// Slowness of the whole fleet against before the trial: a build may slow the earlier one's machines too.
 const SHARED: usize = 3;
 const GAPS: [f64; TESTS] = [0.03, 0.15, 0.03, 0.25];
@@ -43,8 +42,7 @@
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
 const FIRST_ROOM: f64 = 6.0;
-/// Prudent part of what a cold machine can take, left to all fronts together.
-const COLD_PART: f64 = 0.65;
+const COLD_PART: f64 = 0.65; // Prudent part of what a cold machine can take from all fronts together.
 const PROBE_EVERY: u64 = 400 * MS;
 const SWEEP: u64 = 10 * MS;
 const STALL: u64 = 100 * MS;
@@ -351,9 +349,11 @@
     fn look(&mut self, out: &mut dyn Writer) {
         let (now, Some(n)) = (self.now, self.news) else { return };
         let mut sides = [[Arm::default(); 2]; TESTS];
-        for (&(build, _), t) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
+        for (&(build, i), t) in self.evidence.iter_mut().filter(|((b, _), _)| *b <= n.build) {
             t.read(now, EVIDENCE_FADE);
-            for (test, arms) in sides.iter_mut().enumerate() {
+            // A machine set aside is lost to the fleet, not slowed; of its own build it still tells.
+            let lost = self.machines[i].aside && self.machines[i].build == build;
+            for (test, arms) in sides.iter_mut().enumerate().filter(|(test, _)| *test != SHARED || !lost) {
                 let side = usize::from(build < n.build && test != SHARED);
                 arms[side].add(t.all[test], t.hits[test].min(t.all[test]));
             }
