--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -80,30 +80,20 @@
 }
 
 #[test]
-fn nothing_goes_to_a_machine_that_drains_or_is_gone() {
-    for standing in [Standing::Draining, Standing::Gone] {
+fn nothing_goes_to_a_machine_that_drains_is_gone_or_missing_from_a_whole_list() {
+    for (whole, standing) in [(false, Some(Standing::Draining)), (false, Some(Standing::Gone)), (true, None)]
+    {
         let mut b = Bench::new(settings());
         b.round(0, |to| warm(to, "m1", "z1", 1));
         let got = b.round(0, |to| {
-            to.list(false);
-            to.machine("m1", ("z1", 0, "k"), 1, standing, 0);
+            to.list(whole);
+            standing.into_iter().for_each(|st| to.machine("m1", ("z1", 0, "k"), 1, st, 0));
             to.req(7, 0, None, 900 * MS, 1.0);
         });
         assert_eq!(got.len(), 0, "{got:?}");
     }
 }
 
-#[test]
-fn a_machine_missing_from_a_whole_list_is_gone() {
-    let mut b = Bench::new(settings());
-    b.round(0, |to| warm(to, "m1", "z1", 1));
-    let got = b.round(0, |to| {
-        to.list(true);
-        to.req(7, 0, None, 900 * MS, 1.0);
-    });
-    assert_eq!(got.len(), 0, "{got:?}");
-}
-
 /// Only a machine of the build on trial is there: what goes out is what rule 5 allows.
 fn exposed(set: Settings, build: u32, stage: u32, cap: f64, route: usize, reqs: u64) -> usize {
     let mut b = Bench::new(set);
