--- a/src/decide.rs
+++ b/src/decide.rs
@@ -217,7 +217,7 @@
         self.note_load(i, load);
         // A req that went down with its machine may have brought it down, and would bring down the next.
         for rq in self.reqs.values_mut().filter(|rq| rq.suspect == Some(i)) {
-            (rq.suspect, rq.deadly) = (None, end != End::Done);
+            (rq.suspect, rq.deadly) = (None, matches!(end, End::Refused | End::Reset | End::TimedOut));
         }
         let m = &mut self.machines[i];
         m.probe_out = false;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -53,7 +53,7 @@
 
 #[test]
 fn a_req_that_went_down_with_its_machine_is_not_sent_to_the_next() {
-    for (probe, wanted) in [(End::Done, "try 7 m2"), (End::Refused, "shed 7")] {
+    for (probe, wanted) in [(End::Done, "try 7 m2"), (End::Error, "try 7 m2"), (End::Refused, "shed 7")] {
         let mut b = Bench::new(settings());
         b.round(0, |to| {
             warm(to, "m1", "z1", 1);
