--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,274 @@
+//! The loop: each turn reads what is ready, calls the module once and writes its decisions.
+
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use slog::{Logger, error, info, warn};
+use tidescale::decide::Balancer;
+use tidescale::front::{Inbox, Verdict, Writer};
+
+use crate::buffers::{self, Pool};
+use crate::clients::Clients;
+use crate::config::Config;
+use crate::deadlines::Deadlines;
+use crate::discovery::Discovery;
+use crate::link::{Ground, Owner, Part, Ready};
+use crate::platform::{Bulletin, Votes};
+use crate::upstream::{Cause, Upstream};
+
+const MS: u64 = 1000;
+/// Descriptors of the process itself: standard streams, the loop's own, the listener, and some in hand.
+const RESERVE: usize = 32;
+/// The watch, the bulletin, the votes, and one of each that is just being replaced.
+const STANDING: usize = 6;
+/// The part of the memory that buffers may take.
+const BUFFER_PART: usize = 3;
+/// For so long after SIGTERM clients may still come, and what they ask is still owed.
+const CLIENTS_COME: u64 = 700 * MS;
+/// SIGKILL waits for the longest timeout, but no longer than this and the time in which clients come.
+const LONGEST_WAIT: u64 = 3000 * MS;
+/// Answers must be out before SIGKILL.
+const MARGIN: u64 = 300 * MS;
+/// A turn that comes so much later than it was due is told in the log.
+const LATE: u64 = 50 * MS;
+
+/// Unix time at the start, and what has passed since by a clock that never jumps; whole microseconds.
+struct Clock {
+    start: Instant,
+    unix: u64,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
+        Clock { start: Instant::now(), unix }
+    }
+    fn now(&self) -> u64 {
+        self.unix + self.start.elapsed().as_micros() as u64
+    }
+}
+
+struct Node {
+    ground: Ground,
+    clients: Clients,
+    upstream: Upstream,
+    discovery: Discovery,
+    bulletin: Bulletin,
+    votes: Votes,
+    longest: u64,
+    stopping: Option<u64>,
+}
+
+/// What the loop found in a turn.
+struct Found<'a> {
+    node: &'a RefCell<Node>,
+    ready: &'a mut Ready,
+    first: Option<&'a Config>,
+}
+
+impl Inbox for Found<'_> {
+    fn replay(&mut self, to: &mut Balancer) {
+        let node = &mut *self.node.borrow_mut();
+        if let Some(config) = self.first {
+            node.discovery.known(&config.known, &mut node.ground, &mut node.upstream, to);
+            if let Some(news) = &config.news {
+                news.tell(to);
+            }
+            node.discovery.open(&mut node.ground);
+            node.bulletin.open(&mut node.ground);
+        }
+        if std::mem::take(&mut self.ready.stop) && node.stopping.is_none() {
+            node.stop(to);
+        }
+        node.upstream.tell_ended(&mut node.clients, to);
+        node.votes.tell_failed(to);
+        let mut owners: Vec<Owner> = Vec::new();
+        for (owner, readiness) in self.ready.sockets.drain(..) {
+            match owner.0 {
+                Part::Listener => node.clients.knocked(),
+                Part::Client => node.clients.found(owner.1, readiness),
+                Part::Machine => node.upstream.found(owner.1, readiness),
+                Part::Watch => node.discovery.found(readiness),
+                Part::Bulletin => node.bulletin.found(readiness),
+                Part::Votes => node.votes.found(readiness),
+                Part::Module | Part::Exit => {}
+            }
+            if !matches!(owner.0, Part::Client | Part::Listener) {
+                owners.push(owner);
+            }
+        }
+        owners.extend(node.upstream.take_starved().into_iter().map(|key| (Part::Machine, key)));
+        // What the list and the news say comes first: it binds what is decided on the rest.
+        owners.sort_unstable_by_key(|o| std::cmp::Reverse(*o));
+        owners.dedup();
+        for owner in owners {
+            node.guard(owner, to, |node, to| node.serve(owner, to));
+        }
+        while let Some(owner) = node.ground.deadlines.due(node.ground.now) {
+            node.guard(owner, to, |node, to| node.due(owner, to));
+        }
+        node.clients.accept(&mut node.ground);
+        for key in node.clients.take_again() {
+            node.guard((Part::Client, key), to, |node, to| node.clients.serve(key, &mut node.ground, to));
+        }
+    }
+}
+
+impl Node {
+    /// A panic ends the connection that it came from, and nothing else.
+    fn guard(&mut self, owner: Owner, to: &mut Balancer, job: impl FnOnce(&mut Node, &mut Balancer)) {
+        if catch_unwind(AssertUnwindSafe(|| job(self, to))).is_err() {
+            error!(self.ground.log, "panic while serving a connection"; "part" => ?owner.0);
+            let again = catch_unwind(AssertUnwindSafe(|| match owner.0 {
+                Part::Client => self.clients.abandon(owner.1, to),
+                Part::Machine => {
+                    let cause = Cause::Malformed("panic");
+                    self.upstream.fail(owner.1, cause, &mut self.ground, &mut self.clients, to);
+                }
+                Part::Watch => self.discovery.open(&mut self.ground),
+                Part::Bulletin => self.bulletin.open(&mut self.ground),
+                Part::Votes => self.votes.due(&self.ground, to),
+                Part::Module | Part::Exit | Part::Listener => {}
+            }));
+            if again.is_err() {
+                error!(self.ground.log, "panic while closing a connection"; "part" => ?owner.0);
+            }
+        }
+    }
+
+    fn serve(&mut self, owner: Owner, to: &mut Balancer) {
+        let ground = &mut self.ground;
+        match owner.0 {
+            Part::Machine => self.upstream.serve(owner.1, ground, &mut self.clients, to),
+            Part::Watch => self.discovery.serve(ground, &mut self.upstream, to),
+            Part::Bulletin => self.bulletin.serve(ground, to),
+            Part::Votes => self.votes.serve(ground, to),
+            Part::Module | Part::Exit | Part::Listener | Part::Client => {}
+        }
+    }
+
+    fn due(&mut self, owner: Owner, to: &mut Balancer) {
+        let ground = &mut self.ground;
+        match owner.0 {
+            Part::Machine => self.upstream.due(owner.1, ground, &mut self.clients, to),
+            Part::Watch => self.discovery.due(ground),
+            Part::Bulletin => self.bulletin.due(ground),
+            Part::Votes => self.votes.due(ground, to),
+            // The round itself is what is due.
+            Part::Module | Part::Exit | Part::Listener | Part::Client => {}
+        }
+    }
+
+    /// Clients still come for a while; all that they ask is answered before SIGKILL.
+    fn stop(&mut self, to: &mut Balancer) {
+        let now = self.ground.now;
+        let by = now + self.longest.min(LONGEST_WAIT) + CLIENTS_COME - MARGIN;
+        info!(self.ground.log, "stopping"; "open_reqs" => self.clients.open_reqs());
+        self.stopping = Some(now);
+        self.clients.stop();
+        self.upstream.stop(by, &mut self.ground);
+        to.closing(by);
+        self.ground.deadlines.set((Part::Exit, 0), now + CLIENTS_COME);
+    }
+
+    fn is_finished(&self) -> bool {
+        self.stopping.is_some_and(|at| self.ground.now >= at + CLIENTS_COME) && self.clients.is_quiet()
+    }
+
+    fn is_pressed(&self) -> bool {
+        let ground = &self.ground;
+        self.clients.is_pressed(ground) || self.upstream.is_pressed(ground) || self.votes.is_pressed()
+    }
+}
+
+/// Takes the decisions of a round.
+struct Decided<'a>(&'a RefCell<Node>);
+
+impl Writer for Decided<'_> {
+    fn upstream_try(&mut self, rq: u64, machine: &str, until: u64) {
+        let node = &mut *self.0.borrow_mut();
+        node.upstream.send(rq, machine, until, &mut node.ground, &mut node.clients);
+    }
+    fn cancel_try(&mut self, rq: u64, n: usize) {
+        let node = &mut *self.0.borrow_mut();
+        node.upstream.cancel(rq, n, &mut node.ground, &mut node.clients);
+    }
+    fn shed(&mut self, rq: u64, come_back: u64) {
+        self.0.borrow_mut().clients.shed(rq, come_back);
+    }
+    fn error(&mut self, rq: u64) {
+        self.0.borrow_mut().clients.error(rq);
+    }
+    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
+        let node = &mut *self.0.borrow_mut();
+        info!(node.ground.log, "vote"; "build" => build, "stage" => stage, "verdict" => ?verdict);
+        node.votes.cast(build, stage, verdict, &mut node.ground);
+    }
+    fn probe(&mut self, machine: &str, until: u64) {
+        let node = &mut *self.0.borrow_mut();
+        node.upstream.probe(machine, until, &mut node.ground, &mut node.clients);
+    }
+    /// The watch always stands.
+    fn watch_list(&mut self) {}
+    fn wake(&mut self, after: u64) {
+        let ground = &mut self.0.borrow_mut().ground;
+        ground.deadlines.set((Part::Module, 0), ground.now + after);
+    }
+    fn note(&mut self, text: &str) {
+        info!(self.0.borrow().ground.log, "module: {}", text);
+    }
+}
+
+/// Serves until told to stop.
+pub fn run(config: &Config, listener: TcpListener, log: Logger) -> Result<(), String> {
+    let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
+    let mut events: EventLoop<'static, Ready> = EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
+    let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| failed("signals", &e))?;
+    let stop = |_, _: &mut (), ready: &mut Ready| ready.stop = true;
+    events.handle().insert_source(signals, stop).map_err(|e| failed("signals", &e))?;
+
+    let clock = Clock::new();
+    let pool = Pool::new(config.memory_mb * 1024 * 1024 / BUFFER_PART / buffers::SIZE);
+    let (handle, now) = (events.handle(), clock.now());
+    let ground = Ground { handle, pool, deadlines: Deadlines::new(), log, now };
+    let routes: Vec<String> = config.settings.routes.iter().map(|r| r.name.clone()).collect();
+    let free = config.sockets.saturating_sub(RESERVE + STANDING);
+    let clients = Clients::new(&ground, listener, routes, free / 2).map_err(|e| failed("listener", &e))?;
+    let node = RefCell::new(Node {
+        upstream: Upstream::new(config.links.clone(), free - free / 2),
+        discovery: Discovery::new(config.discovery),
+        bulletin: Bulletin::new(config.platform),
+        votes: Votes::new(config.platform, config.settings.vote_wait),
+        longest: config.links.longest_timeout,
+        stopping: None,
+        clients,
+        ground,
+    });
+    let mut module = Balancer::new(config.settings.clone(), config.seed, now);
+    let mut ready = Ready::default();
+    let mut first = Some(config);
+    loop {
+        node.borrow_mut().ground.now = clock.now();
+        let now = node.borrow().ground.now;
+        let mut found = Found { node: &node, ready: &mut ready, first: first.take() };
+        module.round(now, &mut found, &mut Decided(&node));
+        if node.borrow().is_finished() {
+            info!(node.borrow().ground.log, "stopped");
+            return Ok(());
+        }
+        let due = node.borrow().ground.deadlines.next();
+        let pause = match due {
+            _ if node.borrow().is_pressed() => Some(Duration::ZERO),
+            due => due.map(|at| Duration::from_micros(at.saturating_sub(clock.now()))),
+        };
+        events.dispatch(pause, &mut ready).map_err(|e| failed("event loop", &e))?;
+        let late = due.map_or(0, |at| clock.now().saturating_sub(at));
+        if late > LATE {
+            warn!(node.borrow().ground.log, "a turn came late"; "late_ms" => late / MS);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/link.rs
@@ -0,0 +1,127 @@
+//! A non-blocking socket with the bytes that wait on either side of it, and what every part of the node needs
+//! to keep one.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use slog::Logger;
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::buffers::{Chain, Fill, Pool};
+use crate::deadlines::Deadlines;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Part {
+    Module,
+    Exit,
+    Listener,
+    Client,
+    Machine,
+    Watch,
+    Bulletin,
+    Votes,
+}
+
+/// Whose socket or deadline it is: a part of the node, and a slot of its table where it has one.
+pub type Owner = (Part, u64);
+
+/// What the loop found ready in a turn.
+#[derive(Default)]
+pub struct Ready {
+    pub sockets: Vec<(Owner, Readiness)>,
+    pub stop: bool,
+}
+
+pub struct Ground {
+    pub handle: LoopHandle<'static, Ready>,
+    pub pool: Pool,
+    pub deadlines: Deadlines<Owner>,
+    pub log: Logger,
+    pub now: u64,
+}
+
+impl Ground {
+    pub fn register(
+        &self,
+        socket: Rc<impl std::os::fd::AsFd + 'static>,
+        owner: Owner,
+    ) -> io::Result<RegistrationToken> {
+        let source = Generic::new(socket, Interest::BOTH, Mode::Edge);
+        let inserted = self.handle.insert_source(source, move |readiness, _, ready| {
+            ready.sockets.push((owner, readiness));
+            Ok(PostAction::Continue)
+        });
+        inserted.map_err(|e| io::Error::other(e.error))
+    }
+}
+
+pub struct Link {
+    socket: Rc<TcpStream>,
+    token: RegistrationToken,
+    handle: LoopHandle<'static, Ready>,
+    pub input: Chain,
+    pub output: Chain,
+    /// The loop tells of a socket once; what was not read then is still there.
+    readable: bool,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.handle.remove(self.token);
+    }
+}
+
+impl Link {
+    pub fn open(ground: &Ground, to: SocketAddr, owner: Owner) -> io::Result<Link> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+            _ => Link::over(ground, socket.into(), owner),
+        }
+    }
+
+    pub fn over(ground: &Ground, socket: TcpStream, owner: Owner) -> io::Result<Link> {
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        let socket = Rc::new(socket);
+        let token = ground.register(socket.clone(), owner)?;
+        let (input, output) = (Chain::new(&ground.pool), Chain::new(&ground.pool));
+        Ok(Link { socket, token, handle: ground.handle.clone(), input, output, readable: false })
+    }
+
+    pub fn found(&mut self, readiness: Readiness) {
+        self.readable |= readiness.readable || readiness.error;
+    }
+
+    /// Reads until `most` bytes are held.
+    pub fn read(&mut self, most: usize) -> io::Result<Fill> {
+        if !self.readable {
+            return Ok(Fill::Drained);
+        }
+        let fill = self.input.fill(&mut &*self.socket, most)?;
+        self.readable = matches!(fill, Fill::Enough | Fill::Starved);
+        Ok(fill)
+    }
+
+    /// Writes what is taken; the rest goes when the loop finds room.
+    pub fn flush(&mut self) -> io::Result<()> {
+        match self.output.drain(&mut &*self.socket) {
+            // Not up yet.
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
+            other => other,
+        }
+    }
+
+    /// Nothing has come that was not asked for, not even an end.
+    pub fn is_quiet(&self) -> bool {
+        self.input.is_empty()
+            && matches!(self.socket.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Linux's; the standard library has a kind for it only on newer tool chains.
+const EINPROGRESS: i32 = 115;
--- /dev/null
+++ b/crates/node/src/platform.rs
@@ -0,0 +1,335 @@
+//! The platform: its bulletin, a stream that always stands, and votes on a connection of their own.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use slog::info;
+use tidescale::decide::Balancer;
+use tidescale::front::{Answer, Phase, Verdict};
+
+use crate::buffers::Fill;
+use crate::http;
+use crate::link::{Ground, Link, Part};
+
+const MS: u64 = 1000;
+const BULLETIN: (Part, u64) = (Part::Bulletin, 0);
+const VOTES: (Part, u64) = (Part::Votes, 0);
+/// Five of the signs of life that come every second.
+const SILENCE: u64 = 5000 * MS;
+const FIRST_PAUSE: u64 = 100 * MS;
+const LONGEST_PAUSE: u64 = 2000 * MS;
+/// Calls reuse a connection only well inside the time after which the platform may close it.
+const VOTES_IDLE: u64 = 3000 * MS;
+const READ_AHEAD: usize = 256 * 1024;
+
+/// Where the newest build stands.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct News {
+    version: u32,
+    step: u32,
+    status: Status,
+    #[serde(rename = "maxWeight")]
+    cap: f64,
+    #[serde(rename = "observedAgoMs")]
+    ago_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Status {
+    Trial,
+    RollingBack,
+    Released,
+    Withdrawn,
+}
+
+fn micros(ms: f64) -> u64 {
+    (ms.max(0.0) * 1000.0) as u64
+}
+
+impl News {
+    pub fn tell(&self, to: &mut Balancer) {
+        let phase = match self.status {
+            Status::Trial => Phase::Trial,
+            Status::RollingBack => Phase::GoingBack,
+            Status::Released => Phase::Released,
+            Status::Withdrawn => Phase::Withdrawn,
+        };
+        to.news(self.version, self.step, phase, self.cap, micros(self.ago_ms));
+    }
+
+    /// From named fields, wherever they stand.
+    fn from_fields<'a>(field: impl Fn(&str) -> Option<&'a str>) -> Option<News> {
+        let status = match field("status")? {
+            "trial" => Status::Trial,
+            "rolling_back" => Status::RollingBack,
+            "released" => Status::Released,
+            "withdrawn" => Status::Withdrawn,
+            _ => return None,
+        };
+        Some(News {
+            version: field("version")?.trim().parse().ok()?,
+            step: field("step")?.trim().parse().ok()?,
+            status,
+            cap: field("maxWeight")?.trim().parse().ok().filter(|c: &f64| c.is_finite())?,
+            ago_ms: field("observedAgoMs")?.trim().parse().ok().filter(|t: &f64| t.is_finite())?,
+        })
+    }
+}
+
+/// What an answer to a vote says; none when it can't be read.
+pub fn vote_answer(status: u16, body: &[u8]) -> Option<(Answer, Option<News>)> {
+    let text = std::str::from_utf8(body).ok()?;
+    let document = roxmltree::Document::parse(text).ok()?;
+    let text_of = |name: &str| {
+        let mut found = document.descendants().filter(|n| n.has_tag_name(name));
+        found.next().and_then(|n| n.text())
+    };
+    match (status, text_of("Code")) {
+        (200, _) => Some((Answer::Counts, Some(News::from_fields(text_of)?))),
+        (400, Some("Throttling")) => Some((Answer::Busy, None)),
+        (400, Some("ConditionFailed")) => Some((Answer::Moot, None)),
+        (500, Some("InternalFailure")) | (400, Some("ValidationError")) => Some((Answer::Error, None)),
+        _ => None,
+    }
+}
+
+/// One event of the bulletin.
+fn announce(event: &str, data: &str, to: &mut Balancer) -> Result<(), String> {
+    let fields: Vec<_> = form_urlencoded::parse(data.as_bytes()).collect();
+    let field = |name: &str| fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_ref());
+    match event {
+        "stage" => News::from_fields(field).ok_or_else(|| format!("not a stage: {data}"))?.tell(to),
+        "flag" => {
+            let ago = field("observedAgoMs").and_then(|t| t.parse().ok()).filter(|t: &f64| t.is_finite());
+            let (pod, ago) = field("pod").zip(ago).ok_or_else(|| format!("not a flag: {data}"))?;
+            to.flagged(pod, micros(ago));
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
+pub struct Bulletin {
+    addr: SocketAddr,
+    link: Option<Link>,
+    answer: http::Answer,
+    event: String,
+    data: String,
+    pause: u64,
+}
+
+impl Bulletin {
+    pub fn new(addr: SocketAddr) -> Bulletin {
+        let (answer, event, data) = (http::Answer::default(), String::new(), String::new());
+        Bulletin { addr, link: None, answer, event, data, pause: FIRST_PAUSE }
+    }
+
+    pub fn open(&mut self, ground: &mut Ground) {
+        self.answer = http::Answer::default();
+        self.event.clear();
+        self.data.clear();
+        match Link::open(ground, self.addr, BULLETIN) {
+            Ok(mut link) => {
+                http::get(&mut link.output, &self.addr.to_string(), "/bulletin");
+                self.link = Some(link);
+                ground.deadlines.set(BULLETIN, ground.now + SILENCE);
+            }
+            Err(e) => self.broken(&e.to_string(), ground),
+        }
+    }
+
+    fn broken(&mut self, why: &str, ground: &mut Ground) {
+        info!(ground.log, "bulletin ended"; "why" => why, "again_ms" => self.pause / MS);
+        self.link = None;
+        ground.deadlines.set(BULLETIN, ground.now + self.pause);
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+
+    /// Silence, or a pause that is over.
+    pub fn due(&mut self, ground: &mut Ground) {
+        if self.link.is_some() { self.broken("silent", ground) } else { self.open(ground) }
+    }
+
+    pub fn found(&mut self, readiness: calloop::Readiness) {
+        if let Some(link) = &mut self.link {
+            link.found(readiness);
+        }
+    }
+
+    pub fn serve(&mut self, ground: &mut Ground, to: &mut Balancer) {
+        let Some(link) = &mut self.link else { return };
+        let flushed = link.flush();
+        let read = link.read(READ_AHEAD);
+        if !link.input.is_empty() {
+            ground.deadlines.set(BULLETIN, ground.now + SILENCE);
+        }
+        let mut fault = self.answer.read(&mut link.input).err().map(|e| e.0.to_string());
+        if fault.is_none() && self.answer.has_begun() && self.answer.status != 200 {
+            fault = Some(format!("status {}", self.answer.status));
+        }
+        if fault.is_none() {
+            fault = self.events(to).err();
+        }
+        match (fault, flushed, read) {
+            (Some(why), ..) => self.broken(&why, ground),
+            (_, Err(e), _) | (_, _, Err(e)) => self.broken(&e.to_string(), ground),
+            (.., Ok(Fill::Ended)) => self.broken("closed", ground),
+            _ if self.answer.is_done() => self.broken("complete", ground),
+            _ => {}
+        }
+    }
+
+    fn events(&mut self, to: &mut Balancer) -> Result<(), String> {
+        let (event, data, pause) = (&mut self.event, &mut self.data, &mut self.pause);
+        let mut fault = Ok(());
+        let read = self.answer.lines(|line| {
+            if line.is_empty() {
+                if !data.is_empty() {
+                    let told = announce(event, data, to);
+                    fault = std::mem::replace(&mut fault, Ok(())).and(told);
+                    *pause = FIRST_PAUSE;
+                }
+                event.clear();
+                data.clear();
+            } else if let Some(value) = line.strip_prefix("event:") {
+                *event = value.trim().into();
+            } else if let Some(value) = line.strip_prefix("data:") {
+                data.push_str(value.trim());
+            }
+        });
+        read.map_err(|e| e.0.to_string())?;
+        fault
+    }
+}
+
+/// Votes; the module has one out at a time.
+pub struct Votes {
+    addr: SocketAddr,
+    wait: u64,
+    link: Option<Link>,
+    answer: http::Answer,
+    out: bool,
+    /// The vote could not begin.
+    failed: bool,
+}
+
+impl Votes {
+    pub fn new(addr: SocketAddr, wait: u64) -> Votes {
+        Votes { addr, wait, link: None, answer: http::Answer::default(), out: false, failed: false }
+    }
+
+    pub fn is_pressed(&self) -> bool {
+        self.failed
+    }
+
+    pub fn cast(&mut self, build: u32, stage: u32, verdict: Verdict, ground: &mut Ground) {
+        let vote = match verdict {
+            Verdict::None => "clear",
+            Verdict::On => "approve",
+            Verdict::Hold => "wait",
+            Verdict::Back => "reject",
+        };
+        let (version, step) = (build.to_string(), stage.to_string());
+        let form = form_urlencoded::Serializer::new(String::new())
+            .extend_pairs([
+                ("Action", "RecordOpinion"),
+                ("version", &version),
+                ("step", &step),
+                ("vote", vote),
+            ])
+            .finish();
+        // An answer that is still owed would be taken for this vote's.
+        if self.out || !self.link.as_ref().is_some_and(Link::is_quiet) {
+            self.link = None;
+        }
+        if self.link.is_none() {
+            match Link::open(ground, self.addr, VOTES) {
+                Ok(link) => self.link = Some(link),
+                Err(e) => {
+                    info!(ground.log, "cannot reach the platform"; "error" => %e);
+                    self.failed = true;
+                    return;
+                }
+            }
+        }
+        let Some(link) = &mut self.link else { return };
+        http::post_form(&mut link.output, &self.addr.to_string(), &form);
+        // A failure shows at the next read.
+        let _ = link.flush();
+        self.answer = http::Answer::default();
+        self.out = true;
+        ground.deadlines.set(VOTES, ground.now + self.wait);
+    }
+
+    pub fn tell_failed(&mut self, to: &mut Balancer) {
+        if std::mem::take(&mut self.failed) {
+            to.answered(Answer::Error);
+        }
+    }
+
+    pub fn found(&mut self, readiness: calloop::Readiness) {
+        if let Some(link) = &mut self.link {
+            link.found(readiness);
+        }
+    }
+
+    pub fn serve(&mut self, ground: &mut Ground, to: &mut Balancer) {
+        let Some(link) = &mut self.link else { return };
+        let flushed = link.flush();
+        let read = link.read(READ_AHEAD);
+        let open = flushed.is_ok() && matches!(read, Ok(fill) if fill != Fill::Ended);
+        if self.out {
+            let fault = self.answer.read(&mut link.input).err();
+            let whole = self.answer.is_done() || !open && self.answer.ended();
+            if whole {
+                let keep = open && self.answer.keeps_open;
+                match vote_answer(self.answer.status, &self.answer.body) {
+                    Some((answer, news)) => self.settle(answer, news, ground, to),
+                    None => {
+                        info!(ground.log, "platform answered a vote with what can't be read"; "status" => self.answer.status);
+                        self.settle(Answer::Unknown, None, ground, to);
+                    }
+                }
+                if keep {
+                    ground.deadlines.set(VOTES, ground.now + VOTES_IDLE);
+                    return;
+                }
+            } else if fault.is_some() || !open {
+                let never = link_unsent(link);
+                self.settle(if never { Answer::Error } else { Answer::Unknown }, None, ground, to);
+            } else {
+                return;
+            }
+        } else if open && link.input.is_empty() {
+            return;
+        }
+        self.link = None;
+        ground.deadlines.clear(VOTES);
+    }
+
+    fn settle(&mut self, answer: Answer, news: Option<News>, ground: &Ground, to: &mut Balancer) {
+        self.out = false;
+        if !matches!(answer, Answer::Counts | Answer::Moot) {
+            info!(ground.log, "vote not counted"; "answer" => ?answer);
+        }
+        to.answered(answer);
+        if let Some(news) = news {
+            news.tell(to);
+        }
+    }
+
+    /// No answer in the told time, or nothing to ask for a while.
+    pub fn due(&mut self, ground: &Ground, to: &mut Balancer) {
+        if self.out {
+            let never = self.link.as_ref().is_none_or(link_unsent);
+            self.settle(if never { Answer::Error } else { Answer::Unknown }, None, ground, to);
+        }
+        self.link = None;
+    }
+}
+
+/// The call's last byte was never written.
+fn link_unsent(link: &Link) -> bool {
+    !link.output.is_empty()
+}
--- /dev/null
+++ b/crates/node/src/upstream.rs
@@ -0,0 +1,488 @@
+//! Connections to machines: upstream tries and probes, one at a time on each.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+
+use slog::{debug, info};
+use tidescale::decide::Balancer;
+use tidescale::front::{End, Load};
+use tidescale_settings::Links;
+
+use crate::buffers::{Chain, Fill};
+use crate::clients::Clients;
+use crate::link::{Ground, Link, Part};
+use crate::pg::{self, Malformed};
+use crate::slots::Slots;
+
+const MS: u64 = 1000;
+const READ_AHEAD: usize = pg::LONGEST + 4096;
+
+/// How far a try had come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reached {
+    Nothing,
+    Part,
+    All,
+}
+
+/// Why a try ended without an answer.
+#[derive(Debug)]
+pub enum Cause {
+    Broken(io::Error),
+    Ended,
+    Malformed(&'static str),
+    Overdue,
+    Cancelled,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Cause::Broken(e) => write!(f, "{e}"),
+            Cause::Ended => f.write_str("closed"),
+            Cause::Malformed(why) => f.write_str(why),
+            Cause::Overdue => f.write_str("no answer in time"),
+            Cause::Cancelled => f.write_str("cancelled"),
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Failure {
+    pub reached: Reached,
+    pub cause: Cause,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let reached = match self.reached {
+            Reached::Nothing => "nothing",
+            Reached::Part => "part",
+            Reached::All => "all",
+        };
+        write!(f, "{reached} written: {}", self.cause)
+    }
+}
+
+impl Failure {
+    /// Only a req whose last byte was written may have run.
+    pub fn end(&self) -> End {
+        match (self.reached, &self.cause) {
+            (_, Cause::Cancelled) => End::Cancelled,
+            (Reached::Nothing | Reached::Part, _) => End::Refused,
+            (Reached::All, Cause::Overdue) => End::TimedOut,
+            (Reached::All, _) => End::Reset,
+        }
+    }
+}
+
+/// What a machine's error says of the try.
+pub fn error_end(code: &str) -> End {
+    if matches!(code, pg::SHED | pg::STARTING) { End::Full } else { End::Error }
+}
+
+/// A load report: names and values, of which some are read.
+pub fn load(text: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+        match name.trim() {
+            "inflight" => load.inflight = value,
+            "queue" => load.queue = value,
+            _ => {}
+        }
+    }
+    load
+}
+
+#[derive(Clone, Copy)]
+enum Job {
+    Try { id: u64, n: usize },
+    Probe,
+}
+
+struct Work {
+    job: Job,
+    since: u64,
+    until: u64,
+    reached: Reached,
+    load: Option<Load>,
+    /// The answer as far as it has come, held back until it is whole.
+    answer: Chain,
+    rows: usize,
+}
+
+struct Conn {
+    link: Link,
+    machine: String,
+    /// When it has to be up; none once it is.
+    up_by: Option<u64>,
+    work: Option<Work>,
+    /// The machine has still to say that it takes the next query.
+    settling: bool,
+    used: u64,
+}
+
+#[derive(Default)]
+struct Machine {
+    addr: Option<SocketAddr>,
+    /// The one used last is used first, so that what is not needed grows idle.
+    idle: Vec<u64>,
+}
+
+pub struct Upstream {
+    machines: BTreeMap<String, Machine>,
+    table: Slots<Conn>,
+    links: Links,
+    /// Tries and probes that ended as soon as they began, to be told in the next round.
+    ended: Vec<(Job, String, End)>,
+    starved: Vec<u64>,
+}
+
+impl Upstream {
+    pub fn new(links: Links, most: usize) -> Upstream {
+        let (machines, table) = (BTreeMap::new(), Slots::new(most));
+        Upstream { machines, table, links, ended: Vec::new(), starved: Vec::new() }
+    }
+
+    pub fn is_pressed(&self, ground: &Ground) -> bool {
+        !self.ended.is_empty() || !self.starved.is_empty() && !ground.pool.is_empty()
+    }
+
+    /// Where a machine listens; without an address it takes nothing more, and what idles there is closed.
+    pub fn place(&mut self, name: &str, addr: Option<SocketAddr>, ground: &mut Ground) {
+        let m = self.machines.entry(name.into()).or_default();
+        if m.addr != addr {
+            m.addr = addr;
+            for key in std::mem::take(&mut m.idle) {
+                self.table.remove(key);
+                ground.deadlines.clear((Part::Machine, key));
+            }
+        }
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.machines.iter().filter(|(_, m)| m.addr.is_some()).map(|(name, _)| name.clone()).collect()
+    }
+
+    pub fn send(&mut self, id: u64, machine: &str, until: u64, ground: &mut Ground, clients: &mut Clients) {
+        let Some(rq) = clients.req(id) else { return };
+        let n = rq.tries.len();
+        let conn = self.start(Job::Try { id, n }, machine, until, ground, clients);
+        if let Some(rq) = clients.req(id) {
+            rq.tries.push(conn);
+        }
+    }
+
+    pub fn probe(&mut self, machine: &str, until: u64, ground: &mut Ground, clients: &mut Clients) {
+        self.start(Job::Probe, machine, until, ground, clients);
+    }
+
+    fn start(
+        &mut self,
+        job: Job,
+        machine: &str,
+        until: u64,
+        ground: &mut Ground,
+        clients: &mut Clients,
+    ) -> Option<u64> {
+        let answer = Chain::new(&ground.pool);
+        let (since, reached) = (ground.now, Reached::Nothing);
+        let work = Work { job, since, until, reached, load: None, answer, rows: 0 };
+        let key = match self.connection(machine, ground) {
+            Ok(Some(key)) => key,
+            Ok(None) => {
+                info!(ground.log, "no descriptor for a try"; "machine" => machine);
+                self.ended.push((job, machine.into(), End::NotSent));
+                return None;
+            }
+            Err(e) => {
+                info!(ground.log, "cannot connect"; "machine" => machine, "error" => %e);
+                self.ended.push((job, machine.into(), End::Refused));
+                return None;
+            }
+        };
+        let c = self.table.get_mut(key)?;
+        c.work = Some(work);
+        c.used = ground.now;
+        ground.deadlines.set((Part::Machine, key), c.up_by.map_or(until, |up| up.min(until)));
+        self.write(key, ground, clients);
+        Some(key)
+    }
+
+    /// A connection that stands idle, or a new one; none when all descriptors are in use.
+    fn connection(&mut self, machine: &str, ground: &mut Ground) -> io::Result<Option<u64>> {
+        let m = self.machines.get_mut(machine).ok_or(io::ErrorKind::NotFound)?;
+        let addr = m.addr.ok_or(io::ErrorKind::NotFound)?;
+        while let Some(key) = m.idle.pop() {
+            // A close that has come in the meantime would look like a req that may have run.
+            if self.table.get(key).is_some_and(|c| c.link.is_quiet()) {
+                return Ok(Some(key));
+            }
+            self.table.remove(key);
+            ground.deadlines.clear((Part::Machine, key));
+        }
+        if self.table.is_full() {
+            let idle = self.table.iter().filter(|(_, c)| c.work.is_none());
+            let Some(key) = idle.min_by_key(|(_, c)| c.used).map(|(key, _)| key) else { return Ok(None) };
+            debug!(ground.log, "an idle connection makes room");
+            self.close(key, ground);
+        }
+        let up_by = Some(ground.now + self.links.connect_within);
+        let made = self.table.insert(|key| {
+            let mut link = Link::open(ground, addr, (Part::Machine, key))?;
+            pg::put_startup(&mut link.output);
+            let (machine, used) = (machine.into(), ground.now);
+            Ok(Conn { link, machine, up_by, work: None, settling: false, used })
+        });
+        made.transpose()
+    }
+
+    fn close(&mut self, key: u64, ground: &mut Ground) {
+        ground.deadlines.clear((Part::Machine, key));
+        if let Some(c) = self.table.remove(key)
+            && let Some(m) = self.machines.get_mut(&c.machine)
+        {
+            m.idle.retain(|k| *k != key);
+        }
+    }
+
+    /// Writes the query of a connection that is up, and what still waits.
+    fn write(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients) {
+        let Some(c) = self.table.get_mut(key) else { return };
+        if let Some(work) = c.work.as_mut().filter(|w| c.up_by.is_none() && w.reached == Reached::Nothing) {
+            match work.job {
+                Job::Try { id, .. } => {
+                    let Some(rq) = clients.req(id) else { return };
+                    let wait = work.until.saturating_sub(ground.now) / MS;
+                    pg::put_statement(&mut c.link.output, &rq.statement, &rq.wait_at, wait.max(1));
+                }
+                Job::Probe => {
+                    let query = if self.links.load_on_demand { "SHOW vitals" } else { "SELECT 1" };
+                    pg::put_query(&mut c.link.output, query.as_bytes());
+                }
+            }
+            work.reached = Reached::Part;
+        }
+        let flushed = c.link.flush();
+        if let Some(work) = c.work.as_mut().filter(|w| w.reached == Reached::Part) {
+            // Bytes handed to the kernel on an open connection may arrive.
+            if c.link.output.is_empty() {
+                work.reached = Reached::All;
+            }
+        }
+        // A failure to write shows at the next read, with what the machine may still have said before.
+        if let Err(e) = flushed {
+            debug!(ground.log, "cannot write"; "machine" => &c.machine, "error" => %e);
+        }
+    }
+
+    pub fn found(&mut self, key: u64, readiness: calloop::Readiness) {
+        if let Some(c) = self.table.get_mut(key) {
+            c.link.found(readiness);
+        }
+    }
+
+    pub fn take_starved(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.starved)
+    }
+
+    /// Tells what ended as soon as it began.
+    pub fn tell_ended(&mut self, clients: &mut Clients, to: &mut Balancer) {
+        for (job, machine, end) in std::mem::take(&mut self.ended) {
+            match job {
+                Job::Try { id, n } => {
+                    to.outcome(id, n, end, 0, !clients.waits(id), None);
+                    clients.try_ended(id, n);
+                }
+                Job::Probe => to.probed(&machine, end, None),
+            }
+        }
+    }
+
+    /// Reads what a machine has sent, tells the module and passes answers on.
+    pub fn serve(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients, to: &mut Balancer) {
+        self.write(key, ground, clients);
+        let Some(c) = self.table.get_mut(key) else { return };
+        let read = c.link.read(READ_AHEAD);
+        if matches!(read, Ok(Fill::Starved)) {
+            self.starved.push(key);
+        }
+        if let Err(Malformed(why)) = self.messages(key, ground, clients, to) {
+            return self.fail(key, Cause::Malformed(why), ground, clients, to);
+        }
+        match read {
+            Ok(Fill::Ended) => self.fail(key, Cause::Ended, ground, clients, to),
+            Err(e) => self.fail(key, Cause::Broken(e), ground, clients, to),
+            Ok(_) => {}
+        }
+    }
+
+    fn messages(
+        &mut self,
+        key: u64,
+        ground: &mut Ground,
+        clients: &mut Clients,
+        to: &mut Balancer,
+    ) -> Result<(), Malformed> {
+        let mut body = Vec::new();
+        while let Some(c) = self.table.get_mut(key) {
+            let Some((tag, len)) = pg::message(&c.link.input, 0)? else { return Ok(()) };
+            let input = &mut c.link.input;
+            let starting = c.up_by.is_some();
+            body.clear();
+            input.copy(5..len, &mut body);
+            if matches!(tag, b'T' | b'D' | b'C') {
+                let work = c.work.as_mut().filter(|_| !starting && !c.settling);
+                let work = work.ok_or(Malformed("an answer to nothing"))?;
+                if tag == b'D' {
+                    work.rows += 1;
+                    let value = pg::row(&body)?;
+                    if let (Job::Probe, true) = (&work.job, self.links.load_on_demand) {
+                        work.load = std::str::from_utf8(value).ok().map(load);
+                    }
+                }
+                input.pass(len, &mut work.answer);
+                if tag == b'C' {
+                    if work.rows != 1 {
+                        return Err(Malformed("an answer without its row"));
+                    }
+                    self.done(key, End::Done, ground, clients, to);
+                }
+                continue;
+            }
+            input.skip(len);
+            match tag {
+                b'R' => pg::admitted(&body)?,
+                b'S' => {
+                    if let ("vitals", value) = pg::parameter(&body)?
+                        && let Some(work) = &mut c.work
+                    {
+                        work.load = Some(load(value));
+                    }
+                }
+                b'K' | b'N' => {}
+                b'E' => {
+                    let (code, message) = pg::error(&body)?;
+                    if !matches!(code.as_str(), pg::SHED | pg::STARTING | "XX000") {
+                        info!(ground.log, "machine answered with an unknown error";
+                            "machine" => &c.machine, "code" => &code, "message" => message);
+                    }
+                    if !c.settling {
+                        self.done(key, error_end(&code), ground, clients, to);
+                    }
+                }
+                b'Z' if starting => {
+                    c.up_by = None;
+                    let until = c.work.as_ref().map_or(ground.now, |w| w.until);
+                    ground.deadlines.set((Part::Machine, key), until);
+                    self.write(key, ground, clients);
+                }
+                b'Z' => {
+                    if c.work.is_some() {
+                        return Err(Malformed("no answer to a query"));
+                    }
+                    c.settling = false;
+                    self.rest(key, ground);
+                }
+                _ => return Err(Malformed("an unknown kind of message")),
+            }
+        }
+        Ok(())
+    }
+
+    /// Keeps an idle connection for the next try there.
+    fn rest(&mut self, key: u64, ground: &mut Ground) {
+        let Some(c) = self.table.get_mut(key) else { return };
+        let m = self.machines.get_mut(&c.machine);
+        match m.filter(|m| m.addr.is_some()) {
+            Some(m) => {
+                m.idle.push(key);
+                c.used = ground.now;
+                // Well before the machine closes it, or a req would cross the close and count as run.
+                ground.deadlines.set((Part::Machine, key), ground.now + self.links.idle_for / 2);
+            }
+            None => self.close(key, ground),
+        }
+    }
+
+    /// The machine has answered what was asked of it.
+    fn done(&mut self, key: u64, end: End, ground: &mut Ground, clients: &mut Clients, to: &mut Balancer) {
+        let Some(c) = self.table.get_mut(key) else { return };
+        // It may close the connection with its answer, or say that it is ready.
+        c.settling = true;
+        ground.deadlines.set((Part::Machine, key), ground.now + self.links.connect_within);
+        if let Some(work) = c.work.take() {
+            let machine = c.machine.clone();
+            self.tell(work, &machine, end, ground, clients, to);
+        }
+    }
+
+    fn tell(
+        &mut self,
+        mut work: Work,
+        machine: &str,
+        end: End,
+        ground: &Ground,
+        clients: &mut Clients,
+        to: &mut Balancer,
+    ) {
+        match work.job {
+            Job::Try { id, n } => {
+                if end == End::Done {
+                    clients.complete(id, &mut work.answer);
+                }
+                to.outcome(id, n, end, ground.now - work.since, !clients.waits(id), work.load);
+                clients.try_ended(id, n);
+            }
+            Job::Probe => to.probed(machine, end, work.load),
+        }
+    }
+
+    /// Ends a connection that can't go on, with the try that is on it.
+    pub fn fail(
+        &mut self,
+        key: u64,
+        cause: Cause,
+        ground: &mut Ground,
+        clients: &mut Clients,
+        to: &mut Balancer,
+    ) {
+        let Some(c) = self.table.get_mut(key) else { return };
+        let (work, machine) = (c.work.take(), c.machine.clone());
+        if let Cause::Malformed(why) = cause {
+            info!(ground.log, "machine sent what can't be read"; "machine" => &machine, "why" => why);
+        }
+        self.close(key, ground);
+        if let Some(work) = work {
+            let failure = Failure { reached: work.reached, cause };
+            info!(ground.log, "try or probe failed"; "machine" => &machine, "failure" => %failure);
+            self.tell(work, &machine, failure.end(), ground, clients, to);
+        }
+    }
+
+    /// A time limit has passed: to be up, to answer, or to stand idle.
+    pub fn due(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients, to: &mut Balancer) {
+        self.fail(key, Cause::Overdue, ground, clients, to);
+    }
+
+    /// Gives up a try; that it ended is told like any other end.
+    pub fn cancel(&mut self, id: u64, n: usize, ground: &mut Ground, clients: &mut Clients) {
+        let Some(key) = clients.req(id).and_then(|rq| rq.tries.get(n).copied().flatten()) else { return };
+        let Some(c) = self.table.get_mut(key) else { return };
+        if let Some(work) = c.work.take() {
+            let failure = Failure { reached: work.reached, cause: Cause::Cancelled };
+            self.ended.push((work.job, c.machine.clone(), failure.end()));
+            self.close(key, ground);
+        }
+    }
+
+    /// Whatever is out ends by then.
+    pub fn stop(&mut self, by: u64, ground: &mut Ground) {
+        for (key, _) in self.table.iter().filter(|(_, c)| c.work.as_ref().is_some_and(|w| w.until > by)) {
+            ground.deadlines.set((Part::Machine, key), by);
+        }
+    }
+}
--- a/crates/simhost/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,41 +1,94 @@
-//! Decodes the settings that an instance is started with.
+//! Decodes the settings told to a front, as name and value pairs, whichever way they come: from the bench's
+//! wire or from a configuration file laid flat.
+//!
+//! ```
+//! let told: tidescale_settings::Told = [("rules.cold".to_string(), "4900.0".to_string())].into_iter().collect();
+//! assert_eq!(told.time("rules.cold"), Ok(4_900_000));
+//! assert_eq!(told.time("rules.fall").unwrap_err(), "a setting is missing: rules.fall");
+//! ```
 
 use std::collections::BTreeMap;
+use std::str::FromStr;
 
 use tidescale::front::{Repeat, Route, Scope, Settings};
 
-use crate::{Fault, flag, micros, number};
+pub type Fault = String;
 
-struct Told<'a>(BTreeMap<&'a str, &'a str>);
+/// Milliseconds to whole microseconds, rounded.
+pub fn micros(text: &str) -> Result<u64, Fault> {
+    let ms: f64 = text.parse().map_err(|_| format!("not a time: {text}"))?;
+    if !(0.0..1e13).contains(&ms) {
+        return Err(format!("time out of range: {text}"));
+    }
+    Ok((ms * 1000.0).round() as u64)
+}
 
-impl<'a> Told<'a> {
-    fn text(&self, path: &str) -> Result<&'a str, Fault> {
-        self.0.get(path).copied().ok_or_else(|| format!("a setting is missing: {path}"))
+pub fn number<T: FromStr>(text: &str) -> Result<T, Fault> {
+    text.parse().map_err(|_| format!("not a number: {text}"))
+}
+
+pub fn flag(text: &str) -> Result<bool, Fault> {
+    match text {
+        "1" | "true" => Ok(true),
+        "0" | "false" | "-" => Ok(false),
+        _ => Err(format!("not a yes or no: {text}")),
     }
-    fn number<T: std::str::FromStr>(&self, path: &str) -> Result<T, Fault> {
+}
+
+/// What was told, by path.
+#[derive(Default)]
+pub struct Told(BTreeMap<String, String>);
+
+impl FromIterator<(String, String)> for Told {
+    fn from_iter<I: IntoIterator<Item = (String, String)>>(pairs: I) -> Self {
+        Told(pairs.into_iter().collect())
+    }
+}
+
+impl Told {
+    pub fn text(&self, path: &str) -> Result<&str, Fault> {
+        self.0.get(path).map(String::as_str).ok_or_else(|| format!("a setting is missing: {path}"))
+    }
+    pub fn number<T: FromStr>(&self, path: &str) -> Result<T, Fault> {
         number(self.text(path)?).map_err(|e| format!("{path}: {e}"))
     }
-    fn time(&self, path: &str) -> Result<u64, Fault> {
+    pub fn time(&self, path: &str) -> Result<u64, Fault> {
         micros(self.text(path)?).map_err(|e| format!("{path}: {e}"))
     }
-    fn flag(&self, path: &str) -> Result<bool, Fault> {
+    pub fn flag(&self, path: &str) -> Result<bool, Fault> {
         flag(self.text(path)?).map_err(|e| format!("{path}: {e}"))
     }
-    fn count(&self, path: &str) -> Result<usize, Fault> {
-        match self.0.get(format!("{path}.count").as_str()) {
-            Some(n) => number(n).map_err(|e| format!("{path}.count: {e}")),
-            None => Ok(0),
-        }
+    pub fn count(&self, path: &str) -> Result<usize, Fault> {
+        let path = format!("{path}.count");
+        if self.0.contains_key(&path) { self.number(&path) } else { Ok(0) }
     }
 }
 
-pub fn decode(text: &str) -> Result<Settings, Fault> {
-    let mut told = BTreeMap::new();
-    for pair in text.split(' ').filter(|p| !p.is_empty()) {
-        let (path, value) = pair.split_once('=').ok_or_else(|| format!("not a setting: {pair}"))?;
-        told.insert(path, value);
+/// The told figures that connections are kept by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Links {
+    pub connect_within: u64,
+    /// The far side closes what has stood idle for so long.
+    pub idle_for: u64,
+    pub longest_timeout: u64,
+    /// Load is told only to those who ask for it.
+    pub load_on_demand: bool,
+}
+
+pub fn links(told: &Told) -> Result<Links, Fault> {
+    let mut longest_timeout = 0;
+    for i in 0..told.count("classes")? {
+        longest_timeout = longest_timeout.max(told.time(&format!("classes.{i}.deadline"))?);
     }
-    let told = Told(told);
+    Ok(Links {
+        connect_within: told.time("policy_limits.connect_timeout")?,
+        idle_for: told.time("policy_limits.conn_idle")?,
+        longest_timeout,
+        load_on_demand: told.text("stats.how")? == "pull",
+    })
+}
+
+pub fn decode(told: &Told) -> Result<Settings, Fault> {
     let mut routes = Vec::new();
     for i in 0..told.count("classes")? {
         let at = |name: &str| format!("classes.{i}.{name}");
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,7 +1,5 @@
 //! The bench's wire: lines in, calls on the decision module, lines out. Decides nothing.
 
-mod settings;
-
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write as _};
@@ -9,8 +7,8 @@
 
 use tidescale::decide::Balancer;
 use tidescale::front::{Answer, End, Inbox, Load, Phase, Standing, Verdict, Writer};
+use tidescale_settings::{Fault, Told, flag, micros, number};
 
-type Fault = String;
 type List = Rc<Vec<String>>;
 
 fn main() {
@@ -21,27 +19,6 @@
     }
 }
 
-/// Milliseconds to whole microseconds, rounded.
-fn micros(text: &str) -> Result<u64, Fault> {
-    let ms: f64 = text.parse().map_err(|_| format!("not a time: {text}"))?;
-    if !(0.0..1e13).contains(&ms) {
-        return Err(format!("time out of range: {text}"));
-    }
-    Ok((ms * 1000.0).round() as u64)
-}
-
-fn number<T: std::str::FromStr>(text: &str) -> Result<T, Fault> {
-    text.parse().map_err(|_| format!("not a number: {text}"))
-}
-
-fn flag(text: &str) -> Result<bool, Fault> {
-    match text {
-        "1" | "true" => Ok(true),
-        "0" | "false" | "-" => Ok(false),
-        _ => Err(format!("not a yes or no: {text}")),
-    }
-}
-
 fn present(text: &str) -> Option<&str> {
     (text != "-").then_some(text)
 }
@@ -88,6 +65,15 @@
     }
 }
 
+/// The settings as the wire has them.
+fn pairs(text: &str) -> Result<Told, Fault> {
+    let pair = |p: &str| match p.split_once('=') {
+        Some((path, value)) => Ok((path.to_string(), value.to_string())),
+        None => Err(format!("not a setting: {p}")),
+    };
+    text.split(' ').filter(|p| !p.is_empty()).map(pair).collect()
+}
+
 /// One instance in service, and how its names map to indices.
 struct Host {
     module: Balancer,
@@ -256,7 +242,7 @@
         };
         let _ = writeln!(self.0, "OPINION {build} {stage} {code}");
     }
-    fn probe(&mut self, machine: &str) {
+    fn probe(&mut self, machine: &str, _until: u64) {
         let _ = writeln!(self.0, "HEALTH_CHECK {machine}");
     }
     fn watch_list(&mut self) {
@@ -322,7 +308,7 @@
                         let mut parts = line.splitn(3, ' ').skip(1);
                         let seed = number(parts.next().ok_or("a start without a seed")?)?;
                         let told = parts.next().ok_or("a start without settings")?;
-                        let settings = settings::decode(told)?;
+                        let settings = tidescale_settings::decode(&pairs(told)?)?;
                         let routes = settings.routes.iter().map(|r| r.name.clone()).collect();
                         let module = Balancer::new(settings, seed, now);
                         hosts.insert(at, Host { module, routes });
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -153,7 +153,7 @@
         let rank = earnings * parts / self.usual_for(route, work).unwrap_or(1.0).max(1.0);
         self.best = rank.max(0.99 * self.best);
         let rank = (rank / self.best).log2().round() as i32;
-        let (key, due) = (key.map(String::from), now + left);
+        let (key, due) = (key.map(String::from), (now + left).min(self.closes));
         let objective = due.min(now + objective);
         self.reqs.insert(id, Req { route, key, work, came: now, due, objective, rank, ..Req::default() });
     }
@@ -251,6 +251,12 @@
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
     }
 
+    /// This front ends then: what is open must have its answer before, whatever time its client gives.
+    pub fn closing(&mut self, by: u64) {
+        self.closes = by;
+        self.reqs.values_mut().for_each(|rq| (rq.due, rq.objective) = (rq.due.min(by), rq.objective.min(by)));
+    }
+
     pub fn flagged(&mut self, name: &str, age: u64) {
         let Some(i) = self.find(name) else { return };
         let (now, m) = (self.now, &self.machines[i]);
@@ -339,11 +345,9 @@
 
     /// Machines in service of this build or later ones, and of earlier ones.
     fn serving(&self, newest: u32) -> [usize; 2] {
-        let mut sides = [0, 0];
-        for m in self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside) {
-            sides[usize::from(m.build < newest)] += 1;
-        }
-        sides
+        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside);
+        let new = ready.clone().filter(|m| m.build >= newest).count();
+        [new, ready.count() - new]
     }
 
     fn look(&mut self, out: &mut dyn Writer) {
@@ -395,9 +399,7 @@
             self.leaning |= both > 0.0;
             lifted |= test == FAILURES && s <= lower;
         }
-        if lifted {
-            self.lifted = Some((n.build, n.stage));
-        }
+        self.lifted = if lifted { Some((n.build, n.stage)) } else { self.lifted };
     }
 
     fn vote(&mut self, out: &mut dyn Writer) {
@@ -450,7 +452,7 @@
         let m = &mut self.machines[i];
         if !m.probe_out {
             (m.probe_out, m.probed) = (true, self.now);
-            out.probe(&m.name);
+            out.probe(&m.name, self.now + PROBE_EVERY);
         }
     }
 
@@ -513,8 +515,7 @@
         let (set, m) = (&self.set, &mut self.machines[i]);
         let rate = COLD_PART * set.fall_multiple * warm * bears / 1e6;
         let most = 1.0 + rate * set.fall_for as f64 / 4.0;
-        m.credit = (m.credit + rate * (now - m.credited) as f64).min(most);
-        m.credited = now;
+        (m.credit, m.credited) = ((m.credit + rate * (now - m.credited) as f64).min(most), now);
         m.credit >= 1.0
     }
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -139,7 +139,8 @@
     fn shed(&mut self, rq: u64, come_back: u64);
     fn error(&mut self, rq: u64);
     fn vote(&mut self, build: u32, stage: u32, verdict: Verdict);
-    fn probe(&mut self, machine: &str);
+    /// What has not been answered by `until` is not waited for.
+    fn probe(&mut self, machine: &str, until: u64);
     fn watch_list(&mut self);
     /// Asks for another round after so long.
     fn wake(&mut self, after: u64);
--- a/src/state.rs
+++ b/src/state.rs
@@ -193,6 +193,8 @@
     pub now: u64,
     pub stalled: bool,
     pub born: u64,
+    /// When this front ends, once it is known.
+    pub closes: u64,
     pub rng: Rand64,
     pub machines: Vec<Machine>,
     pub names: BTreeMap<String, usize>,
@@ -243,6 +245,7 @@
             now,
             stalled: false,
             born: now,
+            closes: u64::MAX,
             rng: Rand64::new(u128::from(seed)),
             machines: Vec::new(),
             names: BTreeMap::new(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,7 +25,7 @@
     fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
         self.0.push(format!("vote {build} {stage} {verdict:?}"));
     }
-    fn probe(&mut self, machine: &str) {
+    fn probe(&mut self, machine: &str, _until: u64) {
         self.0.push(format!("probe {machine}"));
     }
     fn watch_list(&mut self) {
