--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -112,6 +112,8 @@
     /// The answer as far as it has come, held back until it is whole.
     answer: Chain,
     rows: usize,
+    /// How it ended, until all that came with the answer has been read: the load report may follow it.
+    end: Option<End>,
 }
 
 struct Conn {
@@ -120,8 +122,6 @@
     /// When it has to be up; none once it is.
     up_by: Option<u64>,
     work: Option<Work>,
-    /// The machine has still to say that it takes the next query.
-    settling: bool,
     used: u64,
 }
 
@@ -190,7 +190,7 @@
     ) -> Option<u64> {
         let answer = Chain::new(&ground.pool);
         let (since, reached) = (ground.now, Reached::Nothing);
-        let work = Work { job, since, until, reached, load: None, answer, rows: 0 };
+        let work = Work { job, since, until, reached, load: None, answer, rows: 0, end: None };
         let key = match self.connection(machine, ground) {
             Ok(Some(key)) => key,
             Ok(None) => {
@@ -235,7 +235,7 @@
             let mut link = Link::open(ground, addr, (Part::Machine, key))?;
             pg::put_startup(&mut link.output);
             let (machine, used) = (machine.into(), ground.now);
-            Ok(Conn { link, machine, up_by, work: None, settling: false, used })
+            Ok(Conn { link, machine, up_by, work: None, used })
         });
         made.transpose()
     }
@@ -310,8 +310,12 @@
         if matches!(read, Ok(Fill::Starved)) {
             self.starved.push(key);
         }
-        if let Err(Malformed(why)) = self.messages(key, ground, clients, to) {
-            return self.fail(key, Cause::Malformed(why), ground, clients, to);
+        let rested = self.messages(key, ground, clients);
+        self.tell_answered(key, ground, clients, to);
+        match rested {
+            Err(Malformed(why)) => return self.fail(key, Cause::Malformed(why), ground, clients, to),
+            Ok(true) => self.rest(key, ground),
+            Ok(false) => {}
         }
         match read {
             Ok(Fill::Ended) => self.fail(key, Cause::Ended, ground, clients, to),
@@ -320,22 +324,17 @@
         }
     }
 
-    fn messages(
-        &mut self,
-        key: u64,
-        ground: &mut Ground,
-        clients: &mut Clients,
-        to: &mut Balancer,
-    ) -> Result<(), Malformed> {
-        let mut body = Vec::new();
+    /// Whether the connection is free for the next query.
+    fn messages(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients) -> Result<bool, Malformed> {
+        let (mut body, mut rested) = (Vec::new(), false);
         while let Some(c) = self.table.get_mut(key) {
-            let Some((tag, len)) = pg::message(&c.link.input, 0)? else { return Ok(()) };
+            let Some((tag, len)) = pg::message(&c.link.input, 0)? else { break };
             let input = &mut c.link.input;
             let starting = c.up_by.is_some();
             body.clear();
             input.copy(5..len, &mut body);
             if matches!(tag, b'T' | b'D' | b'C') {
-                let work = c.work.as_mut().filter(|_| !starting && !c.settling);
+                let work = c.work.as_mut().filter(|w| !starting && w.end.is_none());
                 let work = work.ok_or(Malformed("an answer to nothing"))?;
                 if tag == b'D' {
                     work.rows += 1;
@@ -349,7 +348,7 @@
                     if work.rows != 1 {
                         return Err(Malformed("an answer without its row"));
                     }
-                    self.done(key, End::Done, ground, clients, to);
+                    work.end = Some(End::Done);
                 }
                 continue;
             }
@@ -370,8 +369,10 @@
                         info!(ground.log, "machine answered with an unknown error";
                             "machine" => &c.machine, "code" => &code, "message" => message);
                     }
-                    if !c.settling {
-                        self.done(key, error_end(&code), ground, clients, to);
+                    // Before a query was written it is the connection that was turned down.
+                    let end = Some(error_end(&code)).filter(|end| !starting || *end == End::Full);
+                    if let Some(work) = c.work.as_mut().filter(|w| w.end.is_none()) {
+                        work.end = Some(end.unwrap_or(End::Refused));
                     }
                 }
                 b'Z' if starting => {
@@ -381,16 +382,15 @@
                     self.write(key, ground, clients);
                 }
                 b'Z' => {
-                    if c.work.is_some() {
+                    if c.work.as_ref().is_some_and(|w| w.end.is_none()) {
                         return Err(Malformed("no answer to a query"));
                     }
-                    c.settling = false;
-                    self.rest(key, ground);
+                    rested = true;
                 }
                 _ => return Err(Malformed("an unknown kind of message")),
             }
         }
-        Ok(())
+        Ok(rested)
     }
 
     /// Keeps an idle connection for the next try there.
@@ -408,13 +408,13 @@
         }
     }
 
-    /// The machine has answered what was asked of it.
-    fn done(&mut self, key: u64, end: End, ground: &mut Ground, clients: &mut Clients, to: &mut Balancer) {
+    /// Tells of a try or probe that the machine has answered.
+    fn tell_answered(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients, to: &mut Balancer) {
         let Some(c) = self.table.get_mut(key) else { return };
-        // It may close the connection with its answer, or say that it is ready.
-        c.settling = true;
-        ground.deadlines.set((Part::Machine, key), ground.now + self.links.connect_within);
-        if let Some(work) = c.work.take() {
+        if let Some((work, end)) = c.work.take_if(|w| w.end.is_some()).and_then(|w| w.end.map(|end| (w, end)))
+        {
+            // It has still to say that it takes the next query, or closes.
+            ground.deadlines.set((Part::Machine, key), ground.now + self.links.connect_within);
             let machine = c.machine.clone();
             self.tell(work, &machine, end, ground, clients, to);
         }
