--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -101,6 +101,8 @@
                 owners.push(owner);
             }
         }
+        // These may have gone without buffers in an earlier turn.
+        owners.extend([Part::Watch, Part::Bulletin].map(|part| (part, 0)));
         owners.extend(node.upstream.take_starved().into_iter().map(|key| (Part::Machine, key)));
         // What the list and the news say comes first: it binds what is decided on the rest.
         owners.sort_unstable_by_key(|o| std::cmp::Reverse(*o));
@@ -223,52 +225,78 @@
     }
 }
 
-/// Serves until told to stop.
-pub fn run(config: &Config, listener: TcpListener, log: Logger) -> Result<(), String> {
-    let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
-    let mut events: EventLoop<'static, Ready> = EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
-    let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| failed("signals", &e))?;
-    let stop = |_, _: &mut (), ready: &mut Ready| ready.stop = true;
-    events.handle().insert_source(signals, stop).map_err(|e| failed("signals", &e))?;
+/// A front, from its first turn to its last.
+pub struct Front {
+    events: EventLoop<'static, Ready>,
+    ready: Ready,
+    clock: Clock,
+    node: RefCell<Node>,
+    pub module: Balancer,
+}
 
-    let clock = Clock::new();
-    let pool = Pool::new(config.memory_mb * 1024 * 1024 / BUFFER_PART / buffers::SIZE);
-    let (handle, now) = (events.handle(), clock.now());
-    let ground = Ground { handle, pool, deadlines: Deadlines::new(), log, now };
-    let routes: Vec<String> = config.settings.routes.iter().map(|r| r.name.clone()).collect();
-    let free = config.sockets.saturating_sub(RESERVE + STANDING);
-    let clients = Clients::new(&ground, listener, routes, free / 2).map_err(|e| failed("listener", &e))?;
-    let node = RefCell::new(Node {
-        upstream: Upstream::new(config.links.clone(), free - free / 2),
-        discovery: Discovery::new(config.discovery),
-        bulletin: Bulletin::new(config.platform),
-        votes: Votes::new(config.platform, config.settings.vote_wait),
-        longest: config.links.longest_timeout,
-        stopping: None,
-        clients,
-        ground,
-    });
-    let mut module = Balancer::new(config.settings.clone(), config.seed, now);
-    let mut ready = Ready::default();
-    let mut first = Some(config);
-    loop {
-        node.borrow_mut().ground.now = clock.now();
-        let now = node.borrow().ground.now;
-        let mut found = Found { node: &node, ready: &mut ready, first: first.take() };
-        module.round(now, &mut found, &mut Decided(&node));
-        if node.borrow().is_finished() {
-            info!(node.borrow().ground.log, "stopped");
-            return Ok(());
+impl Front {
+    pub fn new(config: &Config, listener: TcpListener, log: Logger) -> Result<Front, String> {
+        let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
+        let events: EventLoop<'static, Ready> = EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
+        let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| failed("signals", &e))?;
+        let stop = |_, _: &mut (), ready: &mut Ready| ready.stop = true;
+        events.handle().insert_source(signals, stop).map_err(|e| failed("signals", &e))?;
+
+        let clock = Clock::new();
+        let pool = Pool::new(config.memory_mb * 1024 * 1024 / BUFFER_PART / buffers::SIZE);
+        let (handle, now) = (events.handle(), clock.now());
+        let ground = Ground { handle, pool, deadlines: Deadlines::new(), log, now };
+        let routes: Vec<String> = config.settings.routes.iter().map(|r| r.name.clone()).collect();
+        let free = config.sockets.saturating_sub(RESERVE + STANDING);
+        if free < 2 {
+            return Err(format!("limits: {} sockets are too few", config.sockets));
         }
-        let due = node.borrow().ground.deadlines.next();
+        let clients = Clients::new(&ground, listener, routes, free / 2).map_err(|e| failed("listener", &e))?;
+        let node = RefCell::new(Node {
+            upstream: Upstream::new(config.links.clone(), free - free / 2),
+            discovery: Discovery::new(config.discovery),
+            bulletin: Bulletin::new(config.platform),
+            votes: Votes::new(config.platform, config.settings.vote_wait),
+            longest: config.links.longest_timeout,
+            stopping: None,
+            clients,
+            ground,
+        });
+        let module = Balancer::new(config.settings.clone(), config.seed, now);
+        let mut front = Front { events, ready: Ready::default(), clock, node, module };
+        front.round(Some(config));
+        Ok(front)
+    }
+
+    fn round(&mut self, first: Option<&Config>) {
+        let now = self.clock.now();
+        self.node.borrow_mut().ground.now = now;
+        let mut found = Found { node: &self.node, ready: &mut self.ready, first };
+        self.module.round(now, &mut found, &mut Decided(&self.node));
+    }
+
+    /// Waits for news or a deadline and answers it; whether the front goes on.
+    pub fn turn(&mut self) -> Result<bool, String> {
+        let due = self.node.borrow().ground.deadlines.next();
         let pause = match due {
-            _ if node.borrow().is_pressed() => Some(Duration::ZERO),
-            due => due.map(|at| Duration::from_micros(at.saturating_sub(clock.now()))),
+            _ if self.node.borrow().is_pressed() => Some(Duration::ZERO),
+            due => due.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now()))),
         };
-        events.dispatch(pause, &mut ready).map_err(|e| failed("event loop", &e))?;
-        let late = due.map_or(0, |at| clock.now().saturating_sub(at));
+        self.events.dispatch(pause, &mut self.ready).map_err(|e| format!("event loop: {e}"))?;
+        let late = due.map_or(0, |at| self.clock.now().saturating_sub(at));
         if late > LATE {
-            warn!(node.borrow().ground.log, "a turn came late"; "late_ms" => late / MS);
+            warn!(self.node.borrow().ground.log, "a turn came late"; "late_ms" => late / MS);
         }
+        self.round(None);
+        Ok(!self.node.borrow().is_finished())
     }
 }
+
+/// Serves until told to stop.
+pub fn run(config: &Config, listener: TcpListener, log: Logger) -> Result<(), String> {
+    let mut front = Front::new(config, listener, log.clone())?;
+    info!(log, "serving"; "listen" => %config.listen);
+    while front.turn()? {}
+    info!(log, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,17 @@
+//! The decision module as a front on real sockets. `front` holds the loop; each other file has one job, and
+//! the codecs (`pg`, `http`) and tables (`slots`, `deadlines`, `buffers`) do no I/O.
+
+pub mod buffers;
+pub mod clients;
+pub mod config;
+pub mod deadlines;
+pub mod discovery;
+pub mod front;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod pg;
+pub mod platform;
+pub mod slots;
+pub mod stream;
+pub mod upstream;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,23 +1,10 @@
 //! `tidescale`: the decision module as a front on real sockets. Starts it and, told to, ends it.
 
-mod buffers;
-mod clients;
-mod config;
-mod deadlines;
-mod discovery;
-mod front;
-mod http;
-mod link;
-mod logging;
-mod pg;
-mod platform;
-mod slots;
-mod upstream;
-
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 
 use socket2::{Domain, Protocol, Socket, Type};
+use tidescale_node::{config, front, logging};
 
 const BACKLOG: i32 = 1024;
 
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -10,17 +10,16 @@
 use crate::buffers::Fill;
 use crate::http;
 use crate::link::{Ground, Link, Part};
+use crate::stream::Stream;
 
 const MS: u64 = 1000;
 const BULLETIN: (Part, u64) = (Part::Bulletin, 0);
 const VOTES: (Part, u64) = (Part::Votes, 0);
 /// Five of the signs of life that come every second.
 const SILENCE: u64 = 5000 * MS;
-const FIRST_PAUSE: u64 = 100 * MS;
-const LONGEST_PAUSE: u64 = 2000 * MS;
 /// Calls reuse a connection only well inside the time after which the platform may close it.
 const VOTES_IDLE: u64 = 3000 * MS;
-const READ_AHEAD: usize = 256 * 1024;
+const READ_AHEAD: usize = 64 * 1024;
 
 /// Where the newest build stands.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -111,84 +110,39 @@
 }
 
 pub struct Bulletin {
-    addr: SocketAddr,
-    link: Option<Link>,
-    answer: http::Answer,
+    stream: Stream,
     event: String,
     data: String,
-    pause: u64,
 }
 
 impl Bulletin {
     pub fn new(addr: SocketAddr) -> Bulletin {
-        let (answer, event, data) = (http::Answer::default(), String::new(), String::new());
-        Bulletin { addr, link: None, answer, event, data, pause: FIRST_PAUSE }
+        Bulletin { stream: Stream::new(BULLETIN, addr, SILENCE), event: String::new(), data: String::new() }
     }
 
     pub fn open(&mut self, ground: &mut Ground) {
-        self.answer = http::Answer::default();
         self.event.clear();
         self.data.clear();
-        match Link::open(ground, self.addr, BULLETIN) {
-            Ok(mut link) => {
-                http::get(&mut link.output, &self.addr.to_string(), "/bulletin");
-                self.link = Some(link);
-                ground.deadlines.set(BULLETIN, ground.now + SILENCE);
-            }
-            Err(e) => self.broken(&e.to_string(), ground),
-        }
+        self.stream.open("/bulletin", ground);
     }
 
-    fn broken(&mut self, why: &str, ground: &mut Ground) {
-        info!(ground.log, "bulletin ended"; "why" => why, "again_ms" => self.pause / MS);
-        self.link = None;
-        ground.deadlines.set(BULLETIN, ground.now + self.pause);
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
-    }
-
-    /// Silence, or a pause that is over.
     pub fn due(&mut self, ground: &mut Ground) {
-        if self.link.is_some() { self.broken("silent", ground) } else { self.open(ground) }
+        if self.stream.due(ground) {
+            self.open(ground);
+        }
     }
 
     pub fn found(&mut self, readiness: calloop::Readiness) {
-        if let Some(link) = &mut self.link {
-            link.found(readiness);
-        }
+        self.stream.found(readiness);
     }
 
     pub fn serve(&mut self, ground: &mut Ground, to: &mut Balancer) {
-        let Some(link) = &mut self.link else { return };
-        let flushed = link.flush();
-        let read = link.read(READ_AHEAD);
-        if !link.input.is_empty() {
-            ground.deadlines.set(BULLETIN, ground.now + SILENCE);
-        }
-        let mut fault = self.answer.read(&mut link.input).err().map(|e| e.0.to_string());
-        if fault.is_none() && self.answer.has_begun() && self.answer.status != 200 {
-            fault = Some(format!("status {}", self.answer.status));
-        }
-        if fault.is_none() {
-            fault = self.events(to).err();
-        }
-        match (fault, flushed, read) {
-            (Some(why), ..) => self.broken(&why, ground),
-            (_, Err(e), _) | (_, _, Err(e)) => self.broken(&e.to_string(), ground),
-            (.., Ok(Fill::Ended)) => self.broken("closed", ground),
-            _ if self.answer.is_done() => self.broken("complete", ground),
-            _ => {}
-        }
-    }
-
-    fn events(&mut self, to: &mut Balancer) -> Result<(), String> {
-        let (event, data, pause) = (&mut self.event, &mut self.data, &mut self.pause);
-        let mut fault = Ok(());
-        let read = self.answer.lines(|line| {
+        let (event, data) = (&mut self.event, &mut self.data);
+        self.stream.serve(ground, |line, _| {
+            let mut told = Ok(());
             if line.is_empty() {
                 if !data.is_empty() {
-                    let told = announce(event, data, to);
-                    fault = std::mem::replace(&mut fault, Ok(())).and(told);
-                    *pause = FIRST_PAUSE;
+                    told = announce(event, data, to);
                 }
                 event.clear();
                 data.clear();
@@ -197,9 +151,8 @@
             } else if let Some(value) = line.strip_prefix("data:") {
                 data.push_str(value.trim());
             }
+            told
         });
-        read.map_err(|e| e.0.to_string())?;
-        fault
     }
 }
 
--- /dev/null
+++ b/crates/node/tests/loopback.rs
@@ -0,0 +1,410 @@
+//! The front on loopback sockets, with stand-ins for machines, discovery and the platform.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use tidescale_node::buffers::{Chain, Pool};
+use tidescale_node::{config, front, pg};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// What a stand-in machine does with a query.
+enum Act {
+    Row(Vec<u8>),
+    Error(&'static str),
+    Silence,
+    Close,
+    Bytes(&'static [u8]),
+}
+
+fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+    [&[tag][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+fn row(value: &[u8]) -> Vec<u8> {
+    let field = [&b"data\0"[..], &[0; 6], &17u32.to_be_bytes(), &[0xff; 6], &[0, 1]].concat();
+    let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
+    [message(b'T', &[&[0, 1][..], &field].concat()), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+}
+
+fn error(code: &str) -> Vec<u8> {
+    message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
+}
+
+/// Reads from the stream until `bytes` holds `n` bytes; false at its end.
+fn read_to(stream: &mut TcpStream, bytes: &mut Vec<u8>, n: usize) -> bool {
+    let mut some = [0; 4096];
+    while bytes.len() < n {
+        match stream.read(&mut some) {
+            Ok(0) | Err(_) => return false,
+            Ok(got) => bytes.extend_from_slice(&some[..got]),
+        }
+    }
+    true
+}
+
+/// The next message, without its length.
+fn next(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<(u8, Vec<u8>)> {
+    read_to(stream, bytes, 5).then_some(())?;
+    let len = u32::from_be_bytes(bytes[1..5].try_into().unwrap()) as usize;
+    read_to(stream, bytes, len + 1).then_some(())?;
+    let all: Vec<u8> = bytes.drain(..len + 1).collect();
+    Some((all[0], all[5..].to_vec()))
+}
+
+type Seen = Arc<Mutex<Vec<String>>>;
+
+/// Notes each query and, where a connection ends while one is out, `gone`.
+fn machine(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (SocketAddr, Seen) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (addr, seen, act) = (listener.local_addr().unwrap(), Seen::default(), Arc::new(act));
+    let noted = seen.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (noted, act) = (noted.clone(), act.clone());
+            thread::spawn(move || serve(stream, &noted, &*act));
+        }
+    });
+    (addr, seen)
+}
+
+fn serve(mut stream: TcpStream, noted: &Seen, act: &dyn Fn(usize) -> Act) -> Option<()> {
+    let mut bytes = Vec::new();
+    read_to(&mut stream, &mut bytes, 4).then_some(())?;
+    let len = u32::from_be_bytes(bytes[..4].try_into().unwrap()) as usize;
+    read_to(&mut stream, &mut bytes, len).then_some(())?;
+    bytes.drain(..len);
+    stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat()).ok()?;
+    while let Some((b'Q', body)) = next(&mut stream, &mut bytes) {
+        let n = {
+            let mut noted = noted.lock().unwrap();
+            noted.push(String::from_utf8(body[..body.len() - 1].to_vec()).unwrap());
+            noted.len() - 1
+        };
+        let answer = match act(n) {
+            Act::Row(value) => row(&value),
+            Act::Error(code) => error(code),
+            Act::Bytes(bytes) => bytes.to_vec(),
+            Act::Close => return None,
+            Act::Silence => {
+                read_to(&mut stream, &mut bytes, usize::MAX);
+                noted.lock().unwrap().push("gone".into());
+                return None;
+            }
+        };
+        // The report comes after the answer, as it may.
+        let after = [message(b'S', b"vitals\0inflight=7,queue=2\0"), message(b'Z', b"I")].concat();
+        stream.write_all(&[answer, after].concat()).ok()?;
+    }
+    Some(())
+}
+
+/// Answers each request with `head` and keeps the connection.
+fn http(head: &'static str, notes: Seen) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let notes = notes.clone();
+            thread::spawn(move || {
+                let mut some = [0; 4096];
+                while let Ok(n @ 1..) = stream.read(&mut some) {
+                    notes.lock().unwrap().push(String::from_utf8_lossy(&some[..n]).into());
+                    let _ = stream.write_all(head.as_bytes());
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// A configuration with these machines known; discovery and the platform say nothing that can be read.
+fn told(machines: &[SocketAddr], sockets: usize) -> String {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listed: Vec<String> = (machines.iter().enumerate())
+        .map(|(i, addr)| {
+            format!(
+                r#"{{"id":"s-{i}","addr":"{addr}","zone":"z1","kind":"k","cell":0,"state":"active","weight":1.0,"started_ms":0,"image_id":41}}"#
+            )
+        })
+        .collect();
+    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    include_str!("config.json")
+        .replace("127.0.0.1:1", &listen.to_string())
+        .replace("127.0.0.1:2", &silent.to_string())
+        .replace("127.0.0.1:3", &http("HTTP/1.1 200 OK\r\n\r\nnoise\n", Seen::default()).to_string())
+        .replace("\"servers\":[]", &format!("\"servers\":[{}]", listed.join(",")))
+        .replace("\"sockets\":128", &format!("\"sockets\":{sockets}"))
+}
+
+struct Running {
+    child: Child,
+    addr: SocketAddr,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(config: &str) -> Running {
+    let addr = config::read(config).ok().unwrap().listen;
+    let path = format!("{}/config-{}.json", env!("CARGO_TARGET_TMPDIR"), addr.port());
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
+    let child = command.env("PROXY_CONFIG", path).stderr(Stdio::null()).spawn().unwrap();
+    let running = Running { child, addr };
+    let begun = Instant::now();
+    while TcpStream::connect(addr).is_err() {
+        assert!(begun.elapsed() < PATIENCE, "it does not listen");
+        thread::sleep(Duration::from_millis(5));
+    }
+    running
+}
+
+struct Client(TcpStream, Vec<u8>);
+
+fn out(write: impl FnOnce(&mut Chain)) -> Vec<u8> {
+    let (mut chain, mut bytes) = (Chain::new(&Pool::new(64)), Vec::new());
+    write(&mut chain);
+    chain.copy(0..chain.len(), &mut bytes);
+    bytes
+}
+
+fn query(route: &str, id: u32, wait: u64) -> Vec<u8> {
+    let statement = format!("SELECT data FROM facts WHERE code = '7f3a' /* id={id:x},c={route},d={wait} */");
+    out(|o| pg::put_query(o, statement.as_bytes()))
+}
+
+impl Client {
+    fn open(addr: SocketAddr) -> Client {
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client(stream, Vec::new())
+    }
+    fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+    /// The tags of all messages up to ReadyForQuery or the end, and the last row or error code.
+    fn answer(&mut self) -> (String, Vec<u8>) {
+        let (mut tags, mut value) = (String::new(), Vec::new());
+        while let Some((tag, body)) = next(&mut self.0, &mut self.1) {
+            tags.push(tag as char);
+            match tag {
+                b'D' => value = pg::row(&body).unwrap().to_vec(),
+                b'E' => value = pg::error(&body).unwrap().0.into_bytes(),
+                b'Z' => return (tags, value),
+                _ => {}
+            }
+        }
+        tags.push('.');
+        (tags, value)
+    }
+    fn ended(&mut self) -> bool {
+        match self.0.read(&mut [0; 16]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+fn startup() -> Vec<u8> {
+    out(pg::put_startup)
+}
+
+#[test]
+fn answers_come_whole_and_in_order_however_the_bytes_come() {
+    let value: Vec<u8> = (0..60_000u32).map(|i| (i * 7) as u8).collect();
+    let long = value.clone();
+    let (addr, seen) = machine(move |n| if n == 0 { Act::Row(long.clone()) } else { Act::Row(vec![n as u8]) });
+    let front = start(&told(&[addr], 128));
+    let mut client = Client::open(front.addr);
+    let all = [startup(), query("look", 1, 900), out(|o| pg::put_query(o, b"")), query("pay", 2, 800)].concat();
+    for byte in &all[..all.len() - 20] {
+        client.send(&[*byte]);
+    }
+    assert_eq!(client.answer(), ("RSSSZ".into(), vec![]));
+    client.send(&all[all.len() - 20..]);
+    assert_eq!(client.answer(), ("TDCZ".into(), value));
+    assert_eq!(client.answer(), ("IZ".into(), vec![]));
+    assert_eq!(client.answer(), ("TDCZ".into(), vec![1]));
+    let seen = seen.lock().unwrap();
+    assert!(seen[0].starts_with("SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=look,d=") && seen.len() == 2);
+}
+
+#[test]
+fn malformed_clients_are_told_and_reach_no_machine() {
+    let (addr, seen) = machine(|_| Act::Row(vec![1]));
+    let front = start(&told(&[addr], 128));
+    let odd = |statement: &str| out(|o| pg::put_query(o, statement.as_bytes()));
+    // What is sent once admitted -> tags, code; a dot where the front closes.
+    let table: [(Vec<u8>, &str, &str); 10] = [
+        (odd("SELECT 1"), "EZ", "42601"),
+        (odd("SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=look */"), "EZ", "42601"),
+        (query("elsewhere", 1, 900), "EZ", "42601"),
+        ([message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b""), message(b'S', b"")].concat(), "EZ", "0A000"),
+        (message(b'F', b"1234"), "EZ", "0A000"),
+        (message(b'!', b""), "E.", "08P01"),
+        (vec![b'Q', 0, 0, 0, 1], "E.", "08P01"),
+        (vec![b'Q', 0x7f, 0, 0, 0], "E.", "08P01"),
+        (message(b'Q', b"no end"), "E.", "08P01"),
+        (message(b'X', b""), ".", ""),
+    ];
+    for (sent, tags, code) in table {
+        let mut client = Client::open(front.addr);
+        client.send(&startup());
+        assert_eq!(client.answer().0, "RSSSZ");
+        client.send(&sent);
+        assert_eq!(client.answer(), (tags.into(), code.into()), "{sent:?}");
+        if tags.ends_with('Z') {
+            client.send(&query("look", 7, 900));
+            assert_eq!(client.answer().0, "TDCZ", "{sent:?}");
+        }
+    }
+    let mut client = Client::open(front.addr);
+    client.send(&[0, 0, 0, 8, 4, 210, 22, 47]);
+    let mut one = [0];
+    client.0.read_exact(&mut one).unwrap();
+    assert_eq!(one, *b"N");
+    client.send(&startup());
+    assert_eq!(client.answer().0, "RSSSZ");
+    for first in [&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 1][..], &[0, 0, 0, 8, 0, 2, 0, 0]] {
+        let mut client = Client::open(front.addr);
+        client.send(first);
+        assert!(client.answer().0.ends_with('.'));
+    }
+    assert!(seen.lock().unwrap().iter().all(|q| q.contains("id=7")));
+}
+
+#[test]
+fn what_a_machine_does_becomes_the_clients_answer() {
+    // What the only machine does first; then it answers -> for a route that may run again, for one that may not.
+    let table: [(fn() -> Act, &str, &str); 6] = [
+        (|| Act::Row(vec![5]), "TDCZ", "TDCZ"),
+        (|| Act::Error("53300"), "TDCZ", "TDCZ"),
+        (|| Act::Error("XX000"), "TDCZ", "EZ 58000"),
+        (|| Act::Close, "TDCZ", "EZ 58000"),
+        (|| Act::Bytes(b"D\0\0\0\x03"), "TDCZ", "EZ 58000"),
+        (|| Act::Bytes(b"C\0\0\0\x0dSELECT 0\0"), "TDCZ", "EZ 58000"),
+    ];
+    for (i, (act, again, never)) in table.into_iter().enumerate() {
+        for (route, wanted) in [("look", again), ("pay", never)] {
+            let (addr, _) = machine(move |n| if n == 0 { act() } else { Act::Row(vec![5]) });
+            let front = start(&told(&[addr], 128));
+            let mut client = Client::open(front.addr);
+            client.send(&[startup(), query(route, 1, 900)].concat());
+            assert_eq!(client.answer().0, "RSSSZ");
+            let (tags, value) = client.answer();
+            let code = if tags == "EZ" { format!(" {}", String::from_utf8_lossy(&value)) } else { String::new() };
+            assert_eq!(format!("{tags}{code}"), wanted, "{i} {route}");
+        }
+    }
+}
+
+#[test]
+fn a_client_that_goes_away_has_its_try_given_up() {
+    let (addr, seen) = machine(|_| Act::Silence);
+    let front = start(&told(&[addr], 128));
+    let mut client = Client::open(front.addr);
+    client.send(&[startup(), query("look", 1, 1200)].concat());
+    let wait_for = |n: usize| {
+        let begun = Instant::now();
+        while seen.lock().unwrap().len() < n {
+            assert!(begun.elapsed() < Duration::from_millis(1000), "{:?}", seen.lock().unwrap());
+            thread::sleep(Duration::from_millis(5));
+        }
+    };
+    wait_for(1);
+    drop(client);
+    wait_for(2);
+    assert_eq!(seen.lock().unwrap()[1], "gone");
+}
+
+#[test]
+fn sigterm_answers_what_still_comes_and_then_ends() {
+    let (addr, _) = machine(|_| {
+        thread::sleep(Duration::from_millis(300));
+        Act::Row(vec![5])
+    });
+    let mut front = start(&told(&[addr], 128));
+    let [mut idle, mut busy] = [(); 2].map(|()| Client::open(front.addr));
+    idle.send(&startup());
+    assert_eq!(idle.answer().0, "RSSSZ");
+    busy.send(&[startup(), query("look", 1, 1200)].concat());
+    assert_eq!(busy.answer().0, "RSSSZ");
+    let begun = Instant::now();
+    let kill = Command::new("kill").args(["-TERM", &front.child.id().to_string()]).status().unwrap();
+    assert!(kill.success() && idle.ended());
+    thread::sleep(Duration::from_millis(100));
+    let mut late = Client::open(front.addr);
+    late.send(&[startup(), query("pay", 2, 1000)].concat());
+    assert_eq!(busy.answer().0, "TDCZ");
+    assert_eq!((late.answer().0, late.answer().0), ("RSSSZ".into(), "TDCZ".into()));
+    assert!(busy.ended() && late.ended());
+    while front.child.try_wait().unwrap().is_none() {
+        assert!(begun.elapsed() < Duration::from_millis(1900), "it goes on");
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert!(front.child.wait().unwrap().success() && begun.elapsed() >= Duration::from_millis(700));
+}
+
+#[test]
+fn a_full_budget_closes_idle_connections_and_ends_nothing() {
+    let (addr, _) = machine(|_| {
+        thread::sleep(Duration::from_millis(200));
+        Act::Row(vec![5])
+    });
+    // Four clients and four machines' connections.
+    let front = start(&told(&[addr], 46));
+    let mut idle: Vec<Client> = (0..4).map(|_| Client::open(front.addr)).collect();
+    for client in &mut idle {
+        client.send(&startup());
+        assert_eq!(client.answer().0, "RSSSZ");
+    }
+    let mut busy: Vec<Client> = (0..7).map(|_| Client::open(front.addr)).collect();
+    for (i, client) in busy.iter_mut().enumerate() {
+        client.send(&[startup(), query("look", i as u32, 1200)].concat());
+    }
+    assert!(idle.iter_mut().all(Client::ended));
+    // The first four are served; the others wait until these have their answers and stand idle.
+    for client in &mut busy {
+        assert_eq!((client.answer().0, client.answer().0), ("RSSSZ".into(), "TDCZ".into()));
+    }
+}
+
+#[test]
+fn a_report_that_follows_the_answer_is_told_with_it() {
+    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let config = config::read(&told(&[addr], 128)).ok().unwrap();
+    let listener = TcpListener::bind(config.listen).unwrap();
+    let mut front = front::Front::new(&config, listener, slog::Logger::root(slog::Discard, slog::o!())).unwrap();
+    let client = thread::spawn(move || {
+        let mut client = Client::open(config.listen);
+        client.send(&[startup(), query("look", 1, 900)].concat());
+        (client.answer().0, client.answer().0)
+    });
+    while !client.is_finished() {
+        front.turn().unwrap();
+    }
+    assert_eq!(client.join().unwrap().1, "TDCZ");
+    assert_eq!((front.module.machines[0].load.0, front.module.machines[0].held), (7.0, 0.0));
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_line() {
+    let path = format!("{}/bad.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, told(&[], 128).replace("\"rules\"", "\"rulez\"")).unwrap();
+    for path in [Some(path.as_str()), Some("/nowhere/config.json"), None] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
+        path.into_iter().for_each(|p| drop(command.env("PROXY_CONFIG", p)));
+        let done = command.env_remove(if path.is_none() { "PROXY_CONFIG" } else { "_" }).output().unwrap();
+        let said = String::from_utf8(done.stderr).unwrap();
+        assert!(!done.status.success() && said.lines().count() == 1 && said.starts_with("tidescale: "), "{said}");
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -108,7 +108,9 @@
             // Not far above what is in use: a jam must not find room for its queue.
             self.room.tries = self.room.tries.min((2.0 * self.held + 4.0).max(0.95 * self.room.tries));
         }
-        self.room.tries = self.room.tries.max(if self.stalled { f64::INFINITY } else { 0.0 });
+        // Two on each machine from all fronts together are no jam: fewer leave machines idle that are slow.
+        let least = 2.0 * self.serving(0)[0] as f64 / f64::from(self.set.fronts);
+        self.room.tries = self.room.tries.max(if self.stalled { f64::INFINITY } else { least });
         self.serve(out);
         let pause = if self.reqs.is_empty() { LOOK } else { SWEEP };
         if now >= self.wake_at || now + pause < self.wake_at {
@@ -164,9 +166,8 @@
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
         t.ran &= !matches!(end, End::Full | End::Refused | End::NotSent);
         let Try { machine: i, build, warm, counted, .. } = *t;
-        (t.out, t.counted) = (false, true);
+        (t.out, t.counted, rq.over) = (false, true, rq.over | over);
         let (route, work) = (rq.route, rq.work);
-        rq.over |= over;
         rq.suspect = Some(i).filter(|_| end == End::Reset && self.set.probes);
         if let Some(key) = rq.key.clone().filter(|_| end == End::Done && self.set.one_way) {
             self.keys.insert(key, build);
@@ -220,8 +221,7 @@
             (rq.suspect, rq.deadly) = (None, matches!(end, End::Refused | End::Reset | End::TimedOut));
         }
         let m = &mut self.machines[i];
-        m.probe_out = false;
-        m.answered = if end == End::Done { m.answered + 1 } else { 0 };
+        (m.probe_out, m.answered) = (false, if end == End::Done { m.answered + 1 } else { 0 });
         if m.aside && m.answered >= m.wanted {
             renew(m, 2.0, now);
             m.wanted = (m.wanted * 2).min(16); // Some machines answer probes and fail reqs.
