Keep no connection to an earlier address; a client that does not read holds up neither memory nor the end

Seen on reading: a connection in use while its machine's address changes went back to the pool of the new address; a machine that drains had no address, so that a probe of it told Refused and the req that broke off there was given up; answers piled up for a client that asks without reading, and at SIGTERM such a client held the front until SIGKILL.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -208,7 +208,9 @@
     /// Messages in their order, up to the next req, which has to be answered first.
     fn messages(&mut self, key: u64, ground: &Ground, to: &mut Balancer) -> Result<(), Malformed> {
         let mut body = Vec::new();
-        while let Some(c) = self.table.get_mut(key).filter(|c| c.busy.is_none() && !c.leaving) {
+        // A client that asks on and on without reading would have its answers pile up here.
+        let takes = |c: &&mut Client| c.busy.is_none() && !c.leaving && c.link.output.len() < pg::LONGEST;
+        while let Some(c) = self.table.get_mut(key).filter(takes) {
             let Link { input, output, .. } = &mut c.link;
             if !c.admitted {
                 let Some((opening, len)) = pg::opening(input)? else { return Ok(()) };
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -52,7 +52,7 @@
         if self.full {
             for name in upstream.names() {
                 if !self.servers.iter().any(|e| e.id == name) {
-                    upstream.place(&name, None, ground);
+                    upstream.place(&name, None, false, ground);
                 }
             }
         }
@@ -62,7 +62,9 @@
                 State::Leaving => Standing::Draining,
                 State::Left => Standing::Gone,
             };
-            upstream.place(&e.id, Some(e.addr).filter(|_| e.state == State::Active), ground);
+            // One that drains may still be probed.
+            let addr = Some(e.addr).filter(|_| e.state != State::Left);
+            upstream.place(&e.id, addr, e.state == State::Active, ground);
             let started = (e.started_ms.max(0.0) * 1000.0) as u64;
             to.machine(&e.id, (&e.zone, e.cell, &e.kind), e.image_id, standing, started);
         }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -63,7 +63,8 @@
     bulletin: Bulletin,
     votes: Votes,
     longest: u64,
-    stopping: Option<u64>,
+    /// Told to stop: from when on it may end, and when it has to.
+    stopping: Option<(u64, u64)>,
 }
 
 /// What the loop found in a turn.
@@ -173,15 +174,18 @@
         let now = self.ground.now;
         let by = now + self.longest.min(LONGEST_WAIT) + CLIENTS_COME - MARGIN;
         info!(self.ground.log, "stopping"; "open_reqs" => self.clients.open_reqs());
-        self.stopping = Some(now);
+        self.stopping = Some((now + CLIENTS_COME, by + MARGIN / 2));
         self.clients.stop();
         self.upstream.stop(by, &mut self.ground);
         to.closing(by);
         self.ground.deadlines.set((Part::Exit, 0), now + CLIENTS_COME);
+        self.ground.deadlines.set((Part::Exit, 1), by + MARGIN / 2);
     }
 
     fn is_finished(&self) -> bool {
-        self.stopping.is_some_and(|at| self.ground.now >= at + CLIENTS_COME) && self.clients.is_quiet()
+        let now = self.ground.now;
+        // A client that does not read its answer holds up no end.
+        self.stopping.is_some_and(|(from, by)| now >= from && (self.clients.is_quiet() || now >= by))
     }
 
     fn is_pressed(&self) -> bool {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -119,6 +119,7 @@
 struct Conn {
     link: Link,
     machine: String,
+    addr: SocketAddr,
     /// When it has to be up; none once it is.
     up_by: Option<u64>,
     work: Option<Work>,
@@ -128,6 +129,7 @@
 #[derive(Default)]
 struct Machine {
     addr: Option<SocketAddr>,
+    wanted: bool,
     /// The one used last is used first, so that what is not needed grows idle.
     idle: Vec<u64>,
 }
@@ -151,16 +153,16 @@
         !self.ended.is_empty() || !self.starved.is_empty() && !ground.pool.is_empty()
     }
 
-    /// Where a machine listens; without an address it takes nothing more, and what idles there is closed.
-    pub fn place(&mut self, name: &str, addr: Option<SocketAddr>, ground: &mut Ground) {
+    /// Where a machine listens, and whether anything new goes there; what idles there in vain is closed.
+    pub fn place(&mut self, name: &str, addr: Option<SocketAddr>, wanted: bool, ground: &mut Ground) {
         let m = self.machines.entry(name.into()).or_default();
-        if m.addr != addr {
-            m.addr = addr;
+        if m.addr != addr || !wanted {
             for key in std::mem::take(&mut m.idle) {
                 self.table.remove(key);
                 ground.deadlines.clear((Part::Machine, key));
             }
         }
+        (m.addr, m.wanted) = (addr, wanted);
     }
 
     pub fn names(&self) -> Vec<String> {
@@ -235,7 +237,7 @@
             let mut link = Link::open(ground, addr, (Part::Machine, key))?;
             pg::put_startup(&mut link.output);
             let (machine, used) = (machine.into(), ground.now);
-            Ok(Conn { link, machine, up_by, work: None, used })
+            Ok(Conn { link, machine, addr, up_by, work: None, used })
         });
         made.transpose()
     }
@@ -397,7 +399,7 @@
     fn rest(&mut self, key: u64, ground: &mut Ground) {
         let Some(c) = self.table.get_mut(key) else { return };
         let m = self.machines.get_mut(&c.machine);
-        match m.filter(|m| m.addr.is_some()) {
+        match m.filter(|m| m.wanted && m.addr == Some(c.addr)) {
             Some(m) => {
                 m.idle.push(key);
                 c.used = ground.now;
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -104,45 +104,61 @@
     Some(())
 }
 
-/// Answers each request with `head` and keeps the connection.
-fn http(head: &'static str, notes: Seen) -> SocketAddr {
+/// Answers each request and keeps the connection; notes what was asked.
+fn http(answer: impl Fn(&str) -> String + Send + Sync + 'static) -> (SocketAddr, Seen) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
+    let (addr, notes, answer) = (listener.local_addr().unwrap(), Seen::default(), Arc::new(answer));
+    let noted = notes.clone();
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            let notes = notes.clone();
+            let (notes, answer) = (notes.clone(), answer.clone());
             thread::spawn(move || {
                 let mut some = [0; 4096];
                 while let Ok(n @ 1..) = stream.read(&mut some) {
-                    notes.lock().unwrap().push(String::from_utf8_lossy(&some[..n]).into());
-                    let _ = stream.write_all(head.as_bytes());
+                    let asked = String::from_utf8_lossy(&some[..n]).to_string();
+                    let _ = stream.write_all(answer(&asked).as_bytes());
+                    notes.lock().unwrap().push(asked);
                 }
             });
         }
     });
-    addr
+    (addr, noted)
 }
 
-/// A configuration with these machines known; discovery and the platform say nothing that can be read.
-fn told(machines: &[SocketAddr], sockets: usize) -> String {
-    let silent = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let listed: Vec<String> = (machines.iter().enumerate())
-        .map(|(i, addr)| {
-            format!(
-                r#"{{"id":"s-{i}","addr":"{addr}","zone":"z1","kind":"k","cell":0,"state":"active","weight":1.0,"started_ms":0,"image_id":41}}"#
-            )
-        })
-        .collect();
-    let platform = http("HTTP/1.1 200 OK\r\n\r\nnoise\n", Seen::default());
+fn listing(machines: &[(SocketAddr, u32)]) -> String {
+    let entry = |(i, (addr, build)): (usize, &(SocketAddr, u32))| {
+        format!(
+            r#"{{"id":"s-{i}","addr":"{addr}","zone":"z1","kind":"k","cell":0,"state":"active","weight":1.0,"started_ms":0,"image_id":{build}}}"#
+        )
+    };
+    let entries: Vec<String> = machines.iter().enumerate().map(entry).collect();
+    format!(r#"{{"version":41,"full":true,"servers":[{}]}}"#, entries.join(","))
+}
+
+/// A configuration with these machines known.
+fn told_by(
+    machines: &[(SocketAddr, u32)],
+    sockets: usize,
+    discovery: SocketAddr,
+    platform: SocketAddr,
+) -> String {
     let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     include_str!("config.json")
         .replace("127.0.0.1:1\"", &format!("{listen}\""))
-        .replace("127.0.0.1:2\"", &format!("{silent}\""))
+        .replace("127.0.0.1:2\"", &format!("{discovery}\""))
         .replace("127.0.0.1:3\"", &format!("{platform}\""))
-        .replace("\"servers\":[]", &format!("\"servers\":[{}]", listed.join(",")))
+        .replace(r#"{"version":41,"full":true,"servers":[]}"#, &listing(machines))
         .replace("\"sockets\":128", &format!("\"sockets\":{sockets}"))
 }
 
+/// The same; discovery can't be reached and the platform says nothing that can be read.
+fn told(machines: &[SocketAddr], sockets: usize) -> String {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (platform, _) = http(|_| "HTTP/1.1 200 OK\r\n\r\nevent: stage\ndata: noise\n\n".into());
+    let known: Vec<_> = machines.iter().map(|addr| (*addr, 41)).collect();
+    told_by(&known, sockets, silent, platform)
+}
+
 struct Running {
     child: Child,
     addr: SocketAddr,
@@ -415,6 +431,62 @@
     assert_eq!((front.module.machines[0].load.0, front.module.machines[0].held), (7.0, 0.0));
 }
 
+#[test]
+fn what_discovery_lists_takes_the_place_of_what_was_known() {
+    let [(earlier, none), (later, some)] = [(); 2].map(|()| machine(|_| Act::Row(vec![5])));
+    let list = listing(&[(later, 41)]);
+    let (discovery, asked) = http(move |_| {
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n", list.len() + 1)
+    });
+    let (platform, _) = http(|_| String::new());
+    let front = start(&told_by(&[(earlier, 41)], 128, discovery, platform));
+    let mut client = Client::open(front.addr);
+    client.send(&startup());
+    client.answer();
+    let begun = Instant::now();
+    while some.lock().unwrap().is_empty() {
+        assert!(begun.elapsed() < PATIENCE);
+        client.send(&query("look", 1, 900));
+        assert_eq!(client.answer().0, "TDCZ");
+    }
+    // An idle connection to the earlier address is not used for the later one.
+    let before = none.lock().unwrap().len();
+    client.send(&query("look", 2, 900));
+    assert_eq!((client.answer().0, none.lock().unwrap().len()), ("TDCZ".into(), before));
+    assert!(asked.lock().unwrap()[0].starts_with("GET /discovery/hosts?follow=1&since=41 HTTP/1.1\r\n"));
+}
+
+#[test]
+fn a_build_that_fails_is_voted_back() {
+    let (good, _) = machine(|_| Act::Row(vec![1]));
+    let (bad, _) = machine(|_| Act::Error("XX000"));
+    let (discovery, _) = http(|_| String::new());
+    let (platform, asked) = http(|request| {
+        if request.starts_with("GET /bulletin ") {
+            let event =
+                "event: stage\ndata: version=42&step=1&status=trial&maxWeight=1.0&observedAgoMs=10\n\n";
+            return format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n",
+                event.len()
+            );
+        }
+        let state = "<Response><groups><item><version>42</version><step>1</step><status>rolling_back</status>\
+            <maxWeight>0</maxWeight><observedAgoMs>1</observedAgoMs></item></groups></Response>";
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{state}", state.len())
+    });
+    let front = start(&told_by(&[(good, 41), (bad, 42)], 128, discovery, platform));
+    let mut client = Client::open(front.addr);
+    client.send(&startup());
+    client.answer();
+    let begun = Instant::now();
+    let form = "Action=RecordOpinion&version=42&step=1&vote=reject";
+    while !asked.lock().unwrap().iter().any(|a| a.starts_with("POST / HTTP/1.1\r\n") && a.ends_with(form)) {
+        assert!(begun.elapsed() < PATIENCE, "{:?}", asked.lock().unwrap());
+        client.send(&query("look", 1, 900));
+        client.answer();
+    }
+}
+
 #[test]
 fn a_bad_configuration_ends_with_one_line() {
     let path = format!("{}/bad.json", env!("CARGO_TARGET_TMPDIR"));
