Statements wait in pooled buffers; the end of a front cuts tries without giving a connect more time

Seen on reading: statements of up to 128 KiB stood outside the pool, for hundreds of clients beside the told memory; at SIGTERM a connection that was still coming up lost its connect limit.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -35,7 +35,7 @@
 pub struct Req {
     /// Until it has its answer.
     client: Option<u64>,
-    pub statement: Vec<u8>,
+    pub statement: Chain,
     pub wait_at: Range<usize>,
     /// The connection of each upstream try that is out, by its number.
     pub tries: Vec<Option<u64>>,
@@ -272,7 +272,8 @@
                 return Ok(());
             }
         };
-        let (text, wait_at) = (statement.as_bytes().to_vec(), asked.wait_at);
+        let (mut text, wait_at) = (Chain::new(&ground.pool), asked.wait_at);
+        text.push(statement.as_bytes());
         let rq = Req { client: Some(key), statement: text, wait_at, tries: Vec::new() };
         if let Some(Ok(id)) = self.reqs.insert(|_| Ok::<_, ()>(rq)) {
             c.busy = Some(id);
--- a/crates/node/src/pg.rs
+++ b/crates/node/src/pg.rs
@@ -198,9 +198,12 @@
 }
 
 /// A client's statement, with the front's own wait in place of the client's.
-pub fn put_statement(out: &mut Chain, statement: &[u8], wait_at: &Range<usize>, wait_ms: u64) {
+pub fn put_statement(out: &mut Chain, statement: &Chain, wait_at: &Range<usize>, wait_ms: u64) {
     let wait = wait_ms.to_string();
-    put(out, b'Q', &[&statement[..wait_at.start], wait.as_bytes(), &statement[wait_at.end..], &[0]]);
+    let (before, after) =
+        (statement.slices(0..wait_at.start), statement.slices(wait_at.end..statement.len()));
+    let parts: Vec<&[u8]> = before.chain([wait.as_bytes()]).chain(after).chain([&[0][..]]).collect();
+    put(out, b'Q', &parts);
 }
 
 pub fn put_welcome(out: &mut Chain) {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -483,8 +483,13 @@
 
     /// Whatever is out ends by then.
     pub fn stop(&mut self, by: u64, ground: &mut Ground) {
-        for (key, _) in self.table.iter().filter(|(_, c)| c.work.as_ref().is_some_and(|w| w.until > by)) {
-            ground.deadlines.set((Part::Machine, key), by);
+        let keys: Vec<u64> = self.table.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            let Some(c) = self.table.get_mut(key) else { continue };
+            if let Some(work) = c.work.as_mut().filter(|w| w.until > by) {
+                work.until = by;
+                ground.deadlines.set((Part::Machine, key), c.up_by.map_or(by, |up| up.min(by)));
+            }
         }
     }
 }
--- a/crates/node/tests/codecs.rs
+++ b/crates/node/tests/codecs.rs
@@ -25,7 +25,7 @@
         let asked = pg::asked(statement).unwrap();
         assert_eq!((asked.route, asked.code, asked.wait_ms), (route, "7f3a", 480));
         let mut out = chain(b"");
-        pg::put_statement(&mut out, statement.as_bytes(), &asked.wait_at, 77);
+        pg::put_statement(&mut out, &chain(statement.as_bytes()), &asked.wait_at, 77);
         let sent = bytes(&out);
         assert_eq!(pg::query(&sent[5..]).unwrap(), statement.replace("d=480", "d=77"));
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -336,3 +336,27 @@
     }
     assert!(out.len() >= 3, "{} out", out.len());
 }
+
+#[test]
+fn a_front_that_closes_answers_all_before_it_ends() {
+    // Whatever time the client gives: held for want of machines, or out and timed out by the host.
+    for machines in [&[][..], &["m1"]] {
+        let mut b = Bench::new(settings());
+        let mut all = b.round(0, |to| {
+            machines.iter().for_each(|m| warm(to, m, "z1", 1));
+            to.req(7, 0, None, 8000 * MS, 1.0);
+        });
+        let by = b.now + 400 * MS;
+        all.extend(b.round(10 * MS, |to| to.closing(by)));
+        all.extend(b.round(10 * MS, |to| to.req(8, 0, None, 8000 * MS, 1.0)));
+        while b.now < by {
+            all.extend(b.round(10 * MS, |_| {}));
+        }
+        let out: Vec<u64> = [7, 8].into_iter().filter(|id| all.contains(&format!("try {id} m1"))).collect();
+        all.extend(b.round(0, |to| {
+            out.iter().for_each(|id| to.outcome(*id, 0, End::TimedOut, 400 * MS, false, None))
+        }));
+        assert!(all.contains(&"shed 7".into()) && all.contains(&"shed 8".into()), "{all:?}");
+        assert_eq!(out.len(), 2 * machines.len());
+    }
+}
