--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,40 +1,125 @@
 //! Clients' connections and the reqs that came over them.
 
+use std::collections::BTreeSet;
 use std::io;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::ops::Range;
 use std::rc::Rc;
 
 use slog::{debug, info, warn};
 use tidescale::decide::Balancer;
 
-use crate::buffers::{Chain, Fill};
+use crate::buffers::{Chain, Fill, SIZE};
 use crate::link::{Ground, Link, Part};
 use crate::pg::{self, Malformed, Opening};
 use crate::slots::Slots;
 
 const MS: u64 = 1000;
-/// A statement, and the beginning of what follows it.
-const READ_AHEAD: usize = pg::LONGEST + 4096;
+/// A connection has so long to open, again as long to ask something, and each message so long from its first byte.
+const OPENING: u64 = 2000 * MS;
+const MESSAGE: u64 = 2400 * MS;
+/// Kept connections are the clients' own shortage too: one that rests so long is closed.
+const REST: u64 = 2200 * MS;
+/// A client that takes nothing of its answer for so long has gone.
+const STUCK: u64 = 10_000 * MS;
+/// After an error the connection stays for the client to read it; so much of what still comes is dropped.
+const LINGER: u64 = 1000 * MS;
+const DROPPED: usize = 256 * 1024;
+/// Under pressure no connection is closed for silence that has come since so lately.
+const LATELY: u64 = 100 * MS;
+/// Done for one connection in a turn, and connections taken in one: others have their turn too.
+const READS: usize = 4;
+const TAKEN: usize = 16;
+/// What is read while a req is open, and the answers that may wait for a client that asks on and on.
+const AHEAD: usize = SIZE;
+
+/// What a connection owes; in the order in which connections make room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// Closes once its error is read.
+    Leaving,
+    /// It has not said who it is.
+    Opening,
+    /// A message has begun and is not whole.
+    Begun,
+    /// Nothing asked since it was let in.
+    Fresh,
+    Resting,
+    /// Its answers wait to be taken.
+    Stuck,
+    Busy,
+}
 
-/// A client that has sent no startup message for so long has none to send.
-const SILENT: u64 = 1000 * MS;
+impl Stage {
+    fn lasts(self) -> u64 {
+        match self {
+            Stage::Leaving => LINGER,
+            Stage::Opening | Stage::Fresh => OPENING,
+            Stage::Begun => MESSAGE,
+            Stage::Resting => REST,
+            Stage::Stuck => STUCK,
+            Stage::Busy => u64::MAX,
+        }
+    }
+}
 
 struct Client {
     link: Link,
+    /// Since when.
+    stage: (Stage, u64),
     admitted: bool,
+    asked: bool,
     /// The req that is being answered.
     busy: Option<u64>,
     /// An extended query was declined; all up to its Sync goes with it.
     declined: bool,
-    /// Closes once all is written.
+    /// Closes once all is written and read.
     leaving: bool,
-    used: u64,
+    dropped: usize,
+}
+
+impl Client {
+    fn over(link: Link, now: u64) -> Client {
+        let stage = (Stage::Opening, now);
+        let (admitted, asked, busy, declined) = (false, false, None, false);
+        Client { link, stage, admitted, asked, busy, declined, leaving: false, dropped: 0 }
+    }
+
+    fn now_at(&self) -> Stage {
+        match () {
+            () if self.leaving => Stage::Leaving,
+            () if !self.link.output.is_empty() => Stage::Stuck,
+            () if self.busy.is_some() => Stage::Busy,
+            () if !self.admitted => Stage::Opening,
+            () if !self.link.input.is_empty() => Stage::Begun,
+            () if !self.asked => Stage::Fresh,
+            () => Stage::Resting,
+        }
+    }
+
+    /// Whether the next message may be looked at. A client that asks on and on without reading would have its
+    /// answers pile up.
+    fn takes(&self) -> bool {
+        self.busy.is_none() && !self.leaving && self.link.output.len() < AHEAD
+    }
+
+    /// There may be another message to look at.
+    fn has_next(&self) -> bool {
+        self.link.has_more() || self.admitted && pg::message(&self.link.input, pg::from_client) != Ok(None)
+    }
+
+    /// How much has to be held to look at the next message; of what follows an open req only the beginning.
+    fn wants(&self) -> usize {
+        let head = || pg::head(&self.link.input, pg::from_client).ok().flatten();
+        let next = if self.admitted && self.takes() { head() } else { None };
+        next.map_or(AHEAD, |(_, len)| len.max(AHEAD))
+    }
 }
 
 pub struct Req {
     /// Until it has its answer.
     client: Option<u64>,
+    id: String,
     pub statement: Chain,
     pub wait_at: Range<usize>,
     /// The connection of each upstream try that is out, by its number.
@@ -43,11 +128,17 @@
 
 pub struct Clients {
     listener: Rc<TcpListener>,
-    /// The loop told of connections that were not taken then.
+    /// The loop told of connections that were not taken then; more than one turn takes.
     waiting: bool,
+    many: bool,
+    failed: bool,
     table: Slots<Client>,
+    /// Connections by stage and since when.
+    stages: BTreeSet<(Stage, u64, u64)>,
     reqs: Slots<Req>,
-    routes: Vec<String>,
+    /// As the clients gave them.
+    ids: BTreeSet<String>,
+    routes: Vec<(String, bool)>,
     /// Clients whose next message may be there already.
     again: Vec<u64>,
     /// Clients that were not read for want of buffers.
@@ -56,21 +147,25 @@
 }
 
 impl Clients {
+    /// `routes`: their names, and whether their reqs need a key; `most`: connections at a time.
     pub fn new(
         ground: &Ground,
         listener: TcpListener,
-        routes: Vec<String>,
+        routes: Vec<(String, bool)>,
         most: usize,
     ) -> io::Result<Clients> {
         listener.set_nonblocking(true)?;
         let listener = Rc::new(listener);
         ground.register(listener.clone(), (Part::Listener, 0))?;
-        let (table, reqs) = (Slots::new(most), Slots::new(usize::MAX));
         Ok(Clients {
             listener,
             waiting: false,
-            table,
-            reqs,
+            many: false,
+            failed: false,
+            table: Slots::new(most),
+            stages: BTreeSet::new(),
+            reqs: Slots::new(usize::MAX),
+            ids: BTreeSet::new(),
             routes,
             again: Vec::new(),
             starved: Vec::new(),
@@ -84,7 +179,8 @@
 
     /// There is something to do before the loop tells of anything.
     pub fn is_pressed(&self, ground: &Ground) -> bool {
-        !self.again.is_empty() || !self.starved.is_empty() && !ground.pool.is_empty()
+        let knocks = self.many || self.waiting && !self.failed && !self.table.is_full();
+        knocks || !self.again.is_empty() || !self.starved.is_empty() && !ground.clients_pool.is_empty()
     }
 
     pub fn open_reqs(&self) -> usize {
@@ -92,47 +188,68 @@
     }
 
     /// Takes new connections while there are descriptors; over that, idle ones make room, never those in use.
-    pub fn accept(&mut self, ground: &mut Ground) {
-        while self.waiting {
-            if self.table.is_full() && !self.close_idlest(ground) {
+    pub fn accept(&mut self, ground: &mut Ground, to: &mut Balancer) {
+        (self.many, self.failed) = (false, false);
+        for _ in 0..TAKEN {
+            if !self.waiting || self.table.is_full() && !self.make_room(ground, to) {
                 return;
             }
-            let socket = match self.listener.accept() {
-                Ok((socket, _)) => socket,
+            match self.listener.accept() {
+                Ok((socket, _)) => self.take(socket, ground),
                 Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
-                {
-                    continue;
-                }
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     self.waiting = e.kind() != io::ErrorKind::WouldBlock;
-                    if self.waiting {
+                    self.failed = self.waiting;
+                    if self.failed {
                         warn!(ground.log, "cannot accept"; "error" => %e);
                     }
                     return;
                 }
-            };
-            let made = self.table.insert(|key| {
-                let link = Link::over(ground, socket, (Part::Client, key))?;
-                let used = ground.now;
-                Ok(Client { link, admitted: false, busy: None, declined: false, leaving: false, used })
-            });
-            if let Some(Err(e)) = made {
+            }
+        }
+        self.many = true;
+    }
+
+    fn take(&mut self, socket: TcpStream, ground: &mut Ground) {
+        let made = self.table.insert(|key| {
+            let link = Link::over(ground, socket, (Part::Client, key), &ground.clients_pool)?;
+            Ok(Client::over(link, ground.now))
+        });
+        match made {
+            Some(Ok(key)) => {
+                let stage = (Stage::Opening, ground.now);
+                self.stages.insert((stage.0, stage.1, key));
+                ground.deadlines.set((Part::Client, key), ground.now + OPENING);
+                // What it asks has mostly come with it.
+                self.again.push(key);
+            }
+            Some(Err(e)) => {
                 let e: io::Error = e;
                 warn!(ground.log, "cannot keep a client"; "error" => %e);
             }
+            None => {}
         }
     }
 
-    fn close_idlest(&mut self, ground: &Ground) -> bool {
-        // One that has just come has a req on its way; one that says nothing for long does not count as come.
-        let waits = |c: &Client| c.admitted || c.used + SILENT < ground.now;
-        let rests = |c: &Client| c.busy.is_none() && c.link.output.is_empty() && c.link.is_quiet();
-        let idle = self.table.iter().filter(|(_, c)| waits(c) && rests(c));
-        let Some(key) = idle.min_by_key(|(_, c)| c.used).map(|(key, _)| key) else { return false };
-        debug!(ground.log, "an idle client makes room");
-        self.table.remove(key);
-        true
+    /// Closes the connection that is missed least, if any may be. One that has just come has a req on its way.
+    fn make_room(&mut self, ground: &mut Ground, to: &mut Balancer) -> bool {
+        let lately = ground.now.saturating_sub(LATELY);
+        let old = |spot: &&(Stage, u64, u64)| spot.0 == Stage::Leaving || spot.1 <= lately;
+        let mut idle = self.stages.iter().take_while(|spot| spot.0 <= Stage::Resting).filter(old);
+        // What has come since it was served last is looked at first.
+        let quiet = |key| self.table.get(key).is_some_and(|c| c.leaving || c.link.is_silent());
+        match idle.find(|(.., key)| quiet(*key)).copied() {
+            Some((.., key)) => {
+                debug!(ground.log, "an idle client makes room");
+                self.close(key, ground, to);
+                true
+            }
+            None => {
+                ground.deadlines.set((Part::Listener, 0), ground.now + LATELY);
+                false
+            }
+        }
     }
 
     pub fn found(&mut self, key: u64, readiness: calloop::Readiness) {
@@ -152,47 +269,130 @@
 
     /// Reads what a client has sent and tells the module.
     pub fn serve(&mut self, key: u64, ground: &mut Ground, to: &mut Balancer) {
-        let Some(c) = self.table.get_mut(key) else { return };
-        c.used = ground.now;
-        let read = c.link.read(READ_AHEAD);
-        let open = match read {
-            Ok(fill) => {
-                if fill == Fill::Starved {
+        for _ in 0..READS {
+            let Some(c) = self.table.get_mut(key) else { return };
+            // One that has gone reads no answer, whatever it asked before.
+            if c.link.flush().is_err() {
+                return self.close(key, ground, to);
+            }
+            if c.leaving {
+                if self.leave(key) {
+                    return self.close(key, ground, to);
+                }
+                break;
+            }
+            let most = c.wants();
+            let read = c.link.read(most);
+            match read {
+                Ok(Fill::Ended) | Err(_) => return self.close(key, ground, to),
+                Ok(Fill::Starved) => {
                     self.starved.push(key);
+                    self.free_buffers(key, ground, to);
                 }
-                fill != Fill::Ended
+                Ok(Fill::Drained | Fill::Enough) => {}
             }
-            Err(_) => false,
-        };
-        // One that has gone reads no answer, whatever it asked before.
-        if !open || c.link.flush().is_err() || (c.leaving && c.link.output.is_empty()) {
-            return self.close(key, to);
-        }
-        if let Err(Malformed(why)) = self.messages(key, ground, to) {
-            info!(ground.log, "client sent what can't be read"; "why" => why);
-            let c = self.table.get_mut(key).unwrap();
-            pg::put_error(&mut c.link.output, true, pg::PROTOCOL, why, "");
-            c.leaving = true;
-            if let Some(id) = c.busy.take() {
-                self.forget_client(id, to);
+            if let Err(Malformed(why)) = self.messages(key, ground, to) {
+                info!(ground.log, "client sent what can't be read"; "why" => why);
+                self.turn_out(key, why);
+            }
+            let Some(c) = self.table.get_mut(key) else { return };
+            if !(c.takes() && c.link.has_more()) || matches!(read, Ok(Fill::Starved)) {
+                break;
             }
         }
-        self.finish(key, to);
+        self.finish(key, ground, to);
     }
 
-    /// Writes what waits and closes what is done.
-    fn finish(&mut self, key: u64, to: &mut Balancer) {
+    /// Whoever has held buffers longest for a message that does not end gives them up.
+    fn free_buffers(&mut self, wanted_by: u64, ground: &mut Ground, to: &mut Balancer) {
+        let lately = ground.now.saturating_sub(LATELY);
+        let mut begun = self.stages.range((Stage::Begun, 0, 0)..(Stage::Begun, lately, 0));
+        if let Some((.., key)) = begun.find(|(.., key)| *key != wanted_by).copied() {
+            info!(ground.log, "buffers are short, an unfinished message gives way");
+            self.close(key, ground, to);
+        }
+    }
+
+    /// Tells a client its fault; the connection ends once that is read.
+    fn turn_out(&mut self, key: u64, why: &str) {
+        let Some(c) = self.table.get_mut(key) else { return };
+        pg::put_error(&mut c.link.output, true, pg::PROTOCOL, why, "");
+        c.leaving = true;
+    }
+
+    /// Drops what a client still sends, so that its end does not overtake the error; whether it may be closed.
+    fn leave(&mut self, key: u64) -> bool {
+        let Some(c) = self.table.get_mut(key) else { return true };
+        if !c.link.output.is_empty() {
+            return false;
+        }
+        let (dropped, ended) = c.link.discard((DROPPED - c.dropped).min(DROPPED / 4));
+        c.dropped += dropped;
+        ended
+    }
+
+    /// Writes what waits, closes what is done, and notes where the connection stands.
+    fn finish(&mut self, key: u64, ground: &mut Ground, to: &mut Balancer) {
         let stopping = self.stopping;
         let Some(c) = self.table.get_mut(key) else { return };
-        let idle = c.admitted && c.busy.is_none() && c.link.input.is_empty();
-        let failed = c.link.flush().is_err();
-        if failed || c.link.output.is_empty() && (c.leaving || stopping && idle) {
-            self.close(key, to);
+        if c.link.flush().is_err() {
+            return self.close(key, ground, to);
+        }
+        let (stage, since) = (c.now_at(), c.stage);
+        if stopping && matches!(stage, Stage::Fresh | Stage::Resting) {
+            return self.close(key, ground, to);
         }
+        if stage == Stage::Leaving {
+            if c.link.output.is_empty() {
+                c.link.end_sending();
+            }
+            // What it sends beyond that stays unread.
+            if c.dropped < DROPPED && c.link.has_more() {
+                self.again.push(key);
+            }
+        } else if c.takes() && c.has_next() && !self.starved.contains(&key) {
+            self.again.push(key);
+        }
+        if stage != since.0 {
+            let now = ground.now;
+            c.stage = (stage, now);
+            self.stages.remove(&(since.0, since.1, key));
+            self.stages.insert((stage, now, key));
+            match stage {
+                Stage::Busy => ground.deadlines.clear((Part::Client, key)),
+                _ => ground.deadlines.set((Part::Client, key), now + stage.lasts()),
+            }
+        }
+    }
+
+    /// A connection has stood too long where it stands.
+    pub fn due(&mut self, key: u64, ground: &mut Ground, to: &mut Balancer) {
+        // After a stall of our own, what it owes may have come.
+        self.serve(key, ground, to);
+        let Some(c) = self.table.get(key) else { return };
+        let (stage, since) = c.stage;
+        if stage == Stage::Busy {
+            return;
+        }
+        // Whoever is owed an answer is owed it until it goes away.
+        let kept = stage == Stage::Stuck && c.busy.is_some();
+        let due = if kept { ground.now + STUCK } else { since + stage.lasts() };
+        if ground.now < due {
+            return ground.deadlines.set((Part::Client, key), due);
+        }
+        if stage != Stage::Begun {
+            return self.close(key, ground, to);
+        }
+        info!(ground.log, "client did not finish a message in time");
+        self.turn_out(key, "a message without its end");
+        self.finish(key, ground, to);
     }
 
-    fn close(&mut self, key: u64, to: &mut Balancer) {
-        if let Some(id) = self.table.remove(key).and_then(|c| c.busy) {
+    fn close(&mut self, key: u64, ground: &mut Ground, to: &mut Balancer) {
+        ground.deadlines.clear((Part::Client, key));
+        let Some(c) = self.table.remove(key) else { return };
+        self.stages.remove(&(c.stage.0, c.stage.1, key));
+        if let Some(id) = c.busy {
             self.forget_client(id, to);
         }
     }
@@ -208,14 +408,15 @@
     /// Messages in their order, up to the next req, which has to be answered first.
     fn messages(&mut self, key: u64, ground: &Ground, to: &mut Balancer) -> Result<(), Malformed> {
         let mut body = Vec::new();
-        // A client that asks on and on without reading would have its answers pile up here.
-        let takes = |c: &&mut Client| c.busy.is_none() && !c.leaving && c.link.output.len() < pg::LONGEST;
-        while let Some(c) = self.table.get_mut(key).filter(takes) {
+        while let Some(c) = self.table.get_mut(key).filter(|c| c.takes()) {
             let Link { input, output, .. } = &mut c.link;
             if !c.admitted {
                 let Some((opening, len)) = pg::opening(input)? else { return Ok(()) };
+                body.clear();
+                input.copy(8..len, &mut body);
                 input.skip(len);
                 match opening {
+                    Opening::Startup if !pg::names_user(&body)? => return Err(Malformed("no user")),
                     Opening::Startup => pg::put_welcome(output),
                     Opening::Encryption => output.push(b"N"),
                     Opening::Cancel => c.leaving = true,
@@ -223,7 +424,8 @@
                 c.admitted = opening == Opening::Startup;
                 continue;
             }
-            let Some((tag, len)) = pg::message(input, 0)? else { return Ok(()) };
+            let Some((tag, len)) = pg::message(input, pg::from_client)? else { return Ok(()) };
+            c.asked = true;
             body.clear();
             input.copy(5..len, &mut body);
             input.skip(len);
@@ -260,7 +462,15 @@
             return Ok(());
         }
         let asked = pg::asked(statement).and_then(|a| {
-            let route = self.routes.iter().position(|r| r == a.route).ok_or(Malformed("an unknown route"))?;
+            let route = self.routes.iter().position(|(name, _)| name == a.route);
+            let route = route.ok_or(Malformed("an unknown route"))?;
+            if self.routes[route].1 && a.key.is_none() {
+                return Err(Malformed("no key"));
+            }
+            // Whose answer would it be?
+            if self.ids.contains(a.id) {
+                return Err(Malformed("the id of an open req"));
+            }
             Ok((a, route))
         });
         let (asked, route) = match asked {
@@ -274,7 +484,9 @@
         };
         let (mut text, wait_at) = (Chain::new(&ground.pool), asked.wait_at);
         text.push(statement.as_bytes());
-        let rq = Req { client: Some(key), statement: text, wait_at, tries: Vec::new() };
+        let id = asked.id.to_string();
+        self.ids.insert(id.clone());
+        let rq = Req { client: Some(key), id, statement: text, wait_at, tries: Vec::new() };
         if let Some(Ok(id)) = self.reqs.insert(|_| Ok::<_, ()>(rq)) {
             c.busy = Some(id);
             to.req(id, route, Some(asked.code), asked.wait_ms * MS, 0.0);
@@ -301,8 +513,10 @@
 
     fn drop_if_done(&mut self, id: u64) {
         let done = |rq: &Req| rq.client.is_none() && rq.tries.iter().all(Option::is_none);
-        if self.reqs.get(id).is_some_and(done) {
-            self.reqs.remove(id);
+        if self.reqs.get(id).is_some_and(done)
+            && let Some(rq) = self.reqs.remove(id)
+        {
+            self.ids.remove(&rq.id);
         }
     }
 
@@ -324,6 +538,11 @@
         self.answer(id, |out| answer.pass(answer.len(), out));
     }
 
+    /// A machine has found fault with the req itself.
+    pub fn unfit(&mut self, id: u64) {
+        self.answer(id, |out| pg::put_error(out, false, pg::SYNTAX, "a machine turned it down", ""));
+    }
+
     pub fn shed(&mut self, id: u64, come_back: u64) {
         let wait = if come_back >= MS { (come_back / MS).to_string() } else { String::new() };
         self.answer(id, |out| pg::put_error(out, false, pg::SHED, "try again", &wait));
@@ -345,7 +564,7 @@
     }
 
     /// Ends one connection, whatever state it is in.
-    pub fn abandon(&mut self, key: u64, to: &mut Balancer) {
-        self.close(key, to);
+    pub fn abandon(&mut self, key: u64, ground: &mut Ground, to: &mut Balancer) {
+        self.close(key, ground, to);
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -7,11 +7,10 @@
 use tidescale::front::Standing;
 
 use crate::link::{Ground, Part};
-use crate::stream::Stream;
+use crate::stream::Standing as Streams;
 use crate::upstream::Upstream;
 
 const MS: u64 = 1000;
-const OWNER: (Part, u64) = (Part::Watch, 0);
 /// Three of the empty lines that come while nothing changes.
 const SILENCE: u64 = 6000 * MS;
 
@@ -28,12 +27,9 @@
     addr: SocketAddr,
     zone: String,
     kind: String,
-    #[serde(default)]
     cell: u64,
     state: State,
-    #[serde(default)]
     started_ms: f64,
-    #[serde(default)]
     image_id: u32,
 }
 
@@ -62,23 +58,23 @@
                 State::Leaving => Standing::Draining,
                 State::Left => Standing::Gone,
             };
-            // One that drains may still be probed.
-            let addr = Some(e.addr).filter(|_| e.state != State::Left);
-            upstream.place(&e.id, addr, e.state == State::Active, ground);
             let started = (e.started_ms.max(0.0) * 1000.0) as u64;
+            // One that drains may still be probed.
+            let listed = Some((e.addr, e.image_id, started)).filter(|_| e.state != State::Left);
+            upstream.place(&e.id, listed, e.state == State::Active, ground);
             to.machine(&e.id, (&e.zone, e.cell, &e.kind), e.image_id, standing, started);
         }
     }
 }
 
 pub struct Discovery {
-    stream: Stream,
+    streams: Streams,
     version: u64,
 }
 
 impl Discovery {
     pub fn new(addr: SocketAddr) -> Discovery {
-        Discovery { stream: Stream::new(OWNER, addr, SILENCE), version: 0 }
+        Discovery { streams: Streams::new(Part::Watch, addr, SILENCE), version: 0 }
     }
 
     /// The list as this front last had it serves until the watch answers.
@@ -93,24 +89,32 @@
         known.tell(ground, upstream, to);
     }
 
+    fn path(&self) -> String {
+        format!("/discovery/hosts?follow=1&since={}", self.version)
+    }
+
     /// Opens the watch where it last stood.
     pub fn open(&mut self, ground: &mut Ground) {
-        self.stream.open(&format!("/discovery/hosts?follow=1&since={}", self.version), ground);
+        self.streams.open(&self.path(), ground);
+    }
+
+    pub fn move_to(&mut self, addr: SocketAddr, ground: &mut Ground) -> bool {
+        self.streams.move_to(addr, &self.path(), ground)
     }
 
-    pub fn due(&mut self, ground: &mut Ground) {
-        if self.stream.due(ground) {
+    pub fn due(&mut self, number: u64, ground: &mut Ground) {
+        if self.streams.due(number, ground) {
             self.open(ground);
         }
     }
 
-    pub fn found(&mut self, readiness: calloop::Readiness) {
-        self.stream.found(readiness);
+    pub fn found(&mut self, number: u64, readiness: calloop::Readiness) {
+        self.streams.found(number, readiness);
     }
 
     pub fn serve(&mut self, ground: &mut Ground, upstream: &mut Upstream, to: &mut Balancer) {
         let version = &mut self.version;
-        self.stream.serve(ground, |line, ground| {
+        self.streams.serve(ground, |line, _, ground| {
             if !line.trim().is_empty() {
                 let listing: Listing = serde_json::from_str(line).map_err(|e| e.to_string())?;
                 *version = listing.version;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -3,17 +3,18 @@
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use calloop::EventLoop;
-use calloop::signals::{Signal, Signals};
+use calloop::signals::{Event, Signal, Signals};
 use slog::{Logger, error, info, warn};
 use tidescale::decide::Balancer;
-use tidescale::front::{Inbox, Verdict, Writer};
+use tidescale::front::{Inbox, Repeat, Route, Verdict, Writer};
 
 use crate::buffers::{self, Pool};
 use crate::clients::Clients;
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::deadlines::Deadlines;
 use crate::discovery::Discovery;
 use crate::link::{Ground, Owner, Part, Ready};
@@ -25,11 +26,13 @@
 const RESERVE: usize = 32;
 /// The watch, the bulletin, the votes, and one of each that is just being replaced.
 const STANDING: usize = 6;
-/// The part of the descriptors left that goes to machines' connections. Clients wait many at a time for what a
-/// jammed fleet does a few at a time, and one that finds no descriptor is not even told to come back.
-const MACHINES_PART: usize = 4;
+/// The part of the descriptors left that goes to machines' connections. Clients hold at most a third of all for
+/// reqs; the rest of their half is for those that come to no good, which must be told before they can be closed.
+const MACHINES_PART: usize = 2;
 /// The part of the memory that buffers may take.
 const BUFFER_PART: usize = 3;
+/// Of these for what discovery and the platform send; of the rest half for clients, half for machines.
+const STREAMS_BUFFERS: usize = 64;
 /// For so long after SIGTERM clients may still come, and what they ask is still owed.
 const CLIENTS_COME: u64 = 700 * MS;
 /// SIGKILL waits for the longest timeout, but no longer than this and the time in which clients come.
@@ -63,6 +66,7 @@
     bulletin: Bulletin,
     votes: Votes,
     longest: u64,
+    config: PathBuf,
     /// Told to stop: from when on it may end, and when it has to.
     stopping: Option<(u64, u64)>,
 }
@@ -88,6 +92,9 @@
         if std::mem::take(&mut self.ready.stop) && node.stopping.is_none() {
             node.stop(to);
         }
+        if std::mem::take(&mut self.ready.reload) {
+            node.reload();
+        }
         node.upstream.tell_ended(&mut node.clients, to);
         node.votes.tell_failed(to);
         let mut owners: Vec<Owner> = Vec::new();
@@ -96,18 +103,18 @@
                 Part::Listener => node.clients.knocked(),
                 Part::Client => node.clients.found(owner.1, readiness),
                 Part::Machine => node.upstream.found(owner.1, readiness),
-                Part::Watch => node.discovery.found(readiness),
-                Part::Bulletin => node.bulletin.found(readiness),
+                Part::Watch => node.discovery.found(owner.1, readiness),
+                Part::Bulletin => node.bulletin.found(owner.1, readiness),
                 Part::Votes => node.votes.found(readiness),
                 Part::Module | Part::Exit => {}
             }
-            if !matches!(owner.0, Part::Client | Part::Listener) {
+            if matches!(owner.0, Part::Machine | Part::Votes) {
                 owners.push(owner);
             }
         }
         // These may have gone without buffers in an earlier turn.
         owners.extend([Part::Watch, Part::Bulletin].map(|part| (part, 0)));
-        owners.extend(node.upstream.take_starved().into_iter().map(|key| (Part::Machine, key)));
+        owners.extend(node.upstream.take_again().into_iter().map(|key| (Part::Machine, key)));
         // What the list and the news say comes first: it binds what is decided on the rest.
         owners.sort_unstable_by_key(|o| std::cmp::Reverse(*o));
         owners.dedup();
@@ -117,7 +124,7 @@
         while let Some(owner) = node.ground.deadlines.due(node.ground.now) {
             node.guard(owner, to, |node, to| node.due(owner, to));
         }
-        node.clients.accept(&mut node.ground);
+        node.clients.accept(&mut node.ground, to);
         for key in node.clients.take_again() {
             node.guard((Part::Client, key), to, |node, to| node.clients.serve(key, &mut node.ground, to));
         }
@@ -130,14 +137,14 @@
         if catch_unwind(AssertUnwindSafe(|| job(self, to))).is_err() {
             error!(self.ground.log, "panic while serving a connection"; "part" => ?owner.0);
             let again = catch_unwind(AssertUnwindSafe(|| match owner.0 {
-                Part::Client => self.clients.abandon(owner.1, to),
+                Part::Client => self.clients.abandon(owner.1, &mut self.ground, to),
                 Part::Machine => {
                     let cause = Cause::Malformed("panic");
                     self.upstream.fail(owner.1, cause, &mut self.ground, &mut self.clients, to);
                 }
                 Part::Watch => self.discovery.open(&mut self.ground),
                 Part::Bulletin => self.bulletin.open(&mut self.ground),
-                Part::Votes => self.votes.due(&self.ground, to),
+                Part::Votes => self.votes.due(&mut self.ground, to),
                 Part::Module | Part::Exit | Part::Listener => {}
             }));
             if again.is_err() {
@@ -161,14 +168,32 @@
         let ground = &mut self.ground;
         match owner.0 {
             Part::Machine => self.upstream.due(owner.1, ground, &mut self.clients, to),
-            Part::Watch => self.discovery.due(ground),
-            Part::Bulletin => self.bulletin.due(ground),
+            Part::Watch => self.discovery.due(owner.1, ground),
+            Part::Bulletin => self.bulletin.due(owner.1, ground),
             Part::Votes => self.votes.due(ground, to),
+            Part::Client => self.clients.due(owner.1, ground, to),
             // The round itself is what is due.
-            Part::Module | Part::Exit | Part::Listener | Part::Client => {}
+            Part::Module | Part::Exit | Part::Listener => {}
         }
     }
 
+    /// Only addresses change: the list and the news go on from where they stand.
+    fn reload(&mut self) {
+        let read = std::fs::read_to_string(&self.config).map_err(|e| e.to_string());
+        let config = match read.and_then(|text| config::read(&text)) {
+            Ok(config) => config,
+            Err(why) => {
+                let why = why.replace('\n', " ");
+                warn!(self.ground.log, "cannot use the new configuration, the earlier one stays"; "why" => why);
+                return;
+            }
+        };
+        let discovery = self.discovery.move_to(config.discovery, &mut self.ground);
+        let platform = self.bulletin.move_to(config.platform, &mut self.ground);
+        self.votes.move_to(config.platform, &mut self.ground);
+        info!(self.ground.log, "configuration read anew"; "discovery" => discovery, "platform" => platform);
+    }
+
     /// Clients still come for a while; all that they ask is answered before SIGKILL.
     fn stop(&mut self, to: &mut Balancer) {
         let now = self.ground.now;
@@ -242,18 +267,27 @@
 }
 
 impl Front {
-    pub fn new(config: &Config, listener: TcpListener, log: Logger) -> Result<Front, String> {
+    /// `path`: where the configuration is read anew.
+    pub fn new(config: &Config, path: PathBuf, listener: TcpListener, log: Logger) -> Result<Front, String> {
         let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
         let events: EventLoop<'static, Ready> = EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
-        let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| failed("signals", &e))?;
-        let stop = |_, _: &mut (), ready: &mut Ready| ready.stop = true;
-        events.handle().insert_source(signals, stop).map_err(|e| failed("signals", &e))?;
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| failed("signals", &e))?;
+        let told = |event: Event, _: &mut (), ready: &mut Ready| match event.signal() {
+            Signal::SIGHUP => ready.reload = true,
+            _ => ready.stop = true,
+        };
+        events.handle().insert_source(signals, told).map_err(|e| failed("signals", &e))?;
 
         let clock = Clock::new();
-        let pool = Pool::new(config.memory_mb * 1024 * 1024 / BUFFER_PART / buffers::SIZE);
+        let buffers = config.memory_mb * 1024 * 1024 / BUFFER_PART / buffers::SIZE;
+        let streams_pool = Pool::new(STREAMS_BUFFERS);
+        let clients_pool = Pool::new((buffers / 2).max(1));
+        let pool = Pool::new(buffers.saturating_sub(buffers / 2 + STREAMS_BUFFERS).max(1));
         let (handle, now) = (events.handle(), clock.now());
-        let ground = Ground { handle, pool, deadlines: Deadlines::default(), log, now };
-        let routes: Vec<String> = config.settings.routes.iter().map(|r| r.name.clone()).collect();
+        let ground =
+            Ground { handle, pool, clients_pool, streams_pool, deadlines: Deadlines::default(), log, now };
+        let keyed = |r: &Route| matches!(r.repeat, Repeat::Deduped { .. });
+        let routes = config.settings.routes.iter().map(|r| (r.name.clone(), keyed(r))).collect();
         let free = config.sockets.saturating_sub(RESERVE + STANDING);
         if free < MACHINES_PART {
             return Err(format!("limits: {} sockets are too few", config.sockets));
@@ -268,6 +302,7 @@
             bulletin: Bulletin::new(config.platform),
             votes: Votes::new(config.platform, config.settings.vote_wait),
             longest: config.links.longest_timeout,
+            config: path,
             stopping: None,
             clients,
             ground,
@@ -303,8 +338,8 @@
 }
 
 /// Serves until told to stop.
-pub fn run(config: &Config, listener: TcpListener, log: Logger) -> Result<(), String> {
-    let mut front = Front::new(config, listener, log.clone())?;
+pub fn run(config: &Config, path: PathBuf, listener: TcpListener, log: Logger) -> Result<(), String> {
+    let mut front = Front::new(config, path, listener, log.clone())?;
     info!(log, "serving"; "listen" => %config.listen);
     while front.turn()? {}
     info!(log, "stopped");
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -1,8 +1,8 @@
 //! A non-blocking socket with the bytes that wait on either side of it, and what every part of the node needs
 //! to keep one.
 
-use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use calloop::generic::Generic;
@@ -33,11 +33,17 @@
 pub struct Ready {
     pub sockets: Vec<(Owner, Readiness)>,
     pub stop: bool,
+    pub reload: bool,
 }
 
 pub struct Ground {
     pub handle: LoopHandle<'static, Ready>,
+    /// What machines send, and all that is sent on.
     pub pool: Pool,
+    /// What clients send: however much that is, machines' answers are still read.
+    pub clients_pool: Pool,
+    /// What discovery and the platform send.
+    pub streams_pool: Pool,
     pub deadlines: Deadlines<Owner>,
     pub log: Logger,
     pub now: u64,
@@ -76,21 +82,25 @@
 
 impl Link {
     pub fn open(ground: &Ground, to: SocketAddr, owner: Owner) -> io::Result<Link> {
+        let pool = if owner.0 == Part::Machine { &ground.pool } else { &ground.streams_pool };
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
             Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
-            _ => Link::over(ground, socket.into(), owner),
+            _ => Link::over(ground, socket.into(), owner, pool),
         }
     }
 
-    pub fn over(ground: &Ground, socket: TcpStream, owner: Owner) -> io::Result<Link> {
+    /// What comes in takes its buffers from this pool.
+    pub fn over(ground: &Ground, socket: TcpStream, owner: Owner, pool: &Pool) -> io::Result<Link> {
         socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
         let socket = Rc::new(socket);
         let token = ground.register(socket.clone(), owner)?;
-        let (input, output) = (Chain::new(&ground.pool), Chain::new(&ground.pool));
-        Ok(Link { socket, token, handle: ground.handle.clone(), input, output, readable: false })
+        let (input, output) = (Chain::new(pool), Chain::new(&ground.pool));
+        // A client that has just come may have sent all it wants to ask.
+        let readable = owner.0 == Part::Client;
+        Ok(Link { socket, token, handle: ground.handle.clone(), input, output, readable })
     }
 
     pub fn found(&mut self, readiness: Readiness) {
@@ -107,6 +117,32 @@
         Ok(fill)
     }
 
+    /// There may be more to read, though the loop does not tell again.
+    pub fn has_more(&self) -> bool {
+        self.readable
+    }
+
+    pub fn end_sending(&self) {
+        // One that is gone already needs no end.
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+
+    /// Reads up to `most` bytes and drops them; how many, and whether the far side has ended.
+    pub fn discard(&mut self, most: usize) -> (usize, bool) {
+        let (mut scratch, mut dropped) = ([0; 16 * 1024], 0);
+        self.input.skip(self.input.len());
+        while self.readable && dropped < most {
+            match (&*self.socket).read(&mut scratch) {
+                Ok(0) => return (dropped, true),
+                Ok(n) => dropped += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+                Err(_) => return (dropped, true),
+            }
+        }
+        (dropped, false)
+    }
+
     /// Writes what is taken; the rest goes when the loop finds room.
     pub fn flush(&mut self) -> io::Result<()> {
         match self.output.drain(&mut &*self.socket) {
@@ -118,8 +154,12 @@
 
     /// Nothing has come that was not asked for, not even an end.
     pub fn is_quiet(&self) -> bool {
-        self.input.is_empty()
-            && matches!(self.socket.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.input.is_empty() && self.is_silent()
+    }
+
+    /// The same beyond what has been read.
+    pub fn is_silent(&self) -> bool {
+        matches!(self.socket.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,7 @@
 //! `tidescale`: the decision module as a front on real sockets. Starts it and, told to, ends it.
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use socket2::{Domain, Protocol, Socket, Type};
@@ -18,11 +19,11 @@
 }
 
 fn start() -> Result<(), String> {
-    let path = std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.to_string_lossy()))?;
-    let config = config::read(&text).map_err(|e| format!("{}: {e}", path.to_string_lossy()))?;
+    let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let config = config::read(&text).map_err(|e| format!("{}: {e}", path.display()))?;
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    front::run(&config, listener, logging::start())
+    front::run(&config, path, listener, logging::start())
 }
 
 fn main() -> ExitCode {
--- a/crates/node/src/pg.rs
+++ b/crates/node/src/pg.rs
@@ -10,8 +10,13 @@
 const SSL: u32 = 80_877_103;
 const GSS: u32 = 80_877_104;
 const LONGEST_STARTUP: usize = 10_000;
-/// A value of 64 KiB in hexadecimal, and the statement round it.
-pub const LONGEST: usize = 2 * 64 * 1024 + 4096;
+const LONGEST_VALUE: usize = 64 * 1024;
+/// Of a message that holds neither a statement nor a value.
+const LONGEST_OTHER: usize = 8 * 1024;
+/// A value in hexadecimal, and the statement round it.
+pub const LONGEST: usize = 2 * LONGEST_VALUE + 4096;
+const LONGEST_ID: usize = 64;
+const LONGEST_WAIT_MS: u64 = 3_600_000;
 
 pub const SHED: &str = "53300";
 pub const STARTING: &str = "57P03";
@@ -38,7 +43,7 @@
     Cancel,
 }
 
-/// The first message of a connection and its length.
+/// The first message of a connection and its length; turned down at its head where that can be.
 pub fn opening(input: &Chain) -> Result<Option<(Opening, usize)>, Malformed> {
     let Some(len) = word(input, 0) else { return Ok(None) };
     let len = len as usize;
@@ -48,22 +53,65 @@
     let Some(code) = word(input, 4) else { return Ok(None) };
     let opening = match code {
         VERSION => Opening::Startup,
-        SSL | GSS => Opening::Encryption,
-        CANCEL => Opening::Cancel,
+        SSL | GSS if len == 8 => Opening::Encryption,
+        CANCEL if len == 16 => Opening::Cancel,
         _ => return Err(Malformed("an unknown protocol version")),
     };
     Ok((input.len() >= len).then_some((opening, len)))
 }
 
-/// Type and whole length of the message that starts at `at`, once all of it is there.
-pub fn message(input: &Chain, at: usize) -> Result<Option<(u8, usize)>, Malformed> {
-    let Some(tag) = input.slices(at..at + 1).next().map(|s| s[0]) else { return Ok(None) };
-    let Some(len) = word(input, at + 1) else { return Ok(None) };
+/// Whether a startup message names a user, in pairs of texts up to an empty name.
+pub fn names_user(mut body: &[u8]) -> Result<bool, Malformed> {
+    let off = Malformed("a startup message without its end");
+    let mut user = false;
+    loop {
+        let (name, rest) = text(body).ok_or(off.clone())?;
+        if name.is_empty() {
+            return if rest.is_empty() { Ok(user) } else { Err(off) };
+        }
+        let (value, rest) = text(rest).ok_or(off.clone())?;
+        user |= name == "user" && !value.is_empty();
+        body = rest;
+    }
+}
+
+/// The longest body of a client's message of this type; none of a type that clients don't send.
+pub fn from_client(tag: u8) -> Option<usize> {
+    match tag {
+        b'Q' => Some(LONGEST),
+        b'P' | b'B' | b'D' | b'E' | b'C' | b'F' | b'd' | b'f' => Some(LONGEST_OTHER),
+        b'X' | b'S' | b'H' | b'c' => Some(0),
+        _ => None,
+    }
+}
+
+/// The longest body of a machine's message of this type; none of a type that machines don't send.
+pub fn from_machine(tag: u8) -> Option<usize> {
+    match tag {
+        b'D' => Some(LONGEST_VALUE + 6),
+        b'T' | b'C' | b'S' | b'E' | b'N' => Some(LONGEST_OTHER),
+        b'R' | b'K' => Some(8),
+        b'Z' => Some(1),
+        _ => None,
+    }
+}
+
+/// Type and whole length of the next message, as its head tells; `longest` bounds the body by its type, so that
+/// nothing is waited for that can't be used.
+pub fn head(input: &Chain, longest: fn(u8) -> Option<usize>) -> Result<Option<(u8, usize)>, Malformed> {
+    let Some(tag) = input.slices(0..1).next().map(|s| s[0]) else { return Ok(None) };
+    let most = longest(tag).ok_or(Malformed("an unknown kind of message"))?;
+    let Some(len) = word(input, 1) else { return Ok(None) };
     let len = len as usize;
-    if !(4..=LONGEST).contains(&len) {
+    if !(4..=most + 4).contains(&len) {
         return Err(Malformed("a message of impossible length"));
     }
-    Ok((input.len() > at + len).then_some((tag, len + 1)))
+    Ok(Some((tag, len + 1)))
+}
+
+/// The same once all of the message is there.
+pub fn message(input: &Chain, longest: fn(u8) -> Option<usize>) -> Result<Option<(u8, usize)>, Malformed> {
+    Ok(head(input, longest)?.filter(|(_, len)| input.len() >= *len))
 }
 
 /// A text that ends with a zero byte.
@@ -83,8 +131,10 @@
 /// What a client's statement says of itself.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Asked<'a> {
+    pub id: &'a str,
     pub route: &'a str,
     pub code: &'a str,
+    pub key: Option<&'a str>,
     pub wait_ms: u64,
     /// Where the wait stands in the statement.
     pub wait_at: Range<usize>,
@@ -104,7 +154,11 @@
         let end = quoted(rest).ok_or(off.clone())?;
         let value = rest[end..].strip_prefix("', '\\x").ok_or(off.clone())?;
         let stop = quoted(value).ok_or(off.clone())?;
-        if !value.as_bytes()[..stop].iter().all(u8::is_ascii_hexdigit) {
+        // In pairs, or no machine can use it.
+        if stop % 2 > 0
+            || stop > 2 * LONGEST_VALUE
+            || !value.as_bytes()[..stop].iter().all(u8::is_ascii_hexdigit)
+        {
             return Err(off);
         }
         (&rest[..end], value[stop..].strip_prefix("') RETURNING data /* ").ok_or(off.clone())?)
@@ -132,11 +186,14 @@
     let (Some(id), Some(route), Some((wait, start))) = (id, route, wait) else {
         return Err(Malformed("a field is missing"));
     };
-    let wait_ms: u64 = wait.parse().map_err(|_| Malformed("not a time"))?;
-    if !hex(code) || !hex(id) || key.is_some_and(|k| !hex(k)) || wait_ms > 1_000_000_000 {
+    let digits = wait.bytes().all(|b| b.is_ascii_digit());
+    let wait_ms = wait.parse().ok().filter(|ms| digits && *ms <= LONGEST_WAIT_MS);
+    let wait_ms: u64 = wait_ms.ok_or(Malformed("not a time"))?;
+    let short = |s: &str| hex(s) && s.len() <= LONGEST_ID;
+    if !short(code) || !short(id) || key.is_some_and(|k| !short(k)) {
         return Err(off);
     }
-    Ok(Asked { route, code, wait_ms, wait_at: start..start + wait.len() })
+    Ok(Asked { id, route, code, key, wait_ms, wait_at: start..start + wait.len() })
 }
 
 /// Code, message and detail of an ErrorResponse.
@@ -168,6 +225,24 @@
     if len == value.len() { Ok(value) } else { Err(off) }
 }
 
+/// Whether a RowDescription announces one column, and ends with it.
+pub fn describes_one(body: &[u8]) -> Result<(), Malformed> {
+    let rest = body.strip_prefix(&[0, 1]).and_then(text).map(|(_, rest)| rest);
+    match rest {
+        // Table, column, type, its size and modifier, then plain or binary.
+        Some([_, _, _, _, _, _, _, _, _, _, _, _, _, _, _, _, 0, 0 | 1]) => Ok(()),
+        _ => Err(Malformed("not the description of one column")),
+    }
+}
+
+/// Whether a CommandComplete tells of one row.
+pub fn completes_one(body: &[u8]) -> Result<(), Malformed> {
+    match text(body) {
+        Some(("SELECT 1" | "INSERT 0 1" | "SHOW", [])) => Ok(()),
+        _ => Err(Malformed("not the end of one row")),
+    }
+}
+
 /// What has to be asked of the far side before it lets in: nothing.
 pub fn admitted(body: &[u8]) -> Result<(), Malformed> {
     if body == [0, 0, 0, 0] { Ok(()) } else { Err(Malformed("asked for a password")) }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -10,10 +10,11 @@
 use crate::buffers::Fill;
 use crate::http;
 use crate::link::{Ground, Link, Part};
-use crate::stream::Stream;
+use crate::stream::Standing;
 
 const MS: u64 = 1000;
-const BULLETIN: (Part, u64) = (Part::Bulletin, 0);
+const BULLETIN: &str = "/bulletin";
+const LONGEST_EVENT: usize = 64 * 1024;
 const VOTES: (Part, u64) = (Part::Votes, 0);
 /// Five of the signs of life that come every second.
 const SILENCE: u64 = 5000 * MS;
@@ -70,7 +71,7 @@
             version: field("version")?.trim().parse().ok()?,
             step: field("step")?.trim().parse().ok()?,
             status,
-            cap: field("maxWeight")?.trim().parse().ok().filter(|c: &f64| c.is_finite())?,
+            cap: field("maxWeight")?.trim().parse().ok().filter(|c| (0.0..=1.0).contains(c))?,
             ago_ms: field("observedAgoMs")?.trim().parse().ok().filter(|t: &f64| t.is_finite())?,
         })
     }
@@ -93,8 +94,18 @@
     }
 }
 
-/// One event of the bulletin.
-fn announce(event: &str, data: &str, to: &mut Balancer) -> Result<(), String> {
+/// One event of the bulletin, as its lines. Whatever of it can't be read may have been news.
+pub fn announce(lines: &str, to: &mut Balancer) -> Result<(), String> {
+    let off = |what: &str| Err(format!("not an event: {what}"));
+    let (mut event, mut data) = ("", "");
+    for line in lines.lines() {
+        match line.split_once(':') {
+            Some(("event", value)) => event = value.trim(),
+            Some(("data", value)) => data = value.trim(),
+            Some(("id" | "retry" | "", _)) => {}
+            _ => return off(line),
+        }
+    }
     let fields: Vec<_> = form_urlencoded::parse(data.as_bytes()).collect();
     let field = |name: &str| fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_ref());
     match event {
@@ -104,53 +115,50 @@
             let (pod, ago) = field("pod").zip(ago).ok_or_else(|| format!("not a flag: {data}"))?;
             to.flagged(pod, micros(ago));
         }
-        _ => {}
+        // Sampled counts, which the module does without; and events of nothing but a sign of life.
+        "tally" => {}
+        "" if data.is_empty() => {}
+        _ => return off(event),
     }
     Ok(())
 }
 
 pub struct Bulletin {
-    stream: Stream,
-    event: String,
-    data: String,
+    streams: Standing,
 }
 
 impl Bulletin {
     pub fn new(addr: SocketAddr) -> Bulletin {
-        Bulletin { stream: Stream::new(BULLETIN, addr, SILENCE), event: String::new(), data: String::new() }
+        Bulletin { streams: Standing::new(Part::Bulletin, addr, SILENCE) }
     }
 
     pub fn open(&mut self, ground: &mut Ground) {
-        self.event.clear();
-        self.data.clear();
-        self.stream.open("/bulletin", ground);
+        self.streams.open(BULLETIN, ground);
+    }
+
+    pub fn move_to(&mut self, addr: SocketAddr, ground: &mut Ground) -> bool {
+        self.streams.move_to(addr, BULLETIN, ground)
     }
 
-    pub fn due(&mut self, ground: &mut Ground) {
-        if self.stream.due(ground) {
+    pub fn due(&mut self, number: u64, ground: &mut Ground) {
+        if self.streams.due(number, ground) {
             self.open(ground);
         }
     }
 
-    pub fn found(&mut self, readiness: calloop::Readiness) {
-        self.stream.found(readiness);
+    pub fn found(&mut self, number: u64, readiness: calloop::Readiness) {
+        self.streams.found(number, readiness);
     }
 
     pub fn serve(&mut self, ground: &mut Ground, to: &mut Balancer) {
-        let (event, data) = (&mut self.event, &mut self.data);
-        self.stream.serve(ground, |line, _| {
-            let mut told = Ok(());
-            if line.is_empty() {
-                if !data.is_empty() {
-                    told = announce(event, data, to);
-                }
-                event.clear();
-                data.clear();
-            } else if let Some(value) = line.strip_prefix("event:") {
-                *event = value.trim().into();
-            } else if let Some(value) = line.strip_prefix("data:") {
-                data.push_str(value.trim());
+        self.streams.serve(ground, |line, held, _| {
+            if !line.is_empty() {
+                held.push_str(line);
+                held.push('\n');
+                return if held.len() > LONGEST_EVENT { Err("an event without end".into()) } else { Ok(()) };
             }
+            let told = announce(held, to);
+            held.clear();
             told
         });
     }
@@ -165,17 +173,33 @@
     out: bool,
     /// The vote could not begin.
     failed: bool,
+    /// The connection leads to an earlier address.
+    moved: bool,
 }
 
 impl Votes {
     pub fn new(addr: SocketAddr, wait: u64) -> Votes {
-        Votes { addr, wait, link: None, answer: http::Answer::default(), out: false, failed: false }
+        let answer = http::Answer::default();
+        Votes { addr, wait, link: None, answer, out: false, failed: false, moved: false }
     }
 
     pub fn is_pressed(&self) -> bool {
         self.failed
     }
 
+    /// The next vote goes there; one that is out is settled where it went.
+    pub fn move_to(&mut self, addr: SocketAddr, ground: &mut Ground) {
+        (self.moved, self.addr) = (self.moved || addr != self.addr, addr);
+        if self.moved && !self.out {
+            self.drop_link(ground);
+        }
+    }
+
+    fn drop_link(&mut self, ground: &mut Ground) {
+        (self.link, self.moved) = (None, false);
+        ground.deadlines.clear(VOTES);
+    }
+
     pub fn cast(&mut self, build: u32, stage: u32, verdict: Verdict, ground: &mut Ground) {
         let vote = match verdict {
             Verdict::None => "clear",
@@ -194,7 +218,7 @@
             .finish();
         // An answer that is still owed would be taken for this vote's.
         if self.out || !self.link.as_ref().is_some_and(Link::is_quiet) {
-            self.link = None;
+            self.drop_link(ground);
         }
         if self.link.is_none() {
             match Link::open(ground, self.addr, VOTES) {
@@ -236,11 +260,13 @@
             let fault = self.answer.read(&mut link.input).err();
             let whole = self.answer.is_done() || !open && self.answer.ended();
             if whole {
-                let keep = open && self.answer.keeps_open;
+                let mut keep = open && self.answer.keeps_open && link.input.is_empty() && !self.moved;
                 match vote_answer(self.answer.status, &self.answer.body) {
                     Some((answer, news)) => self.settle(answer, news, ground, to),
                     None => {
                         info!(ground.log, "platform answered a vote with what can't be read"; "status" => self.answer.status);
+                        // Whatever comes next on it could be the rest of that.
+                        keep = false;
                         self.settle(Answer::Unknown, None, ground, to);
                     }
                 }
@@ -257,8 +283,7 @@
         } else if open && link.input.is_empty() {
             return;
         }
-        self.link = None;
-        ground.deadlines.clear(VOTES);
+        self.drop_link(ground);
     }
 
     fn settle(&mut self, answer: Answer, news: Option<News>, ground: &Ground, to: &mut Balancer) {
@@ -273,12 +298,12 @@
     }
 
     /// No answer in the told time, or nothing to ask for a while.
-    pub fn due(&mut self, ground: &Ground, to: &mut Balancer) {
+    pub fn due(&mut self, ground: &mut Ground, to: &mut Balancer) {
         if self.out {
             let never = self.link.as_ref().is_none_or(link_unsent);
             self.settle(if never { Answer::Error } else { Answer::Unknown }, None, ground, to);
         }
-        self.link = None;
+        self.drop_link(ground);
     }
 }
 
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -8,7 +8,7 @@
 
 use crate::buffers::Fill;
 use crate::http;
-use crate::link::{Ground, Link, Owner};
+use crate::link::{Ground, Link, Owner, Part};
 
 const MS: u64 = 1000;
 const FIRST_PAUSE: u64 = 100 * MS;
@@ -23,15 +23,21 @@
     link: Option<Link>,
     answer: http::Answer,
     pause: u64,
+    /// It has told something since it was opened.
+    told: bool,
+    /// What of a longer message has come.
+    held: String,
 }
 
 impl Stream {
     pub fn new(owner: Owner, addr: SocketAddr, silence: u64) -> Stream {
-        Stream { owner, addr, silence, link: None, answer: http::Answer::default(), pause: FIRST_PAUSE }
+        let (answer, pause, held) = (http::Answer::default(), FIRST_PAUSE, String::new());
+        Stream { owner, addr, silence, link: None, answer, pause, told: false, held }
     }
 
     pub fn open(&mut self, path: &str, ground: &mut Ground) {
-        self.answer = http::Answer::default();
+        (self.answer, self.told) = (http::Answer::default(), false);
+        self.held.clear();
         match Link::open(ground, self.addr, self.owner) {
             Ok(mut link) => {
                 http::get(&mut link.output, &self.addr.to_string(), path);
@@ -68,7 +74,7 @@
     pub fn serve(
         &mut self,
         ground: &mut Ground,
-        mut each: impl FnMut(&str, &mut Ground) -> Result<(), String>,
+        mut each: impl FnMut(&str, &mut String, &mut Ground) -> Result<(), String>,
     ) {
         let Some(link) = &mut self.link else { return };
         let flushed = link.flush();
@@ -84,11 +90,13 @@
             fault = Err(format!("status {}", self.answer.status));
         }
         if fault.is_ok() {
-            let pause = &mut self.pause;
+            let (pause, told, held) = (&mut self.pause, &mut self.told, &mut self.held);
             let lines = self.answer.lines(|line| {
-                *pause = FIRST_PAUSE;
-                let told = each(line, ground);
-                fault = std::mem::replace(&mut fault, Ok(())).and(told);
+                (*pause, *told) = (FIRST_PAUSE, true);
+                // What follows something that can't be read is worth no more than that.
+                if fault.is_ok() {
+                    fault = each(line, held, ground);
+                }
             });
             fault = fault.and(lines.map_err(|e| e.0.to_string()));
         }
@@ -101,3 +109,76 @@
         }
     }
 }
+
+/// The stream that stands and, after a change of address, the one whose place it takes: that goes on until the
+/// new one tells something, or what is told in between would be missed.
+pub struct Standing {
+    now: Stream,
+    earlier: Option<Stream>,
+}
+
+impl Standing {
+    pub fn new(part: Part, addr: SocketAddr, silence: u64) -> Standing {
+        Standing { now: Stream::new((part, 0), addr, silence), earlier: None }
+    }
+
+    pub fn open(&mut self, path: &str, ground: &mut Ground) {
+        self.now.open(path, ground);
+    }
+
+    /// Whether the address is another one.
+    pub fn move_to(&mut self, addr: SocketAddr, path: &str, ground: &mut Ground) -> bool {
+        if addr == self.now.addr {
+            return false;
+        }
+        let (part, made) = self.now.owner;
+        let next = Stream::new((part, made + 1), addr, self.now.silence);
+        let left = std::mem::replace(&mut self.now, next);
+        if left.told || self.earlier.is_none() {
+            self.leave(ground);
+            self.earlier = Some(left);
+        } else {
+            ground.deadlines.clear(left.owner);
+        }
+        self.now.open(path, ground);
+        true
+    }
+
+    fn leave(&mut self, ground: &mut Ground) {
+        if let Some(earlier) = self.earlier.take() {
+            ground.deadlines.clear(earlier.owner);
+        }
+    }
+
+    /// Whether the stream is to be opened now; an earlier one never is.
+    pub fn due(&mut self, number: u64, ground: &mut Ground) -> bool {
+        if number == self.now.owner.1 {
+            return self.now.due(ground);
+        }
+        self.leave(ground);
+        false
+    }
+
+    pub fn found(&mut self, number: u64, readiness: Readiness) {
+        let streams = [Some(&mut self.now), self.earlier.as_mut()];
+        streams.into_iter().flatten().filter(|s| s.owner.1 == number).for_each(|s| s.found(readiness));
+    }
+
+    pub fn serve(
+        &mut self,
+        ground: &mut Ground,
+        mut each: impl FnMut(&str, &mut String, &mut Ground) -> Result<(), String>,
+    ) {
+        if let Some(earlier) = &mut self.earlier {
+            earlier.serve(ground, &mut each);
+            // The far side ends it, as it should.
+            if earlier.link.is_none() {
+                self.leave(ground);
+            }
+        }
+        self.now.serve(ground, each);
+        if self.now.told {
+            self.leave(ground);
+        }
+    }
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -73,6 +73,8 @@
             (_, Cause::Cancelled) => End::Cancelled,
             (Reached::Nothing | Reached::Part, _) => End::Refused,
             (Reached::All, Cause::Overdue) => End::TimedOut,
+            // The machine lives and has answered, though with nothing of use.
+            (Reached::All, Cause::Malformed(_)) => End::Error,
             (Reached::All, _) => End::Reset,
         }
     }
@@ -80,21 +82,30 @@
 
 /// What a machine's error says of the try.
 pub fn error_end(code: &str) -> End {
-    if matches!(code, pg::SHED | pg::STARTING) { End::Full } else { End::Error }
+    match code {
+        pg::SHED | pg::STARTING => End::Full,
+        // Data exceptions, syntax and access: no machine would do it.
+        _ if code.starts_with("22") || code.starts_with("42") => End::Unfit,
+        _ => End::Error,
+    }
 }
 
-/// A load report: names and values, of which some are read.
-pub fn load(text: &str) -> Load {
+/// More than any machine could hold.
+const ABSURD: f64 = 1e6;
+
+/// A load report: names and values, of which some are read; none where one of these makes no sense.
+pub fn load(text: &str) -> Option<Load> {
     let mut load = Load::default();
-    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
-        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+    for pair in text.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value = || value.trim().parse().ok().filter(|v| (0.0..=ABSURD).contains(v)).map(Some);
         match name.trim() {
-            "inflight" => load.inflight = value,
-            "queue" => load.queue = value,
+            "inflight" => load.inflight = value()?,
+            "queue" => load.queue = value()?,
             _ => {}
         }
     }
-    load
+    Some(load)
 }
 
 #[derive(Clone, Copy)]
@@ -111,7 +122,8 @@
     load: Option<Load>,
     /// The answer as far as it has come, held back until it is whole.
     answer: Chain,
-    rows: usize,
+    /// How many of its three parts.
+    parts: usize,
     /// How it ended, until all that came with the answer has been read: the load report may follow it.
     end: Option<End>,
 }
@@ -119,16 +131,19 @@
 struct Conn {
     link: Link,
     machine: String,
-    addr: SocketAddr,
+    listed: Listed,
     /// When it has to be up; none once it is.
     up_by: Option<u64>,
     work: Option<Work>,
     used: u64,
 }
 
+/// Address, build and start: with any other of these it is another process.
+pub type Listed = (SocketAddr, u32, u64);
+
 #[derive(Default)]
 struct Machine {
-    addr: Option<SocketAddr>,
+    listed: Option<Listed>,
     wanted: bool,
     /// The one used last is used first, so that what is not needed grows idle.
     idle: Vec<u64>,
@@ -140,33 +155,37 @@
     links: Links,
     /// Tries and probes that ended as soon as they began, to be told in the next round.
     ended: Vec<(Job, String, End)>,
-    starved: Vec<u64>,
+    again: Vec<u64>,
 }
 
 impl Upstream {
     pub fn new(links: Links, most: usize) -> Upstream {
         let (machines, table) = (BTreeMap::new(), Slots::new(most));
-        Upstream { machines, table, links, ended: Vec::new(), starved: Vec::new() }
+        Upstream { machines, table, links, ended: Vec::new(), again: Vec::new() }
     }
 
     pub fn is_pressed(&self, ground: &Ground) -> bool {
-        !self.ended.is_empty() || !self.starved.is_empty() && !ground.pool.is_empty()
+        !self.ended.is_empty() || !self.again.is_empty() && !ground.pool.is_empty()
     }
 
-    /// Where a machine listens, and whether anything new goes there; what idles there in vain is closed.
-    pub fn place(&mut self, name: &str, addr: Option<SocketAddr>, wanted: bool, ground: &mut Ground) {
+    /// Where a machine listens, what process it is, and whether anything new goes there; what idles there in vain
+    /// is closed.
+    pub fn place(&mut self, name: &str, listed: Option<Listed>, wanted: bool, ground: &mut Ground) {
         let m = self.machines.entry(name.into()).or_default();
-        if m.addr != addr || !wanted {
+        if m.listed != listed || !wanted {
             for key in std::mem::take(&mut m.idle) {
                 self.table.remove(key);
                 ground.deadlines.clear((Part::Machine, key));
             }
         }
-        (m.addr, m.wanted) = (addr, wanted);
+        (m.listed, m.wanted) = (listed, wanted);
+        if listed.is_none() {
+            self.machines.remove(name);
+        }
     }
 
     pub fn names(&self) -> Vec<String> {
-        self.machines.iter().filter(|(_, m)| m.addr.is_some()).map(|(name, _)| name.clone()).collect()
+        self.machines.keys().cloned().collect()
     }
 
     pub fn send(&mut self, id: u64, machine: &str, until: u64, ground: &mut Ground, clients: &mut Clients) {
@@ -192,7 +211,7 @@
     ) -> Option<u64> {
         let answer = Chain::new(&ground.pool);
         let (since, reached) = (ground.now, Reached::Nothing);
-        let work = Work { job, since, until, reached, load: None, answer, rows: 0, end: None };
+        let work = Work { job, since, until, reached, load: None, answer, parts: 0, end: None };
         let key = match self.connection(machine, ground) {
             Ok(Some(key)) => key,
             Ok(None) => {
@@ -217,7 +236,7 @@
     /// A connection that stands idle, or a new one; none when all descriptors are in use.
     fn connection(&mut self, machine: &str, ground: &mut Ground) -> io::Result<Option<u64>> {
         let m = self.machines.get_mut(machine).ok_or(io::ErrorKind::NotFound)?;
-        let addr = m.addr.ok_or(io::ErrorKind::NotFound)?;
+        let listed = m.listed.ok_or(io::ErrorKind::NotFound)?;
         while let Some(key) = m.idle.pop() {
             // A close that has come in the meantime would look like a req that may have run.
             if self.table.get(key).is_some_and(|c| c.link.is_quiet()) {
@@ -234,10 +253,10 @@
         }
         let up_by = Some(ground.now + self.links.connect_within);
         let made = self.table.insert(|key| {
-            let mut link = Link::open(ground, addr, (Part::Machine, key))?;
+            let mut link = Link::open(ground, listed.0, (Part::Machine, key))?;
             pg::put_startup(&mut link.output);
             let (machine, used) = (machine.into(), ground.now);
-            Ok(Conn { link, machine, addr, up_by, work: None, used })
+            Ok(Conn { link, machine, listed, up_by, work: None, used })
         });
         made.transpose()
     }
@@ -287,8 +306,8 @@
         }
     }
 
-    pub fn take_starved(&mut self) -> Vec<u64> {
-        std::mem::take(&mut self.starved)
+    pub fn take_again(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.again)
     }
 
     /// Tells what ended as soon as it began.
@@ -310,16 +329,21 @@
         let Some(c) = self.table.get_mut(key) else { return };
         let read = c.link.read(READ_AHEAD);
         if matches!(read, Ok(Fill::Starved)) {
-            self.starved.push(key);
+            self.again.push(key);
         }
         let rested = self.messages(key, ground, clients);
         self.tell_answered(key, ground, clients, to);
         match rested {
             Err(Malformed(why)) => return self.fail(key, Cause::Malformed(why), ground, clients, to),
+            // A second copy, say: it would be taken for the answer to what is asked next.
+            Ok(true) if self.table.get(key).is_some_and(|c| !c.link.input.is_empty()) => {
+                self.close(key, ground)
+            }
             Ok(true) => self.rest(key, ground),
             Ok(false) => {}
         }
         match read {
+            Ok(Fill::Enough) => self.again.push(key),
             Ok(Fill::Ended) => self.fail(key, Cause::Ended, ground, clients, to),
             Err(e) => self.fail(key, Cause::Broken(e), ground, clients, to),
             Ok(_) => {}
@@ -330,38 +354,44 @@
     fn messages(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients) -> Result<bool, Malformed> {
         let (mut body, mut rested) = (Vec::new(), false);
         while let Some(c) = self.table.get_mut(key) {
-            let Some((tag, len)) = pg::message(&c.link.input, 0)? else { break };
+            let Some((tag, len)) = pg::message(&c.link.input, pg::from_machine)? else { break };
             let input = &mut c.link.input;
             let starting = c.up_by.is_some();
             body.clear();
             input.copy(5..len, &mut body);
-            if matches!(tag, b'T' | b'D' | b'C') {
+            if let Some(part) = b"TDC".iter().position(|t| *t == tag) {
                 let work = c.work.as_mut().filter(|w| !starting && w.end.is_none());
                 let work = work.ok_or(Malformed("an answer to nothing"))?;
-                if tag == b'D' {
-                    work.rows += 1;
-                    let value = pg::row(&body)?;
-                    if let (Job::Probe, true) = (&work.job, self.links.load_on_demand) {
-                        work.load = std::str::from_utf8(value).ok().map(load);
-                    }
+                if work.parts != part {
+                    return Err(Malformed("an answer out of order"));
                 }
-                input.pass(len, &mut work.answer);
-                if tag == b'C' {
-                    if work.rows != 1 {
-                        return Err(Malformed("an answer without its row"));
+                match (tag, &work.job) {
+                    (b'T', _) => pg::describes_one(&body)?,
+                    (b'D', Job::Probe) if self.links.load_on_demand => {
+                        work.load = std::str::from_utf8(pg::row(&body)?).ok().and_then(load);
+                    }
+                    (b'D', _) => drop(pg::row(&body)?),
+                    _ => {
+                        pg::completes_one(&body)?;
+                        work.end = Some(End::Done);
                     }
-                    work.end = Some(End::Done);
                 }
+                work.parts += 1;
+                input.pass(len, &mut work.answer);
                 continue;
             }
             input.skip(len);
             match tag {
                 b'R' => pg::admitted(&body)?,
                 b'S' => {
-                    if let ("vitals", value) = pg::parameter(&body)?
-                        && let Some(work) = &mut c.work
-                    {
-                        work.load = Some(load(value));
+                    // The answer beside a report is none the worse for it.
+                    let report = pg::parameter(&body).ok().filter(|(name, _)| *name == "vitals");
+                    let read = report.and_then(|(_, value)| load(value));
+                    if report.is_some() && read.is_none() {
+                        info!(ground.log, "machine's load report can't be read"; "machine" => &c.machine);
+                    }
+                    if let Some(work) = &mut c.work {
+                        work.load = read.or(work.load);
                     }
                 }
                 b'K' | b'N' => {}
@@ -377,6 +407,7 @@
                         work.end = Some(end.unwrap_or(End::Refused));
                     }
                 }
+                b'Z' if body != b"I" => return Err(Malformed("not ready after an answer")),
                 b'Z' if starting => {
                     c.up_by = None;
                     let until = c.work.as_ref().map_or(ground.now, |w| w.until);
@@ -399,7 +430,7 @@
     fn rest(&mut self, key: u64, ground: &mut Ground) {
         let Some(c) = self.table.get_mut(key) else { return };
         let m = self.machines.get_mut(&c.machine);
-        match m.filter(|m| m.wanted && m.addr == Some(c.addr)) {
+        match m.filter(|m| m.wanted && m.listed == Some(c.listed)) {
             Some(m) => {
                 m.idle.push(key);
                 c.used = ground.now;
@@ -433,8 +464,10 @@
     ) {
         match work.job {
             Job::Try { id, n } => {
-                if end == End::Done {
-                    clients.complete(id, &mut work.answer);
+                match end {
+                    End::Done => clients.complete(id, &mut work.answer),
+                    End::Unfit => clients.unfit(id),
+                    _ => {}
                 }
                 to.outcome(id, n, end, ground.now - work.since, !clients.waits(id), work.load);
                 clients.try_ended(id, n);
--- a/crates/node/tests/codecs.rs
+++ b/crates/node/tests/codecs.rs
@@ -48,6 +48,11 @@
         "SELECT data FROM facts WHERE code = '7f3a' /* id=9b1f,c=basket,d=480 */ /* */",
         "INSERT INTO facts (code, data) VALUES ('7f3a', 'plain') RETURNING data /* id=9b1f,c=order,d=480 */",
         "INSERT INTO facts (code, data) VALUES ('7f3a', '\\xzz') RETURNING data /* id=9b1f,c=order,d=480 */",
+        "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x9f0') RETURNING data /* id=9b1f,c=order,d=480 */",
+        "SELECT data FROM facts WHERE code = '7f3a' /* id=9b1f,c=basket,d=+480 */",
+        "SELECT data FROM facts WHERE code = '7f3a' /* id=9b1f,c=basket,d=99999999999999999999 */",
+        "SELECT data FROM facts WHERE code = '7f3a' /* id=9b1f,c=basket,d=999999999999 */",
+        "SELECT data FROM facts WHERE code = '7f3a' /* id=,c=basket,d=480 */",
         "DELETE FROM facts WHERE code = '7f3a' /* id=9b1f,c=basket,d=480 */",
     ];
     for statement in table {
@@ -69,9 +74,9 @@
         if let Some((kind, len)) = opening {
             assert_eq!((kind, len), (pg::Opening::Startup, startup));
             input.skip(len);
-            assert_eq!(pg::message(&input, 0).unwrap(), None, "{split}");
+            assert_eq!(pg::message(&input, pg::from_client).unwrap(), None, "{split}");
             input.push(&all[split..]);
-            assert_eq!(pg::message(&input, 0).unwrap(), Some((b'Q', all.len() - startup)));
+            assert_eq!(pg::message(&input, pg::from_client).unwrap(), Some((b'Q', all.len() - startup)));
         }
     }
 }
@@ -82,7 +87,7 @@
         assert!(pg::opening(&chain(first)).is_err(), "{first:?}");
     }
     for message in [&[b'Q', 0, 0, 0, 3][..], &[b'Q', 0x7f, 0, 0, 0], &[b'Q', 0xff, 0xff, 0xff, 0xff]] {
-        assert!(pg::message(&chain(message), 0).is_err(), "{message:?}");
+        assert!(pg::message(&chain(message), pg::from_client).is_err(), "{message:?}");
     }
     assert!(
         pg::query(b"SELECT 1").is_err() && pg::query(b"a\0b\0").is_err() && pg::query(&[0xff, 0]).is_err()
@@ -95,12 +100,94 @@
     assert_eq!(pg::row(&[0, 1, 0, 0, 0, 2, 9, 8]), Ok(&[9, 8][..]));
 }
 
+#[test]
+fn what_can_not_be_used_is_turned_down_at_its_head() {
+    type Longest = fn(u8) -> Option<usize>;
+    let table: [(Longest, &[u8]); 9] = [
+        (pg::from_client, b"!"),
+        (pg::from_client, b"R"),
+        (pg::from_client, b"S\0\0\0\x05"),
+        (pg::from_client, b"P\0\x01\0\0"),
+        (pg::from_machine, b"Q"),
+        (pg::from_machine, b"D\xb2\xd0\x5e\0"),
+        (pg::from_machine, b"D\0\x01\0\x0b"),
+        (pg::from_machine, b"Z\0\0\0\x06"),
+        (pg::from_machine, b"C\0\0\xff\xff"),
+    ];
+    for (longest, head) in table {
+        assert!(pg::head(&chain(head), longest).is_err(), "{head:?}");
+    }
+    assert_eq!(pg::head(&chain(b"D\0\x01\0\x0a"), pg::from_machine), Ok(Some((b'D', 65547))));
+}
+
+#[test]
+fn the_parts_of_an_answer_have_one_form_each() {
+    let mut column = b"\0\x01data\0".to_vec();
+    column.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
+    assert!(pg::describes_one(&column).is_ok());
+    for at in 0..column.len() {
+        assert!(pg::describes_one(&column[..at]).is_err(), "{at}");
+    }
+    for (at, byte) in [(1, 2), (1, 0), (6, b'x'), (24, 7)] {
+        let mut spoilt = column.clone();
+        spoilt[at] = byte;
+        assert!(pg::describes_one(&spoilt).is_err(), "{at}");
+    }
+    for (body, good) in [
+        (&b"SELECT 1\0"[..], true),
+        (b"INSERT 0 1\0", true),
+        (b"SELECT 2\0", false),
+        (b"SELECT 1", false),
+        (b"SELECT 1\0\0", false),
+        (b"\xff\xfe\0", false),
+    ] {
+        assert_eq!(pg::completes_one(body).is_ok(), good, "{body:?}");
+    }
+    for (body, wanted) in [
+        (&b"user\0portal\0database\0crm\0\0"[..], Some(true)),
+        (b"database\0crm\0\0", Some(false)),
+        (b"\0", Some(false)),
+        (b"user\0portal\0", None),
+        (b"user\0portal\0\0more", None),
+        (b"\xff\xff\xff\xff", None),
+    ] {
+        assert_eq!(pg::names_user(body).ok(), wanted, "{body:?}");
+    }
+}
+
+#[test]
+fn what_an_event_says_is_told_or_found_unreadable() {
+    let settings = config::read(include_str!("config.json")).ok().unwrap().settings;
+    let stage = "data: version=42&step=1&status=trial&maxWeight=0.28&observedAgoMs=310";
+    let table = [
+        (format!("event: stage\n{stage}\n"), true, true),
+        (format!(":\n{stage}\nevent: stage\n"), true, true),
+        (":\n".into(), true, false),
+        (String::new(), true, false),
+        ("event: flag\ndata: pod=s-1&kind=look&observedAgoMs=1200\n".into(), true, false),
+        // Other bytes in place of a word may have hidden news.
+        (format!("event: stXge\n{stage}\n"), false, false),
+        (format!("evXnt: stage\n{stage}\n"), false, false),
+        (format!("{stage}\n"), false, false),
+        ("event: stage\n".into(), false, false),
+        ("event: stage\nnoise\n".into(), false, false),
+        (format!("event: stage\n{}\n", stage.replace("0.28", "7.5")), false, false),
+        (format!("event: stage\n{}\n", stage.replace("trial", "tria")), false, false),
+        ("event: flag\ndata: pod=s-1\n".into(), false, false),
+    ];
+    for (lines, read, told) in table {
+        let mut module = tidescale::decide::Balancer::new(settings.clone(), 1, 0);
+        assert_eq!(platform::announce(&lines, &mut module).is_ok(), read, "{lines}");
+        assert_eq!(module.news.is_some(), told, "{lines}");
+    }
+}
+
 #[test]
 fn an_error_is_read_back_as_it_was_written() {
     let mut out = chain(b"");
     pg::put_error(&mut out, false, pg::SHED, "try again", "250");
     let sent = bytes(&out);
-    assert_eq!(pg::message(&out, 0).unwrap(), Some((b'E', sent.len())));
+    assert_eq!(pg::message(&out, pg::from_machine).unwrap(), Some((b'E', sent.len())));
     assert_eq!(pg::error(&sent[5..]).unwrap(), ("53300".into(), "try again".into()));
     assert!(sent.windows(6).any(|w| w == b"\0D250\0"));
 }
@@ -112,19 +199,26 @@
         ("57P03", End::Full),
         ("XX000", End::Error),
         ("08P01", End::Error),
+        ("42601", End::Unfit),
+        ("22P02", End::Unfit),
         ("", End::Error),
     ] {
         assert_eq!(upstream::error_end(code), end, "{code}");
     }
     let table = [
-        ("inflight=7,util=0.61", Some(7.0), None),
-        ("queue=3, inflight=1.5", Some(1.5), Some(3.0)),
-        ("inflight=nan,queue=", None, None),
-        ("", None, None),
+        ("inflight=7,util=0.61", Some((Some(7.0), None))),
+        ("queue=3, inflight=1.5", Some((Some(1.5), Some(3.0)))),
+        ("util=0.61", Some((None, None))),
+        // A report that makes no sense in one field is worth nothing in the others.
+        ("inflight=nan,queue=", None),
+        ("inflight=-3,util=0.61", None),
+        ("inflight=7,queue=1e300", None),
+        ("inflight=\u{fffd}\u{fffd}", None),
+        ("inflight", None),
+        ("", None),
     ];
-    for (text, inflight, queue) in table {
-        let load = upstream::load(text);
-        assert_eq!((load.inflight, load.queue), (inflight, queue), "{text}");
+    for (text, wanted) in table {
+        assert_eq!(upstream::load(text).map(|l| (l.inflight, l.queue)), wanted, "{text}");
     }
 }
 
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -10,7 +10,7 @@
 use tidescale_node::buffers::{Chain, Pool};
 use tidescale_node::deadlines::Deadlines;
 use tidescale_node::link::{Ground, Part, Ready};
-use tidescale_node::stream::Stream;
+use tidescale_node::stream::{Standing, Stream};
 use tidescale_node::{config, front, pg};
 
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -22,6 +22,8 @@
     Silence,
     Close,
     Bytes(&'static [u8]),
+    /// A good row, then this report, then more than belongs to it.
+    Spoilt(&'static [u8], &'static [u8]),
 }
 
 fn message(tag: u8, body: &[u8]) -> Vec<u8> {
@@ -93,6 +95,11 @@
             Act::Row(value) => row(&value),
             Act::Error(code) => error(code),
             Act::Bytes(bytes) => bytes.to_vec(),
+            Act::Spoilt(report, more) => {
+                let all = [row(&[5]), message(b'S', report), message(b'Z', b"I"), more.to_vec()].concat();
+                stream.write_all(&all).ok()?;
+                continue;
+            }
             Act::Close => return None,
             Act::Silence => {
                 read_to(&mut stream, &mut bytes, usize::MAX);
@@ -165,6 +172,14 @@
 struct Running {
     child: Child,
     addr: SocketAddr,
+    config: String,
+}
+
+impl Running {
+    fn signal(&mut self, name: &str) {
+        let told = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(told.success() && self.child.try_wait().unwrap().is_none());
+    }
 }
 
 impl Drop for Running {
@@ -179,8 +194,8 @@
     let path = format!("{}/config-{}.json", env!("CARGO_TARGET_TMPDIR"), addr.port());
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
-    let child = command.env("PROXY_CONFIG", path).stderr(Stdio::null()).spawn().unwrap();
-    let running = Running { child, addr };
+    let child = command.env("PROXY_CONFIG", &path).stderr(Stdio::null()).spawn().unwrap();
+    let running = Running { child, addr, config: path };
     let begun = Instant::now();
     while TcpStream::connect(addr).is_err() {
         assert!(begun.elapsed() < PATIENCE, "it does not listen");
@@ -316,13 +331,25 @@
 fn what_a_machine_does_becomes_the_clients_answer() {
     // What the only machine does first; then it answers -> for a route that may run again, for one that may not.
     type First = fn() -> Act;
-    let table: [(First, &str, &str); 6] = [
+    let table: [(First, &str, &str); 15] = [
         (|| Act::Row(vec![5]), "TDCZ", "TDCZ"),
         (|| Act::Error("53300"), "TDCZ", "TDCZ"),
         (|| Act::Error("XX000"), "TDCZ", "EZ 58000"),
         (|| Act::Close, "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"D\0\0\0\x03"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"C\0\0\0\x0dSELECT 0\0"), "TDCZ", "EZ 58000"),
+        // Noise, a value said to have gigabytes, parts out of order or spoilt: failed at once, and may have run.
+        (|| Act::Bytes(b"\xf7\x03noise"), "TDCZ", "EZ 58000"),
+        (|| Act::Bytes(b"D\xb2\xd0\x5e\0\0\x01"), "TDCZ", "EZ 58000"),
+        (|| Act::Bytes(b"D\0\0\0\x0b\0\x01\0\0\0\x01\x05"), "TDCZ", "EZ 58000"),
+        (|| Act::Bytes(b"T\0\0\0\x06\0\x02"), "TDCZ", "EZ 58000"),
+        (|| Act::Bytes(b"E\0\0\0\x08XX00"), "TDCZ", "EZ 58000"),
+        (|| Act::Bytes(b""), "TDCZ", "EZ 58000"),
+        // The req's own fault: no other machine is asked.
+        (|| Act::Error("42601"), "EZ 42601", "EZ 42601"),
+        // A good answer stays good, whatever comes behind it; none of that answers what is asked next.
+        (|| Act::Spoilt(b"vitals\0inflight=\xff\xfe\0", b""), "TDCZ", "TDCZ"),
+        (|| Act::Spoilt(b"vitals\0inflight=7\0", b"\xf7\x03"), "TDCZ", "TDCZ"),
     ];
     for (i, (act, again, never)) in table.into_iter().enumerate() {
         for (route, wanted) in [("look", again), ("pay", never)] {
@@ -371,8 +398,8 @@
     busy.send(&[startup(), query("look", 1, 1200)].concat());
     assert_eq!(busy.answer().0, "RSSSZ");
     let begun = Instant::now();
-    let kill = Command::new("kill").args(["-TERM", &front.child.id().to_string()]).status().unwrap();
-    assert!(kill.success() && idle.ended());
+    front.signal("-TERM");
+    assert!(idle.ended());
     thread::sleep(Duration::from_millis(100));
     let mut late = Client::open(front.addr);
     late.send(&[startup(), query("pay", 2, 1000)].concat());
@@ -392,8 +419,8 @@
         thread::sleep(Duration::from_millis(40));
         Act::Row(vec![5])
     });
-    // Six clients and two connections to machines.
-    let front = start(&told(&[addr], 46));
+    // Six clients and six connections to machines.
+    let front = start(&told(&[addr], 50));
     let mut idle: Vec<Client> = (0..6).map(|_| Client::open(front.addr)).collect();
     for client in &mut idle {
         client.send(&startup());
@@ -404,7 +431,7 @@
         client.send(&[startup(), query("look", i as u32, 1200)].concat());
     }
     assert!(idle.iter_mut().all(Client::ended));
-    // The first six are served, as far as two connections go; the others wait until these stand idle.
+    // The first six are served, as far as connections go; the others wait until these stand idle.
     let mut rows = 0;
     for client in &mut busy {
         assert_eq!(client.answer().0, "RSSSZ");
@@ -424,7 +451,8 @@
     let config = config::read(config).ok().unwrap();
     let listener = TcpListener::bind(config.listen).unwrap();
     let mut front =
-        front::Front::new(&config, listener, slog::Logger::root(slog::Discard, slog::o!())).unwrap();
+        front::Front::new(&config, "".into(), listener, slog::Logger::root(slog::Discard, slog::o!()))
+            .unwrap();
     change(&mut front);
     let client = thread::spawn(move || client(config.listen));
     while !client.is_finished() {
@@ -471,6 +499,12 @@
     assert_eq!((struck.as_str(), other.as_str()), (".", "TDCZ"));
 }
 
+fn ground(events: &calloop::EventLoop<'static, Ready>) -> Ground {
+    let [pool, clients_pool, streams_pool] = [8, 8, 8].map(Pool::new);
+    let (log, deadlines) = (slog::Logger::root(slog::Discard, slog::o!()), Deadlines::default());
+    Ground { handle: events.handle(), pool, clients_pool, streams_pool, deadlines, log, now: 0 }
+}
+
 #[test]
 fn a_stream_that_falls_silent_or_ends_is_opened_again() {
     // One that goes on without a word, one that ends, one that is no answer, one that is declined.
@@ -483,9 +517,7 @@
     for head in heads {
         let (addr, asked) = http(|_| head.into());
         let mut events = calloop::EventLoop::try_new().unwrap();
-        let (log, pool) = (slog::Logger::root(slog::Discard, slog::o!()), Pool::new(8));
-        let mut ground =
-            Ground { handle: events.handle(), pool, deadlines: Deadlines::default(), log, now: 0 };
+        let mut ground = ground(&events);
         let (begun, mut ready) = (Instant::now(), Ready::default());
         let mut stream = Stream::new((Part::Watch, 0), addr, 50_000);
         stream.open("/there", &mut ground);
@@ -494,7 +526,7 @@
             events.dispatch(Duration::from_millis(5), &mut ready).unwrap();
             ground.now = begun.elapsed().as_micros() as u64;
             ready.sockets.drain(..).for_each(|(_, readiness)| stream.found(readiness));
-            stream.serve(&mut ground, |_, _| Ok(()));
+            stream.serve(&mut ground, |_, _, _| Ok(()));
             if ground.deadlines.due(ground.now).is_some() && stream.due(&mut ground) {
                 stream.open("/there", &mut ground);
             }
@@ -532,6 +564,172 @@
     assert!(asked.lock().unwrap()[0].starts_with("GET /discovery/hosts?follow=1&since=41 HTTP/1.1\r\n"));
 }
 
+#[test]
+fn sighup_takes_up_addresses_that_can_be_used_and_ends_nothing() {
+    let [(earlier, _), (later, some)] = [(); 2].map(|()| machine(|_| Act::Row(vec![5])));
+    let watch = |list: String| {
+        http(move |_| {
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            format!("{head}{:x}\r\n{list}\n\r\n", list.len() + 1)
+        })
+    };
+    let platform = || http(|_| "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n:\n\n\r\n".into());
+    let (first, _) = watch(listing(&[(earlier, 41)]));
+    let (second, asked) = watch(listing(&[(later, 41)]));
+    let [(before, _), (after, told)] = [(); 2].map(|()| platform());
+    let config = told_by(&[(earlier, 41)], 128, first, before);
+    let mut front = start(&config);
+    let mut client = Client::open(front.addr);
+    client.send(&startup());
+    client.answer();
+    let mut asks = |id| {
+        client.send(&query("look", id, 900));
+        assert_eq!(client.answer().0, "TDCZ");
+    };
+    asks(1);
+    // Gone, half written, of another form: it goes on as it was.
+    let mended = config.replace(&first.to_string(), &second.to_string());
+    let mended = mended.replace(&before.to_string(), &after.to_string());
+    for text in [None, Some(&mended[..mended.len() / 2]), Some(&mended.replace("\"rules\"", "\"rulez\""))] {
+        std::fs::remove_file(&front.config).ok();
+        text.iter().for_each(|text| std::fs::write(&front.config, text).unwrap());
+        front.signal("-HUP");
+        thread::sleep(Duration::from_millis(30));
+        asks(2);
+    }
+    assert!(asked.lock().unwrap().is_empty() && some.lock().unwrap().is_empty());
+    std::fs::write(&front.config, mended).unwrap();
+    front.signal("-HUP");
+    let begun = Instant::now();
+    while some.lock().unwrap().is_empty() || told.lock().unwrap().is_empty() {
+        assert!(begun.elapsed() < PATIENCE);
+        asks(3);
+    }
+    assert!(asked.lock().unwrap()[0].starts_with("GET /discovery/hosts?follow=1&since=41 "));
+    assert!(told.lock().unwrap()[0].starts_with("GET /bulletin "));
+    // Both at once, too.
+    front.signal("-HUP");
+    front.signal("-TERM");
+    assert!(front.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_stream_is_left_only_when_the_one_in_its_place_has_told_something() {
+    let (old, _) = http(|_| "HTTP/1.1 200 OK\r\n\r\nold\n".into());
+    // The new address says nothing on the first connection.
+    let calls = Mutex::new(0);
+    let (new, _) = http(move |_| {
+        *calls.lock().unwrap() += 1;
+        if *calls.lock().unwrap() == 1 { String::new() } else { "HTTP/1.1 200 OK\r\n\r\nnew\n".into() }
+    });
+    let mut events = calloop::EventLoop::try_new().unwrap();
+    let mut ground = ground(&events);
+    let (begun, mut ready, mut lines) = (Instant::now(), Ready::default(), Vec::new());
+    let mut streams = Standing::new(Part::Watch, old, 60_000);
+    streams.open("/there", &mut ground);
+    let mut left = None;
+    while !lines.contains(&"new".to_string()) {
+        assert!(begun.elapsed() < PATIENCE, "{lines:?}");
+        events.dispatch(Duration::from_millis(5), &mut ready).unwrap();
+        ground.now = begun.elapsed().as_micros() as u64;
+        ready.sockets.drain(..).for_each(|((_, number), readiness)| streams.found(number, readiness));
+        streams.serve(&mut ground, |line, _, _| {
+            lines.push(line.to_string());
+            Ok(())
+        });
+        if left.is_none() && !lines.is_empty() {
+            assert!(
+                !streams.move_to(old, "/there", &mut ground) && streams.move_to(new, "/there", &mut ground)
+            );
+            left = Some(ground.now);
+        }
+        while let Some((_, number)) = ground.deadlines.due(ground.now) {
+            if streams.due(number, &mut ground) {
+                streams.open("/there", &mut ground);
+            }
+        }
+    }
+    assert_eq!(lines.iter().filter(|l| *l == "new").count(), 1);
+    // Only the new one is left, with one deadline.
+    assert_eq!(std::iter::from_fn(|| ground.deadlines.due(u64::MAX)).collect::<Vec<_>>(), [(Part::Watch, 1)]);
+}
+
+#[test]
+fn whatever_clients_send_they_are_told_or_closed_in_time() {
+    let (addr, seen) = machine(|_| Act::Row(vec![5]));
+    let front = start(&told(&[addr], 128));
+    let half = startup();
+    let begun = Instant::now();
+    let mut silent: Vec<Client> = (0..3).map(|_| Client::open(front.addr)).collect();
+    silent[1].send(&half[..9]);
+    silent[2].send(&startup());
+    assert_eq!(silent[2].answer().0, "RSSSZ");
+    // Half a message, with lengths that are far too long among them; the head alone is refused at once.
+    let asked = query("look", 1, 900);
+    let table = [(asked[..30].to_vec(), 2000..3000), (b"Q\x03\x93\x87\0SELECT".to_vec(), 0..500)];
+    let told: Vec<_> = table
+        .into_iter()
+        .map(|(sent, within)| {
+            let mut client = Client::open(front.addr);
+            client.send(&[startup(), sent].concat());
+            thread::spawn(move || {
+                assert_eq!(client.answer().0, "RSSSZ");
+                let begun = Instant::now();
+                assert_eq!(client.answer(), ("E.".into(), b"08P01".to_vec()));
+                assert!(within.contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+            })
+        })
+        .collect();
+    // One that sends megabytes reads why it is turned down, however late it looks.
+    let mut sender = Client::open(front.addr);
+    sender.send(&[startup(), b"Q\x03\x93\x87\0".to_vec()].concat());
+    thread::sleep(Duration::from_millis(50));
+    let _ = sender.0.write_all(&vec![b'x'; 200_000]);
+    assert_eq!((sender.answer().0, sender.answer().0), ("RSSSZ".into(), "E.".into()));
+    // Hundreds at once, more than is read at a time and more answers than may pile up: all in their order.
+    let mut many = Client::open(front.addr);
+    let mut all = startup();
+    let (good, bad) = (|i| query("look", i, 5000), query("nowhere", 1, 900));
+    for i in 0..400 {
+        all.extend(if i % 20 == 0 { good(100 + i) } else { bad.clone() });
+    }
+    many.send(&all);
+    assert_eq!(many.answer().0, "RSSSZ");
+    for i in 0..400 {
+        assert_eq!(many.answer().0, if i % 20 == 0 { "TDCZ" } else { "EZ" }, "{i}");
+    }
+    for client in &mut silent {
+        assert!(client.ended() && begun.elapsed() < Duration::from_millis(3000));
+    }
+    told.into_iter().for_each(|t| t.join().unwrap());
+    assert!(seen.lock().unwrap().iter().all(|q| q.contains("c=look")));
+}
+
+#[test]
+fn an_id_that_is_open_is_no_other_reqs_and_a_resting_client_is_closed() {
+    let (addr, seen) = machine(|_| {
+        thread::sleep(Duration::from_millis(300));
+        Act::Row(vec![5])
+    });
+    let front = start(&told(&[addr], 128));
+    let mut clients = [(); 2].map(|()| Client::open(front.addr));
+    for client in &mut clients {
+        client.send(&startup());
+        assert_eq!(client.answer().0, "RSSSZ");
+    }
+    let [owner, other] = &mut clients;
+    owner.send(&query("look", 1, 1200));
+    thread::sleep(Duration::from_millis(50));
+    other.send(&query("look", 1, 1200));
+    assert_eq!((other.answer().0, owner.answer().0), ("EZ".into(), "TDCZ".into()));
+    let begun = Instant::now();
+    other.send(&query("look", 1, 1200));
+    assert_eq!((other.answer().0, seen.lock().unwrap().len()), ("TDCZ".into(), 2));
+    // Not before two seconds have passed since its last answer.
+    assert!(owner.ended() && begun.elapsed() > Duration::from_millis(2000));
+    assert!(other.ended() && begun.elapsed() > Duration::from_millis(2300));
+}
+
 #[test]
 fn a_build_that_fails_is_voted_back() {
     let (good, _) = machine(|_| Act::Row(vec![1]));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -192,7 +192,7 @@
     fn feel(&mut self, i: usize, route: usize, end: End, took: u64) {
         let (now, objective) = (self.now, self.set.routes[route].objective);
         let m = &mut self.machines[i];
-        if matches!(end, End::Done | End::Error) {
+        if matches!(end, End::Done | End::Error | End::Unfit) {
             (m.heard, m.refused) = (now, 0);
         }
         if matches!(end, End::Full | End::Error | End::Reset | End::Refused) {
--- a/src/front.rs
+++ b/src/front.rs
@@ -84,6 +84,8 @@
 pub enum End {
     Done,
     Error,
+    /// The machine finds fault with the req itself; that was the req's answer.
+    Unfit,
     Full,
     TimedOut,
     Refused,
