Learn what is usual in quiet times only: a bad build's jam hid the next bad build

Seen: builds 731 to 733 all slow the whole fleet; 731 was sent back 3 s after it began to hurt, 732 only once released, 733 never. Trace of the whole-fleet test: its calm side grew from 8% slow tries before 731 to 13% and 21% before 733, while what is usual was learned from the answers of the jams. Checked and ruled out: the gates on machines and sends were open, and the gap is too wide for speed only, not for 733. At fault in decide.rs: learn() took all answers outside a trial, those of builds going back and of the jam after them too; send() called the same tries steady; news() kept the trial's own slow tries as the calm side. Now both ask quiet(): no build on trial or going back, the last stage over for 3 s or the told cold time, most answers easy; and a build that goes back takes its tries with it. It should hold against any jam; it hurts where a fleet is never quiet, whose usual times then are those of its first answers.

The test fails without the change: usual 10 -> 25 ms.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -119,10 +119,6 @@
         }
     }
 
-    pub fn list(&mut self, whole: bool) {
-        self.machines.iter_mut().filter(|_| whole).for_each(|m| m.standing = Standing::Gone);
-    }
-
     /// One entry of the list; `place` is its zone, cell and kind, `started` 0 where it runs since long.
     pub fn machine(&mut self, name: &str, place: (&str, u64, &str), build: u32, st: Standing, started: u64) {
         let (now, kind) = (self.now, self.kind(place.2));
@@ -248,15 +244,13 @@
             self.calm_sends = self.sends.read(self.now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
             self.fleet = self.serving(0).iter().sum();
         }
+        // What a bad build has done to the fleet is no measure for the next.
+        if phase == Phase::GoingBack {
+            self.drain(SHARED, EVIDENCE_FADE);
+        }
         self.news = Some(News { build, stage, phase, cap, since: self.now.saturating_sub(age) });
     }
 
-    /// This front ends then: what is open must have its answer before, whatever time its client gives.
-    pub fn closing(&mut self, by: u64) {
-        self.closes = by;
-        self.reqs.values_mut().for_each(|rq| (rq.due, rq.objective) = (rq.due.min(by), rq.objective.min(by)));
-    }
-
     pub fn flagged(&mut self, name: &str, age: u64) {
         let Some(i) = self.find(name) else { return };
         let (now, m) = (self.now, &self.machines[i]);
@@ -315,17 +309,26 @@
         Some((usual * (pace + 2.0) / (n + 2.0), (held + 2.0) / (n + 2.0)))
     }
 
-    /// What an answer tells of its machine's pace, and of what is usual while no trial is on.
+    /// Whether times tell of the fleet as it should be: no build is on trial or just was, and there is no jam, of
+    /// which a bad build leaves one behind, or the next would be measured by what it did.
+    fn quiet(&self) -> bool {
+        let ([hard, all], since) = (self.room.ease.sums, HORIZON.max(self.set.cold_for));
+        let over =
+            |n: News| matches!(n.phase, Phase::Released | Phase::Withdrawn) && self.now >= n.since + since;
+        hard <= 0.5 * all && self.news.is_none_or(over)
+    }
+
+    /// What an answer tells of its machine's pace, and of what is usual in quiet times.
     fn learn(&mut self, i: usize, route: usize, work: f64, took: u64, earlier: bool) {
         let (now, took, load) = (self.now, took as f64, 1.0 + self.load(i).0);
-        let usual = self.usual_for(route, work);
+        let (usual, quiet) = (self.usual_for(route, work), self.quiet());
         let kind = &mut self.kinds[self.machines[i].kind];
         if let Some(u) = usual {
             self.machines[i].pace.add([took / u, 1.0], now, RATE_FADE);
             kind.pace.add([took / u, 1.0], now, RATE_FADE);
             self.zones[usize::from(self.machines[i].far)].add([took / u, 1.0], now, RATE_FADE);
         }
-        if earlier && (self.news.is_none_or(|n| n.phase != Phase::Trial) || usual.is_none()) {
+        if earlier && (quiet || usual.is_none()) {
             for r in [self.set.routes.len(), route] {
                 self.usual[r].add([took, work, 1.0], now, USUAL_FADE);
             }
@@ -343,13 +346,6 @@
         }
     }
 
-    /// Machines in service of this build or later ones, and of earlier ones.
-    fn serving(&self, newest: u32) -> [usize; 2] {
-        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside);
-        let new = ready.clone().filter(|m| m.build >= newest).count();
-        [new, ready.count() - new]
-    }
-
     fn look(&mut self, out: &mut dyn Writer) {
         let (now, Some(n)) = (self.now, self.news) else { return };
         let mut sides = [[Arm::default(); 2]; TESTS];
@@ -654,8 +650,9 @@
         let chance = 2.0 * (self.calm_sends * 1e6 / RATE_FADE / 2.0).sqrt();
         let rate = self.sends.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
         // What else jams a fleet is no build's doing: lost machines, a rush, and all before it serves.
-        let steady = self.news.is_none_or(|n| n.phase != Phase::Trial)
-            || (serving.iter().sum::<usize>() * 10 >= self.fleet * 9
+        let steady = self.quiet()
+            || (self.news.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released))
+                && serving.iter().sum::<usize>() * 10 >= self.fleet * 9
                 && rate <= 1.2 * self.calm_sends + chance
                 && serving[0] > 0);
         let age = if started == 0 { u64::MAX } else { now.saturating_sub(started) };
--- a/src/state.rs
+++ b/src/state.rs
@@ -307,6 +307,17 @@
         }
     }
 
+    /// A whole list names all that are there.
+    pub fn list(&mut self, whole: bool) {
+        self.machines.iter_mut().filter(|_| whole).for_each(|m| m.standing = Standing::Gone);
+    }
+
+    /// This front ends then: what is open must have its answer before, whatever time its client gives.
+    pub fn closing(&mut self, by: u64) {
+        self.closes = by;
+        self.reqs.values_mut().for_each(|rq| (rq.due, rq.objective) = (rq.due.min(by), rq.objective.min(by)));
+    }
+
     pub fn withdrawn(&mut self, id: u64) {
         if let Some(rq) = self.reqs.get_mut(&id) {
             rq.over = true;
@@ -340,6 +351,13 @@
         }
     }
 
+    /// Machines in service of this build or later ones, and of earlier ones.
+    pub(crate) fn serving(&self, newest: u32) -> [usize; 2] {
+        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside);
+        let new = ready.clone().filter(|m| m.build >= newest).count();
+        [new, ready.count() - new]
+    }
+
     /// Seconds that a fading count stands for, of a front that has run at least this long.
     pub(crate) fn spell(&self, fade: f64, least: u64) -> f64 {
         let lived = (self.now - self.born).max(least) as f64;
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -236,3 +236,34 @@
         assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{took}");
     }
 }
+
+#[test]
+fn what_a_bad_build_slowed_is_no_measure_for_the_next() {
+    let mut b = Bench::new(settings());
+    let machines = ["m1", "m2", "m3", "m4"];
+    b.round(0, |to| machines.into_iter().for_each(|m| warm(to, m, "z1", 1)));
+    let mut next = 0;
+    let mut serve = |b: &mut Bench, took: u64, seconds: u64| {
+        for _ in 0..seconds * 20 {
+            next += 1;
+            b.round(50 * MS - took, |to| to.req(next, 0, None, 900 * MS, 1.0));
+            b.round(took, |to| to.outcome(next, 0, End::Done, took, true, None));
+        }
+        let [took, work, _] = b.module.usual[0].sums;
+        took / work / MS as f64
+    };
+    let told = |b: &mut Bench, build, phase| drop(b.round(0, |to| to.news(build, 1, phase, 1.0, 0)));
+    told(&mut b, 1, Phase::Released);
+    let usual = serve(&mut b, 10 * MS, 8);
+    told(&mut b, 2, Phase::Trial);
+    serve(&mut b, 40 * MS, 2);
+    told(&mut b, 2, Phase::GoingBack);
+    serve(&mut b, 40 * MS, 3);
+    told(&mut b, 2, Phase::Withdrawn);
+    let later = serve(&mut b, 40 * MS, 3);
+    assert!((later - usual).abs() < 0.01, "{usual} {later}");
+    // Some time after, it is learned again; and what the trial saw is not held to be calm.
+    serve(&mut b, 10 * MS, 5);
+    told(&mut b, 3, Phase::Trial);
+    assert!(b.module.calm.outcomes > 10.0 && b.module.calm.share() < 0.05, "{:?}", b.module.calm);
+}
