Spoilt answers are no build's errors; errors with none beside them are doubted; gone machines forgotten

Ruled out: bad reqs (11 reached machines). At fault: failure.end() in upstream.rs, and look() in decide.rs, which doubts failures and slowness but not errors, also where no earlier machine stands beside them. Now End::Spoilt counts as a failure against the same time but not as an error across time, and errors with nothing beside them must pass the bound by 1.5 like the rest.

Evidence under half an outcome, keys that bind nothing and names of gone machines are dropped (tidy() in state.rs): machines, names and evidence only grew.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -74,7 +74,7 @@
             (Reached::Nothing | Reached::Part, _) => End::Refused,
             (Reached::All, Cause::Overdue) => End::TimedOut,
             // The machine lives and has answered, though with nothing of use.
-            (Reached::All, Cause::Malformed(_)) => End::Error,
+            (Reached::All, Cause::Malformed(_)) => End::Spoilt,
             (Reached::All, _) => End::Reset,
         }
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,8 +27,7 @@
 const GAPS: [f64; TESTS] = [0.03, 0.15, 0.03, 0.25];
 /// For failures half the weight lies on a gap so many times as wide: a small one is slow to see large ones.
 const GROSS: f64 = 4.0;
-/// How rare hits are against the floor of their variance; 0: not rare.
-const RARE: [f64; TESTS] = [1.0, 0.0, 4.0, 0.0];
+const RARE: [f64; TESTS] = [1.0, 0.0, 4.0, 0.0]; // Hits, against the floor of their variance; 0: not rare.
 /// What evidence must show beyond the bounds: late and lost answers come of machines, links and load too.
 const DOUBT: [f64; TESTS] = [1.5, 1.5, 0.0, 1.5];
 /// Evidence fades, or a build that turns bad late would hide behind its good start.
@@ -102,6 +101,7 @@
         }
         if now >= self.looked + LOOK {
             self.looked = now;
+            self.tidy(EVIDENCE_FADE);
             self.look(out);
             self.vote(out);
             self.judge_machines(out);
@@ -188,10 +188,10 @@
     fn feel(&mut self, i: usize, route: usize, end: End, took: u64) {
         let (now, objective) = (self.now, self.set.routes[route].objective);
         let m = &mut self.machines[i];
-        if matches!(end, End::Done | End::Error | End::Unfit) {
+        if matches!(end, End::Done | End::Error | End::Spoilt | End::Unfit) {
             (m.heard, m.refused) = (now, 0);
         }
-        if matches!(end, End::Full | End::Error | End::Reset | End::Refused) {
+        if matches!(end, End::Full | End::Error | End::Spoilt | End::Reset | End::Refused) {
             m.pace.add([1.0 / EASE, 1.0], now, RATE_FADE);
         }
         // A process that takes no connections serves nothing, however many others do the same.
@@ -269,7 +269,7 @@
         let (route, work) = (rq.route, rq.work);
         let Try { build, machine: i, paired, steady, settled, warm, load, sent, .. } = rq.tries[n];
         let late = took > LATE * self.set.routes[route].objective;
-        let error = matches!(end, End::Error | End::Reset);
+        let error = matches!(end, End::Error | End::Reset | End::Spoilt);
         // Time counts as slow, and lateness at all, only beyond what load explains, but for silent machines.
         let load = 1.0 + load.max(self.load(i).0);
         let usual = self.usual_on(i, route, work);
@@ -284,11 +284,11 @@
             return;
         }
         m.died = if end == End::Reset { now } else { m.died };
-        let slow = slow.filter(|_| end != End::Error);
+        let slow = slow.filter(|_| !matches!(end, End::Error | End::Spoilt));
         let mut hits = [None; TESTS];
         hits[FAILURES] = Some(error || late || end == End::TimedOut).filter(|_| paired);
         hits[SLOWNESS] = slow.filter(|_| paired);
-        // Resets come from links and lost machines too, with nothing of the same time to compare them with.
+        // Resets and spoilt answers come from links and peers too, with nothing of the same time to compare them with.
         hits[ERRORS] = Some(end == End::Error);
         // Those still out when the trial began were long ones, and would make it look slow.
         hits[SHARED] = slow.filter(|_| steady && sent >= self.calm_at);
@@ -361,7 +361,7 @@
         // The whole fleet against before; a few usual outcomes stand in where there were few.
         sides[SHARED][1] = self.calm;
         sides[SHARED][1].add(LEAST_OUTCOMES, 0.15 * LEAST_OUTCOMES);
-        // Errors with none of the same time beside them may be those of a few machines, one at each here.
+        // Errors with none of the same time beside them may be those of a few machines, and are doubted more.
         let alone = f64::from(self.serving(n.build)[1] == 0) * LEAST_OUTCOMES;
         sides[ERRORS][1].add(alone, 0.15 * alone);
         let (lower, upper) = bounds();
@@ -385,7 +385,8 @@
             let s = score(new, old, present, before, GAPS[test]);
             let far = score(new, old, present, before, wide.max(least));
             // What one machine does may be its neighbour's doing: the fewer there are, the more is doubted.
-            let doubt = DOUBT[test] * (1.0 + 2.0 * new.spread[2] / new.outcomes.powi(2));
+            let doubt = DOUBT[if test == ERRORS && alone > 0.0 { FAILURES } else { test }];
+            let doubt = doubt * (1.0 + 2.0 * new.spread[2] / new.outcomes.powi(2));
             let both = (s.exp() + far.exp()).ln() - doubt - share;
             if both >= upper && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
--- a/src/front.rs
+++ b/src/front.rs
@@ -84,6 +84,8 @@
 pub enum End {
     Done,
     Error,
+    /// An answer that can't be read: it may have run, and peers and links spoil answers of any build.
+    Spoilt,
     /// The machine finds fault with the req itself; that was the req's answer.
     Unfit,
     Full,
--- a/src/state.rs
+++ b/src/state.rs
@@ -325,17 +325,45 @@
         }
     }
 
+    /// Drops less than half an outcome of evidence, keys that bind nothing any more, and the names of machines that
+    /// are gone and that nothing speaks of: ids come and go for as long as a front lives.
+    pub(crate) fn tidy(&mut self, fades: [f64; TESTS]) {
+        for t in self.evidence.values_mut() {
+            t.read(self.now, fades);
+        }
+        self.evidence.retain(|_, t| t.all.iter().chain(&t.hits).any(|n| *n >= 0.5));
+        let here = self.machines.iter().filter(|m| m.standing != Standing::Gone);
+        if let Some(oldest) = here.map(|m| m.build).min() {
+            self.keys.retain(|_, build| *build > oldest);
+        }
+        let (reqs, evidence) = (&self.reqs, &self.evidence);
+        let spoken_of = |i: usize| {
+            let by = |rq: &Req| rq.suspect == Some(i) || rq.tries.iter().any(|t| t.machine == i);
+            evidence.keys().any(|(_, of)| *of == i) || reqs.values().any(by)
+        };
+        let over = |m: &Machine| m.standing == Standing::Gone && !m.probe_out && m.held <= 0.0;
+        self.names.retain(|_, i| !over(&self.machines[*i]) || spoken_of(*i));
+    }
+
     pub(crate) fn find(&self, name: &str) -> Option<usize> {
         self.names.get(name).copied()
     }
 
-    /// Where the machine of this name is kept, known before or not.
+    /// Where the machine of this name is kept, known before or not; a new one takes the place of one whose name
+    /// was dropped.
     pub(crate) fn place(&mut self, name: &str) -> usize {
-        self.find(name).unwrap_or_else(|| {
-            self.names.insert(name.into(), self.machines.len());
-            self.machines.push(Machine { name: name.into(), started: u64::MAX, ..Machine::default() });
-            self.machines.len() - 1
-        })
+        if let Some(i) = self.find(name) {
+            return i;
+        }
+        let machine = Machine { name: name.into(), started: u64::MAX, ..Machine::default() };
+        let left = |i: &usize| self.find(&self.machines[*i].name) != Some(*i);
+        let i = (0..self.machines.len()).find(left).unwrap_or(self.machines.len());
+        match self.machines.get_mut(i) {
+            Some(left) => *left = machine,
+            None => self.machines.push(machine),
+        }
+        self.names.insert(name.into(), i);
+        i
     }
 
     pub(crate) fn kind(&mut self, name: &str) -> usize {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -360,3 +360,31 @@
         assert_eq!(out.len(), 2 * machines.len());
     }
 }
+
+#[test]
+fn machines_that_come_and_go_for_good_leave_nothing_behind() {
+    let mut b = Bench::new(Settings { one_way: true, ..settings() });
+    b.round(0, |to| to.news(1, 0, Phase::Released, 1.0, 0));
+    for n in 0..600u32 {
+        let (name, build) = (format!("m{n}"), n / 50);
+        b.round(0, |to| {
+            to.list(true);
+            warm(to, &name, "z1", build);
+            to.news(build, 0, Phase::Released, 1.0, 0);
+            to.req(u64::from(n), 0, Some(&name), 900 * MS, 1.0);
+        });
+        // Answered after its machine is gone, now and then.
+        if n % 7 == 0 {
+            b.round(0, |to| to.list(true));
+        }
+        b.round(300 * MS, |to| to.outcome(u64::from(n), 0, End::Done, 300 * MS, true, None));
+        b.round(2700 * MS, |_| {});
+    }
+    let m = &b.module;
+    let kept = [m.machines.len(), m.names.len(), m.evidence.len(), m.keys.len(), m.reqs.len()];
+    assert!(kept.iter().all(|n| *n < 100), "{kept:?}");
+    // An id that comes back is the machine as last listed.
+    b.round(0, |to| to.machine("m0", ("z1", 0, "k"), 99, Standing::Ready, 0));
+    let again = b.module.machines.iter().filter(|m| m.name == "m0").count();
+    assert_eq!((again, b.module.names["m0"] < 100), (1, true));
+}
