Send a second try beside a first that may be lost; take values of up to 1 MB from machines

At fault: serve() in decide.rs counted any try that was out as a reason to wait. A req with a try out is no longer answered for want of time either: its first try may still bring it.

Values up to 1 MB pass now; one said to have gigabytes is still cut off at its head.

Tests: when a second try goes out and when not, what is cancelled then; heads at the new bound.

--- a/crates/node/src/pg.rs
+++ b/crates/node/src/pg.rs
@@ -11,6 +11,8 @@
 const GSS: u32 = 80_877_104;
 const LONGEST_STARTUP: usize = 10_000;
 const LONGEST_VALUE: usize = 64 * 1024;
+/// Machines have been seen to give values of some hundred KB.
+pub const LONGEST_ANSWER: usize = 1024 * 1024;
 /// Of a message that holds neither a statement nor a value.
 const LONGEST_OTHER: usize = 8 * 1024;
 /// A value in hexadecimal, and the statement round it.
@@ -88,7 +90,7 @@
 /// The longest body of a machine's message of this type; none of a type that machines don't send.
 pub fn from_machine(tag: u8) -> Option<usize> {
     match tag {
-        b'D' => Some(LONGEST_VALUE + 6),
+        b'D' => Some(LONGEST_ANSWER),
         b'T' | b'C' | b'S' | b'E' | b'N' => Some(LONGEST_OTHER),
         b'R' | b'K' => Some(8),
         b'Z' => Some(1),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -17,7 +17,7 @@
 use crate::slots::Slots;
 
 const MS: u64 = 1000;
-const READ_AHEAD: usize = pg::LONGEST + 4096;
+const READ_AHEAD: usize = pg::LONGEST_ANSWER + 4096;
 
 /// How far a try had come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/node/tests/codecs.rs
+++ b/crates/node/tests/codecs.rs
@@ -110,14 +110,14 @@
         (pg::from_client, b"P\0\x01\0\0"),
         (pg::from_machine, b"Q"),
         (pg::from_machine, b"D\xb2\xd0\x5e\0"),
-        (pg::from_machine, b"D\0\x01\0\x0b"),
+        (pg::from_machine, b"D\0\x10\0\x05"),
         (pg::from_machine, b"Z\0\0\0\x06"),
         (pg::from_machine, b"C\0\0\xff\xff"),
     ];
     for (longest, head) in table {
         assert!(pg::head(&chain(head), longest).is_err(), "{head:?}");
     }
-    assert_eq!(pg::head(&chain(b"D\0\x01\0\x0a"), pg::from_machine), Ok(Some((b'D', 65547))));
+    assert_eq!(pg::head(&chain(b"D\0\x10\0\x04"), pg::from_machine), Ok(Some((b'D', 1_048_581))));
 }
 
 #[test]
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,6 +40,9 @@
 const RATE_FADE: f64 = 5e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
+/// A first try out for half its objective and so many times as long as usual may be lost with its connection: where
+/// there is no jam another goes out beside it, and the first answer counts.
+const STUCK: f64 = 6.0;
 const FIRST_ROOM: f64 = 6.0;
 const COLD_PART: f64 = 0.65; // Prudent part of what a cold machine can take from all fronts together.
 const PROBE_EVERY: u64 = 400 * MS;
@@ -127,7 +130,7 @@
         let m = &mut self.machines[i];
         if m.build != build || m.started != started {
             // A new process. One that comes back slowed could do far less than its age says: a slow start.
-            renew(m, if started != 0 && now < started + self.set.cold_for { 1.0 } else { FIRST_ROOM }, now);
+            m.renew(if started != 0 && now < started + self.set.cold_for { 1.0 } else { FIRST_ROOM }, now);
             (m.wanted, m.load, m.credited) = (2, (0.0, 0), now);
             m.credit = f64::from((rank + self.set.me) % self.set.fronts) / f64::from(self.set.fronts);
         }
@@ -171,7 +174,7 @@
         if !counted {
             self.judge(id, n, end, took);
         }
-        self.note_load(i, load);
+        self.note_load(i, load, RATE_FADE);
         self.machines[i].held -= 1.0;
         if end == End::Done && warm {
             self.kinds[self.machines[i].kind].borne.add([1.0, 0.0], now, RATE_FADE);
@@ -211,7 +214,7 @@
 
     pub fn probed(&mut self, name: &str, end: End, load: Option<Load>) {
         let (now, Some(i)) = (self.now, self.find(name)) else { return };
-        self.note_load(i, load);
+        self.note_load(i, load, RATE_FADE);
         // A req that went down with its machine may have brought it down, and would bring down the next.
         for rq in self.reqs.values_mut().filter(|rq| rq.suspect == Some(i)) {
             (rq.suspect, rq.deadly) = (None, matches!(end, End::Refused | End::Reset | End::TimedOut));
@@ -219,7 +222,7 @@
         let m = &mut self.machines[i];
         (m.probe_out, m.answered) = (false, if end == End::Done { m.answered + 1 } else { 0 });
         if m.aside && m.answered >= m.wanted {
-            renew(m, 2.0, now);
+            m.renew(2.0, now);
             m.wanted = (m.wanted * 2).min(16); // Some machines answer probes and fail reqs.
         }
     }
@@ -312,10 +315,14 @@
     /// Whether times tell of the fleet as it should be: no build is on trial or just was, and there is no jam, of
     /// which a bad build leaves one behind, or the next would be measured by what it did.
     fn quiet(&self) -> bool {
-        let ([hard, all], since) = (self.room.ease.sums, HORIZON.max(self.set.cold_for));
+        let since = HORIZON.max(self.set.cold_for);
         let over =
             |n: News| matches!(n.phase, Phase::Released | Phase::Withdrawn) && self.now >= n.since + since;
-        hard <= 0.5 * all && self.news.is_none_or(over)
+        !self.jammed() && self.news.is_none_or(over)
+    }
+
+    fn jammed(&self) -> bool {
+        self.room.ease.sums[0] > 0.5 * self.room.ease.sums[1]
     }
 
     /// What an answer tells of its machine's pace, and of what is usual in quiet times.
@@ -494,12 +501,6 @@
         (sent + 1) as f64 <= self.set.free + cap * taken as f64
     }
 
-    /// The part of its capacity that a machine has for certain.
-    fn warmth(&self, started: u64) -> f64 {
-        let age = self.now.saturating_sub(started) as f64 / self.set.cold_for as f64;
-        if started == 0 { 1.0 } else { (self.set.cold_from + (1.0 - self.set.cold_from) * age).min(1.0) }
-    }
-
     /// Rule 4: this front's prudent part of what a cold machine can take, earned as time goes and due as
     /// soon as it makes a req. What warm machines of its kind have borne from this front stands in for the
     /// capacity, so that the parts of all fronts add up, however traffic is spread. Fronts begin with credits
@@ -601,15 +602,8 @@
         (holds + 1.0) / (mean + 1.0) * pace.max(0.1) * far
     }
 
-    fn note_load(&mut self, i: usize, load: Option<Load>) {
-        let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) else { return };
-        let (now, m) = (self.now, &mut self.machines[i]);
-        m.load = (x, now);
-        self.kinds[m.kind].load.add([x, 1.0], now, RATE_FADE);
-    }
-
     fn serve(&mut self, out: &mut dyn Writer) {
-        let waits = |rq: &Req| !rq.over && !rq.tries.iter().any(|t| t.out);
+        let waits = |rq: &Req| !rq.over && !rq.tries.iter().any(|t| t.out && !t.stuck);
         let waiting = self.reqs.iter().filter(|(_, rq)| waits(rq));
         let mut ids: Vec<_> = waiting.map(|(id, rq)| (Reverse(rq.rank), Reverse(rq.came), *id)).collect();
         ids.sort_unstable();
@@ -621,6 +615,9 @@
             // At most half the objective: else a jam would shed all on arrival, and nothing be learned again.
             let late = self.now + (usual * 3 / 2).min(objective / 2) >= rq.objective;
             if late || !self.machines.iter().any(|m| self.may_try(rq, m)) {
+                if rq.tries.iter().any(|t| t.out) {
+                    continue;
+                }
                 let harmless = |r| matches!(r, Repeat::Retriable | Repeat::Deduped { scope: Scope::All, .. });
                 if harmless(self.set.routes[route].repeat) || !rq.tries.iter().any(|t| t.ran) {
                     out.shed(id, self.set.max_come_back.min(objective / 2));
@@ -679,22 +676,27 @@
         let from = now.saturating_sub(self.set.exposure_window);
         self.accepted.forget_before(from);
         self.exposed.forget_before(from);
-        let mut overdue = Vec::new();
+        let routes = 0..self.set.routes.len();
+        let usual: Vec<f64> = routes.map(|r| self.usual_for(r, 1.0).unwrap_or(f64::INFINITY)).collect();
+        let (mut overdue, easy) = (Vec::new(), self.set.cancel && !self.jammed());
         self.held = 0.0;
         for (id, rq) in &mut self.reqs {
             let objective = self.set.routes[rq.route].objective;
+            let first = easy && !rq.over && rq.tries.len() == 1;
             for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
                 // What a silent machine keeps takes no room of the others.
-                let m = &mut self.machines[t.machine];
+                let (m, age) = (&mut self.machines[t.machine], now - t.sent);
                 let silent = m.heard <= t.sent;
-                m.silent |= silent && now > t.sent + objective && self.set.probes;
-                self.held += f64::from(now <= t.sent + if silent { objective / 2 } else { objective });
-                if !t.counted && now > t.sent + LATE * objective {
-                    overdue.push((*id, n, now - t.sent));
-                } else if !t.counted && rq.over && self.set.cancel {
+                m.silent |= silent && age > objective && self.set.probes;
+                self.held += f64::from(age <= if silent { objective / 2 } else { objective });
+                if !t.counted && (age > LATE * objective || t.stuck && rq.over) {
+                    overdue.push((*id, n, age));
+                }
+                if !t.counted && rq.over && self.set.cancel {
                     out.cancel_try(*id, n);
                 }
-                t.counted |= rq.over || now > t.sent + LATE * objective;
+                t.counted |= rq.over || age > LATE * objective;
+                t.stuck |= first && 2 * age > objective && age as f64 > STUCK * usual[rq.route] * rq.work;
             }
         }
         for (id, n, age) in overdue {
@@ -703,11 +705,6 @@
     }
 }
 
-fn renew(m: &mut Machine, room: f64, now: u64) {
-    (m.aside, m.heard, m.refused, m.pace) = (false, now, 0, Default::default());
-    m.room = Room { tries: room, ..Room::default() };
-}
-
 /// Room grows where it is used up while most answers are easy, and narrows where most are not, at most
 /// once in half an objective, so that one jam is answered once.
 fn pace(room: &mut Room, ease: f64, held: f64, now: u64, objective: u64) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 
 use oorandom::Rand64;
 
-use crate::front::{Phase, Settings, Standing, Verdict};
+use crate::front::{Load, Phase, Settings, Standing, Verdict};
 
 /// Sums that decay together; brought up to date when read.
 #[derive(Clone, Copy)]
@@ -161,6 +161,14 @@
     pub credited: u64,
 }
 
+impl Machine {
+    /// Nothing is held against it any more.
+    pub fn renew(&mut self, room: f64, now: u64) {
+        (self.aside, self.heard, self.refused, self.pace) = (false, now, 0, Default::default());
+        self.room = Room { tries: room, ..Room::default() };
+    }
+}
+
 #[derive(Clone, Copy, Default)]
 pub struct Try {
     pub machine: usize,
@@ -170,6 +178,8 @@
     /// It ran, or may have.
     pub ran: bool,
     pub counted: bool,
+    /// Out for so long that its answer may be lost.
+    pub stuck: bool,
     pub settled: bool,
     pub warm: bool,
     /// What its machine held when it was sent.
@@ -386,6 +396,20 @@
         [new, ready.count() - new]
     }
 
+    /// A machine's own report, for it and for its kind.
+    pub(crate) fn note_load(&mut self, i: usize, load: Option<Load>, fade: f64) {
+        let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) else { return };
+        let (now, m) = (self.now, &mut self.machines[i]);
+        m.load = (x, now);
+        self.kinds[m.kind].load.add([x, 1.0], now, fade);
+    }
+
+    /// The part of its capacity that a machine has for certain.
+    pub(crate) fn warmth(&self, started: u64) -> f64 {
+        let age = self.now.saturating_sub(started) as f64 / self.set.cold_for as f64;
+        if started == 0 { 1.0 } else { (self.set.cold_from + (1.0 - self.set.cold_from) * age).min(1.0) }
+    }
+
     /// Seconds that a fading count stands for, of a front that has run at least this long.
     pub(crate) fn spell(&self, fade: f64, least: u64) -> f64 {
         let lived = (self.now - self.born).max(least) as f64;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -388,3 +388,38 @@
     let again = b.module.machines.iter().filter(|m| m.name == "m0").count();
     assert_eq!((again, b.module.names["m0"] < 100), (1, true));
 }
+
+#[test]
+fn a_try_that_may_be_lost_has_another_beside_it_and_the_first_answer_counts() {
+    // route, time since the first try, answers are hard -> what goes out, and what an answer of the second cancels
+    let table = [
+        (0, 251, false, vec!["try 900 m2"], vec!["cancel 900 0"]),
+        (0, 240, false, vec![], vec![]),
+        (0, 251, true, vec![], vec![]),
+        // Its repeat would have to come within 300 ms, in the same zone.
+        (1, 251, false, vec!["try 900 m2"], vec!["cancel 900 0"]),
+        (1, 310, false, vec![], vec![]),
+        (2, 251, false, vec![], vec![]),
+    ];
+    for (route, passed, hard, sent, cancelled) in table {
+        let mut b = Bench::new(settings());
+        b.round(0, |to| warm(to, "m1", "z1", 1));
+        for id in 0..40 {
+            b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
+            b.round(20 * MS, |to| to.outcome(id, 0, End::Done, 20 * MS, true, None));
+        }
+        assert_eq!(count(&b.round(10 * MS, |to| to.req(900, route, None, 900 * MS, 1.0)), "try 900 m1"), 1);
+        b.round(0, |to| warm(to, "m2", "z1", 1));
+        if hard {
+            b.module.room.ease.sums = [60.0, 60.0];
+        }
+        let got = b.round(passed * MS, |_| {});
+        let tries: Vec<_> = got.iter().filter(|l| l.starts_with("try") || l.starts_with("shed")).collect();
+        assert_eq!(tries, sent.iter().collect::<Vec<_>>(), "{route} {passed} {hard}");
+        if !sent.is_empty() {
+            let got = b.round(20 * MS, |to| to.outcome(900, 1, End::Done, 20 * MS, true, None));
+            let got: Vec<_> = got.iter().filter(|l| l.starts_with("cancel")).collect();
+            assert_eq!(got, cancelled.iter().collect::<Vec<_>>(), "{route}");
+        }
+    }
+}
