Count lost tries into what is usual; new connections for what may run once where kept ones break

Tests of the front listen on an address each: one failed now and then when another's connection took its port.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -8,6 +8,7 @@
 
 use slog::{debug, info, warn};
 use tidescale::decide::Balancer;
+use tidescale::front::{Repeat, Route};
 
 use crate::buffers::{Chain, Fill, SIZE};
 use crate::link::{Ground, Link, Part};
@@ -120,6 +121,8 @@
     /// Until it has its answer.
     client: Option<u64>,
     id: String,
+    /// It may run once at the most.
+    pub once: bool,
     pub statement: Chain,
     pub wait_at: Range<usize>,
     /// The connection of each upstream try that is out, by its number.
@@ -138,7 +141,7 @@
     reqs: Slots<Req>,
     /// As the clients gave them.
     ids: BTreeSet<String>,
-    routes: Vec<(String, bool)>,
+    routes: Vec<Route>,
     /// Clients whose next message may be there already.
     again: Vec<u64>,
     /// Clients that were not read for want of buffers.
@@ -147,11 +150,11 @@
 }
 
 impl Clients {
-    /// `routes`: their names, and whether their reqs need a key; `most`: connections at a time.
+    /// `most`: connections at a time.
     pub fn new(
         ground: &Ground,
         listener: TcpListener,
-        routes: Vec<(String, bool)>,
+        routes: Vec<Route>,
         most: usize,
     ) -> io::Result<Clients> {
         listener.set_nonblocking(true)?;
@@ -462,9 +465,9 @@
             return Ok(());
         }
         let asked = pg::asked(statement).and_then(|a| {
-            let route = self.routes.iter().position(|(name, _)| name == a.route);
+            let route = self.routes.iter().position(|r| r.name == a.route);
             let route = route.ok_or(Malformed("an unknown route"))?;
-            if self.routes[route].1 && a.key.is_none() {
+            if matches!(self.routes[route].repeat, Repeat::Deduped { .. }) && a.key.is_none() {
                 return Err(Malformed("no key"));
             }
             // Whose answer would it be?
@@ -486,7 +489,8 @@
         text.push(statement.as_bytes());
         let id = asked.id.to_string();
         self.ids.insert(id.clone());
-        let rq = Req { client: Some(key), id, statement: text, wait_at, tries: Vec::new() };
+        let once = self.routes[route].repeat == Repeat::NonRetriable;
+        let rq = Req { client: Some(key), id, once, statement: text, wait_at, tries: Vec::new() };
         if let Some(Ok(id)) = self.reqs.insert(|_| Ok::<_, ()>(rq)) {
             c.busy = Some(id);
             to.req(id, route, Some(asked.code), asked.wait_ms * MS, 0.0);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -10,7 +10,7 @@
 use calloop::signals::{Event, Signal, Signals};
 use slog::{Logger, error, info, warn};
 use tidescale::decide::Balancer;
-use tidescale::front::{Inbox, Repeat, Route, Verdict, Writer};
+use tidescale::front::{Inbox, Verdict, Writer};
 
 use crate::buffers::{self, Pool};
 use crate::clients::Clients;
@@ -286,8 +286,7 @@
         let (handle, now) = (events.handle(), clock.now());
         let ground =
             Ground { handle, pool, clients_pool, streams_pool, deadlines: Deadlines::default(), log, now };
-        let keyed = |r: &Route| matches!(r.repeat, Repeat::Deduped { .. });
-        let routes = config.settings.routes.iter().map(|r| (r.name.clone(), keyed(r))).collect();
+        let routes = config.settings.routes.clone();
         let free = config.sockets.saturating_sub(RESERVE + STANDING);
         if free < MACHINES_PART {
             return Err(format!("limits: {} sockets are too few", config.sockets));
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -17,6 +17,8 @@
 use crate::slots::Slots;
 
 const MS: u64 = 1000;
+/// For so long after a kept connection broke under a query, what may run only once goes over new ones.
+const STALE: u64 = 10_000 * MS;
 const READ_AHEAD: usize = pg::LONGEST_ANSWER + 4096;
 
 /// How far a try had come.
@@ -136,6 +138,8 @@
     up_by: Option<u64>,
     work: Option<Work>,
     used: u64,
+    /// It has served before.
+    kept: bool,
 }
 
 /// Address, build and start: with any other of these it is another process.
@@ -156,12 +160,14 @@
     /// Tries and probes that ended as soon as they began, to be told in the next round.
     ended: Vec<(Job, String, End)>,
     again: Vec<u64>,
+    /// When a kept connection last broke under a query with nothing answered.
+    stale_at: u64,
 }
 
 impl Upstream {
     pub fn new(links: Links, most: usize) -> Upstream {
         let (machines, table) = (BTreeMap::new(), Slots::new(most));
-        Upstream { machines, table, links, ended: Vec::new(), again: Vec::new() }
+        Upstream { machines, table, links, ended: Vec::new(), again: Vec::new(), stale_at: 0 }
     }
 
     pub fn is_pressed(&self, ground: &Ground) -> bool {
@@ -212,7 +218,10 @@
         let answer = Chain::new(&ground.pool);
         let (since, reached) = (ground.now, Reached::Nothing);
         let work = Work { job, since, until, reached, load: None, answer, parts: 0, end: None };
-        let key = match self.connection(machine, ground) {
+        // A kept connection may be dead without a sign, and what is written to it may have run.
+        let once = matches!(job, Job::Try { id, .. } if clients.req(id).is_some_and(|rq| rq.once));
+        let fresh = once && self.stale_at > 0 && ground.now < self.stale_at + STALE;
+        let key = match self.connection(machine, fresh, ground) {
             Ok(Some(key)) => key,
             Ok(None) => {
                 info!(ground.log, "no descriptor for a try"; "machine" => machine);
@@ -234,10 +243,16 @@
     }
 
     /// A connection that stands idle, or a new one; none when all descriptors are in use.
-    fn connection(&mut self, machine: &str, ground: &mut Ground) -> io::Result<Option<u64>> {
+    fn connection(&mut self, machine: &str, fresh: bool, ground: &mut Ground) -> io::Result<Option<u64>> {
         let m = self.machines.get_mut(machine).ok_or(io::ErrorKind::NotFound)?;
         let listed = m.listed.ok_or(io::ErrorKind::NotFound)?;
-        while let Some(key) = m.idle.pop() {
+        if fresh && !m.idle.is_empty() {
+            // The new one takes the place of the one that has stood longest.
+            let key = m.idle.remove(0);
+            self.table.remove(key);
+            ground.deadlines.clear((Part::Machine, key));
+        }
+        while let Some(key) = m.idle.pop_if(|_| !fresh) {
             // A close that has come in the meantime would look like a req that may have run.
             if self.table.get(key).is_some_and(|c| c.link.is_quiet()) {
                 return Ok(Some(key));
@@ -256,7 +271,7 @@
             let mut link = Link::open(ground, listed.0, (Part::Machine, key))?;
             pg::put_startup(&mut link.output);
             let (machine, used) = (machine.into(), ground.now);
-            Ok(Conn { link, machine, listed, up_by, work: None, used })
+            Ok(Conn { link, machine, listed, up_by, work: None, used, kept: false })
         });
         made.transpose()
     }
@@ -433,7 +448,7 @@
         match m.filter(|m| m.wanted && m.listed == Some(c.listed)) {
             Some(m) => {
                 m.idle.push(key);
-                c.used = ground.now;
+                (c.used, c.kept) = (ground.now, true);
                 // Well before the machine closes it, or a req would cross the close and count as run.
                 ground.deadlines.set((Part::Machine, key), ground.now + self.links.idle_for / 2);
             }
@@ -487,6 +502,10 @@
     ) {
         let Some(c) = self.table.get_mut(key) else { return };
         let (work, machine) = (c.work.take(), c.machine.clone());
+        let unanswered = work.as_ref().is_some_and(|w| w.reached == Reached::All && w.parts == 0);
+        if c.kept && unanswered && matches!(cause, Cause::Broken(_) | Cause::Ended) {
+            self.stale_at = ground.now;
+        }
         if let Cause::Malformed(why) = cause {
             info!(ground.log, "machine sent what can't be read"; "machine" => &machine, "why" => why);
         }
--- a/crates/node/tests/loopback.rs
+++ b/crates/node/tests/loopback.rs
@@ -1,8 +1,9 @@
 //! The front on loopback sockets, with stand-ins for machines, discovery and the platform.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -145,6 +146,8 @@
     format!(r#"{{"version":41,"full":true,"servers":[{}]}}"#, entries.join(","))
 }
 
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
 /// A configuration with these machines known.
 fn told_by(
     machines: &[(SocketAddr, u32)],
@@ -152,7 +155,9 @@
     discovery: SocketAddr,
     platform: SocketAddr,
 ) -> String {
-    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // An address of its own: between here and its start no connection of another test takes the port.
+    let own = Ipv4Addr::new(127, 0, 77, NEXT.fetch_add(1, Ordering::Relaxed));
+    let listen = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap();
     include_str!("config.json")
         .replace("127.0.0.1:6432\"", &format!("{listen}\""))
         .replace("127.0.0.1:8500\"", &format!("{discovery}\""))
@@ -191,7 +196,7 @@
 
 fn start(config: &str) -> Running {
     let addr = config::read(config).ok().unwrap().listen;
-    let path = format!("{}/config-{}.json", env!("CARGO_TARGET_TMPDIR"), addr.port());
+    let path = format!("{}/config-{}.json", env!("CARGO_TARGET_TMPDIR"), addr.ip());
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
     let child = command.env("PROXY_CONFIG", &path).stderr(Stdio::null()).spawn().unwrap();
@@ -366,6 +371,32 @@
     }
 }
 
+#[test]
+fn what_may_run_once_goes_over_no_kept_connection_where_these_break() {
+    // The machine ends each connection under its third query.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let act = |n| if n < 2 { Act::Row(vec![5]) } else { Act::Close };
+            thread::spawn(move || serve(stream, &Seen::default(), &act));
+        }
+    });
+    let front = start(&told(&[addr], 128));
+    let mut client = Client::open(front.addr);
+    client.send(&startup());
+    client.answer();
+    let mut ask = |route, id| {
+        client.send(&query(route, id, 900));
+        client.answer().0
+    };
+    // Repeats hide it here, and the front learns of it.
+    (0..5).for_each(|id| assert_eq!(ask("look", id), "TDCZ"));
+    for id in 10..20 {
+        assert_eq!(ask("pay", id), "TDCZ", "{id}");
+    }
+}
+
 #[test]
 fn a_client_that_goes_away_has_its_try_given_up() {
     let (addr, seen) = machine(|_| Act::Silence);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,17 +32,14 @@
 const DOUBT: [f64; TESTS] = [1.5, 1.5, 0.0, 1.5];
 /// Evidence fades, or a build that turns bad late would hide behind its good start.
 const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 20e6];
-/// A try is slow when it took so many times what its route usually takes on such a machine, and so many
-/// times what the machine's load explains: were demand the cause, it would answer more for it.
+/// A try is slow at so many times what its route usually takes there, and what its machine's load explains.
 const SLOW: f64 = 2.0;
 const LOADED: f64 = 1.35;
 const USUAL_FADE: f64 = 30e6;
 const RATE_FADE: f64 = 5e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
-/// A first try out for half its objective and so many times as long as usual may be lost with its connection: where
-/// there is no jam another goes out beside it, and the first answer counts.
-const STUCK: f64 = 6.0;
+const STUCK: f64 = 6.0; // So long against the usual, and half its objective: a first try may be lost.
 const FIRST_ROOM: f64 = 6.0;
 const COLD_PART: f64 = 0.65; // Prudent part of what a cold machine can take from all fronts together.
 const PROBE_EVERY: u64 = 400 * MS;
@@ -56,16 +53,14 @@
         let p = self.share().clamp(floor, 1.0 - floor);
         p * (1.0 - p)
     }
-    /// How much more its machines differ than chance would have them: what jams, slows or shares one
-    /// machine hits its outcomes together, and a build would be judged by the luck of a few machines.
+    /// How much more its machines differ than chance has it: a jam hits a machine's outcomes together.
     fn clustering(&self, rare: f64) -> f64 {
         let (p, [kk, kn, nn]) = (self.share(), self.spread);
         ((kk - 2.0 * p * kn + p * p * nn) / self.outcomes.max(1.0) / self.plain_variance(rare)).max(1.0)
     }
 }
 
-/// One-sided SPRT-z: the score of `new` against `old`, z with the variances of this look, the drift with
-/// those of the look before, so that what is expected was fixed before the outcomes it judges came in.
+/// One-sided SPRT-z; the drift has the look before's variances: expected before these outcomes came in.
 pub fn score(new: Arm, old: Arm, present: [f64; 2], before: [f64; 2], gap: f64) -> f64 {
     let root = |v: [f64; 2]| (v[0] / new.outcomes + v[1] / old.outcomes).sqrt();
     let z = (new.share() - old.share()) / root(present);
@@ -186,8 +181,7 @@
         self.forget(id);
     }
 
-    /// What an outcome says of its machine's health and of the room, there and in all: a front that sends a
-    /// machine a req every few seconds learns only from all its answers together that the fleet is jammed.
+    /// What an outcome says of its machine and of room, there and in all: thin fronts learn only from all.
     fn feel(&mut self, i: usize, route: usize, end: End, took: u64) {
         let (now, objective) = (self.now, self.set.routes[route].objective);
         let m = &mut self.machines[i];
@@ -291,7 +285,7 @@
         let mut hits = [None; TESTS];
         hits[FAILURES] = Some(error || late || end == End::TimedOut).filter(|_| paired);
         hits[SLOWNESS] = slow.filter(|_| paired);
-        // Resets and spoilt answers come from links and peers too, with nothing of the same time to compare them with.
+        // Resets and spoilt answers come from links and peers too, with nothing of the same time beside them.
         hits[ERRORS] = Some(end == End::Error);
         // Those still out when the trial began were long ones, and would make it look slow.
         hits[SHARED] = slow.filter(|_| steady && sent >= self.calm_at);
@@ -312,8 +306,7 @@
         Some((usual * (pace + 2.0) / (n + 2.0), (held + 2.0) / (n + 2.0)))
     }
 
-    /// Whether times tell of the fleet as it should be: no build is on trial or just was, and there is no jam, of
-    /// which a bad build leaves one behind, or the next would be measured by what it did.
+    /// Times tell of the fleet as it should be; a jam that a bad build leaves is no measure for the next.
     fn quiet(&self) -> bool {
         let since = HORIZON.max(self.set.cold_for);
         let over =
@@ -676,9 +669,11 @@
         let from = now.saturating_sub(self.set.exposure_window);
         self.accepted.forget_before(from);
         self.exposed.forget_before(from);
-        let routes = 0..self.set.routes.len();
-        let usual: Vec<f64> = routes.map(|r| self.usual_for(r, 1.0).unwrap_or(f64::INFINITY)).collect();
-        let (mut overdue, easy) = (Vec::new(), self.set.cancel && !self.jammed());
+        let usual: Vec<f64> =
+            (0..self.set.routes.len()).map(|r| self.usual_for(r, 1.0).unwrap_or(f64::INFINITY)).collect();
+        // The first answers of all are the quick ones.
+        let known = self.usual[usual.len()].sums[2] >= 5.0 * LEAST_OUTCOMES;
+        let (mut overdue, easy) = (Vec::new(), self.set.cancel && known && !self.jammed());
         self.held = 0.0;
         for (id, rq) in &mut self.reqs {
             let objective = self.set.routes[rq.route].objective;
@@ -701,6 +696,12 @@
         }
         for (id, n, age) in overdue {
             self.judge(id, n, End::TimedOut, age);
+            let Req { route, work, ref tries, .. } = self.reqs[&id];
+            let Try { machine, build, warm, stuck, .. } = tries[n];
+            // Were only what comes back learned from, ever less would seem usual.
+            if stuck {
+                self.learn(machine, route, work, age, warm && !self.on_trial(build));
+            }
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -404,10 +404,11 @@
     for (route, passed, hard, sent, cancelled) in table {
         let mut b = Bench::new(settings());
         b.round(0, |to| warm(to, "m1", "z1", 1));
-        for id in 0..40 {
+        for id in 0..120 {
             b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
             b.round(20 * MS, |to| to.outcome(id, 0, End::Done, 20 * MS, true, None));
         }
+        let usual = b.module.usual[0].sums[0] / b.module.usual[0].sums[2];
         assert_eq!(count(&b.round(10 * MS, |to| to.req(900, route, None, 900 * MS, 1.0)), "try 900 m1"), 1);
         b.round(0, |to| warm(to, "m2", "z1", 1));
         if hard {
@@ -420,6 +421,9 @@
             let got = b.round(20 * MS, |to| to.outcome(900, 1, End::Done, 20 * MS, true, None));
             let got: Vec<_> = got.iter().filter(|l| l.starts_with("cancel")).collect();
             assert_eq!(got, cancelled.iter().collect::<Vec<_>>(), "{route}");
+            // Its time counts, or ever less would seem usual.
+            let [took, _, n] = b.module.usual[0].sums;
+            assert!(route > 0 || took / n > usual * 1.01, "{usual} {}", took / n);
         }
     }
 }
