Let an eighth of the descriptors rest with clients; open the streams anew every 3 s

Clients that ask once and stay held all the connections that clients have. At fault: only the 2.2 s of REST in clients.rs closed what rests.

Streams are opened anew every 3 s with the earlier one read until the new one tells something, and have 1 s to begin: silence was found only after 6 s, when what discovery has to tell already counts as told.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -136,6 +136,9 @@
     many: bool,
     failed: bool,
     table: Slots<Client>,
+    /// How many may rest.
+    most_resting: usize,
+    resting: usize,
     /// Connections by stage and since when.
     stages: BTreeSet<(Stage, u64, u64)>,
     reqs: Slots<Req>,
@@ -150,12 +153,12 @@
 }
 
 impl Clients {
-    /// `most`: connections at a time.
+    /// `most`: connections at a time, of which so many may rest.
     pub fn new(
         ground: &Ground,
         listener: TcpListener,
         routes: Vec<Route>,
-        most: usize,
+        (most, most_resting): (usize, usize),
     ) -> io::Result<Clients> {
         listener.set_nonblocking(true)?;
         let listener = Rc::new(listener);
@@ -166,6 +169,8 @@
             many: false,
             failed: false,
             table: Slots::new(most),
+            most_resting,
+            resting: 0,
             stages: BTreeSet::new(),
             reqs: Slots::new(usize::MAX),
             ids: BTreeSet::new(),
@@ -361,11 +366,25 @@
             c.stage = (stage, now);
             self.stages.remove(&(since.0, since.1, key));
             self.stages.insert((stage, now, key));
+            self.resting += usize::from(stage == Stage::Resting);
+            self.resting -= usize::from(since.0 == Stage::Resting);
             match stage {
                 Stage::Busy => ground.deadlines.clear((Part::Client, key)),
                 _ => ground.deadlines.set((Part::Client, key), now + stage.lasts()),
             }
         }
+        while self.resting > self.most_resting && self.close_longest_resting(ground, to) {}
+    }
+
+    /// Clients have only so many connections, and some ask once and keep theirs for good.
+    fn close_longest_resting(&mut self, ground: &mut Ground, to: &mut Balancer) -> bool {
+        let lately = ground.now.saturating_sub(LATELY);
+        let mut old = self.stages.range((Stage::Resting, 0, 0)..(Stage::Resting, lately, 0));
+        let silent = |key| self.table.get(key).is_some_and(|c| c.link.is_silent());
+        let Some((.., key)) = old.find(|(.., key)| silent(*key)).copied() else { return false };
+        debug!(ground.log, "too many clients rest, the longest is closed");
+        self.close(key, ground, to);
+        true
     }
 
     /// A connection has stood too long where it stands.
@@ -395,6 +414,7 @@
         ground.deadlines.clear((Part::Client, key));
         let Some(c) = self.table.remove(key) else { return };
         self.stages.remove(&(c.stage.0, c.stage.1, key));
+        self.resting -= usize::from(c.stage.0 == Stage::Resting);
         if let Some(id) = c.busy {
             self.forget_client(id, to);
         }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -29,6 +29,8 @@
 /// The part of the descriptors left that goes to machines' connections. Clients hold at most a third of all for
 /// reqs; the rest of their half is for those that come to no good, which must be told before they can be closed.
 const MACHINES_PART: usize = 2;
+/// The part of all descriptors on which clients' connections may rest: less than half of what clients hold for reqs.
+const RESTING_PART: usize = 8;
 /// The part of the memory that buffers may take.
 const BUFFER_PART: usize = 3;
 /// Of these for what discovery and the platform send; of the rest half for clients, half for machines.
@@ -292,7 +294,7 @@
             return Err(format!("limits: {} sockets are too few", config.sockets));
         }
         let for_machines = free / MACHINES_PART;
-        let for_clients = free - for_machines;
+        let for_clients = (free - for_machines, config.sockets / RESTING_PART);
         let clients =
             Clients::new(&ground, listener, routes, for_clients).map_err(|e| failed("listener", &e))?;
         let node = RefCell::new(Node {
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -13,6 +13,12 @@
 const MS: u64 = 1000;
 const FIRST_PAUSE: u64 = 100 * MS;
 const LONGEST_PAUSE: u64 = 2000 * MS;
+/// An answer that begins takes no longer.
+const OPENING: u64 = 1000 * MS;
+/// A stream may show life and tell nothing of what changes: one opened anew tells what was missed.
+const AFRESH: u64 = 3000 * MS;
+/// The deadline for that, beside those of streams.
+const ANEW: u64 = u64::MAX;
 const READ_AHEAD: usize = 256 * 1024;
 
 pub struct Stream {
@@ -42,7 +48,7 @@
             Ok(mut link) => {
                 http::get(&mut link.output, &self.addr.to_string(), path);
                 self.link = Some(link);
-                ground.deadlines.set(self.owner, ground.now + self.silence);
+                ground.deadlines.set(self.owner, ground.now + self.silence.min(OPENING));
             }
             Err(e) => self.broken(&e.to_string(), ground),
         }
@@ -110,8 +116,8 @@
     }
 }
 
-/// The stream that stands and, after a change of address, the one whose place it takes: that goes on until the
-/// new one tells something, or what is told in between would be missed.
+/// The stream that stands and, after a change of address and every now and then, the one whose place it takes: that
+/// goes on until the new one tells something, or what is told in between would be missed.
 pub struct Standing {
     now: Stream,
     earlier: Option<Stream>,
@@ -124,13 +130,20 @@
 
     pub fn open(&mut self, path: &str, ground: &mut Ground) {
         self.now.open(path, ground);
+        ground.deadlines.set((self.now.owner.0, ANEW), ground.now + AFRESH);
     }
 
     /// Whether the address is another one.
     pub fn move_to(&mut self, addr: SocketAddr, path: &str, ground: &mut Ground) -> bool {
-        if addr == self.now.addr {
-            return false;
+        let moves = addr != self.now.addr;
+        if moves {
+            self.replace(addr, ground);
+            self.open(path, ground);
         }
+        moves
+    }
+
+    fn replace(&mut self, addr: SocketAddr, ground: &mut Ground) {
         let (part, made) = self.now.owner;
         let next = Stream::new((part, made + 1), addr, self.now.silence);
         let left = std::mem::replace(&mut self.now, next);
@@ -140,8 +153,6 @@
         } else {
             ground.deadlines.clear(left.owner);
         }
-        self.now.open(path, ground);
-        true
     }
 
     fn leave(&mut self, ground: &mut Ground) {
@@ -155,7 +166,15 @@
         if number == self.now.owner.1 {
             return self.now.due(ground);
         }
-        self.leave(ground);
+        if number != ANEW {
+            self.leave(ground);
+            return false;
+        }
+        if self.now.told {
+            self.replace(self.now.addr, ground);
+            return true;
+        }
+        ground.deadlines.set((self.now.owner.0, ANEW), ground.now + AFRESH);
         false
     }
 
