Keep what was calm over short quiet times; second tries at four times the usual; time-outs make dear

Trace: the calm side of the whole-fleet test held 21.2 to 21.9 outcomes, of which 20 stand in, since the time between the builds was hardly quiet; news() in decide.rs put whatever there was in place of the earlier calm. It keeps the earlier one now unless a hundred outcomes are known.

Machines that let most tries go unanswered got their full share: time-outs did not make them dear (feel()), and six times the usual was too late for a second try.

Tests: a trial that comes with no quiet time before it; a machine that lets tries time out.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,7 +40,7 @@
 const RATE_FADE: f64 = 5e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
-const STUCK: f64 = 6.0; // So long against the usual, and half its objective: a first try may be lost.
+const STUCK: f64 = 4.0; // So long against the usual, and half its objective: a first try may be lost.
 const FIRST_ROOM: f64 = 6.0;
 const COLD_PART: f64 = 0.65; // Prudent part of what a cold machine can take from all fronts together.
 const PROBE_EVERY: u64 = 400 * MS;
@@ -69,8 +69,7 @@
     z * drift - drift * drift / 2.0
 }
 
-/// Of both sides; the old one's clustering also holds for a new one of too few machines to show it. Where
-/// hits are `rare`, the fewer the outcomes, the more the old share stands in, as if the builds were alike.
+/// The old side's clustering holds for a new one of few machines; for few `rare` hits, its share does too.
 pub fn variances(new: Arm, old: Arm, rare: f64) -> [f64; 2] {
     let own = if rare == 0.0 { 1.0 } else { (new.outcomes * LEAST_SHARE / rare.powi(4)).min(1.0) };
     let alike = Arm { hits: old.share() * new.outcomes, ..new }.plain_variance(rare);
@@ -189,7 +188,7 @@
         if matches!(end, End::Done | End::Error | End::Spoilt | End::Unfit) {
             (m.heard, m.refused) = (now, 0);
         }
-        if matches!(end, End::Full | End::Error | End::Spoilt | End::Reset | End::Refused) {
+        if !matches!(end, End::Done | End::Unfit | End::Cancelled | End::NotSent) {
             m.pace.add([1.0 / EASE, 1.0], now, RATE_FADE);
         }
         // A process that takes no connections serves nothing, however many others do the same.
@@ -238,7 +237,10 @@
         }
         if self.news.is_none_or(|n| n.build < build) {
             self.variances = Default::default();
-            (self.calm, self.calm_at) = (self.drain(SHARED, EVIDENCE_FADE, FLEET), self.now);
+            // After little quiet time what was calm before still tells.
+            let calm = self.drain(SHARED, EVIDENCE_FADE, FLEET);
+            let enough = calm.outcomes >= self.calm.outcomes.min(5.0 * LEAST_OUTCOMES);
+            (self.calm, self.calm_at) = (if enough { calm } else { self.calm }, self.now);
             self.calm_sends = self.sends.read(self.now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND);
             self.fleet = self.serving(0).iter().sum();
         }
@@ -572,8 +574,7 @@
         Some(if self.cost(b) < self.cost(a) { b } else { a })
     }
 
-    /// Reqs that the machine holds now, and that one of its kind holds on average. A report tells of the
-    /// machine for about a second; beyond that, and where a front has heard nothing, its kind stands in.
+    /// Reqs held by the machine, and by one of its kind on average, which stands in for reports of long ago.
     fn load(&mut self, i: usize) -> (f64, f64) {
         let (now, m) = (self.now, &self.machines[i]);
         let [sum, n] = self.kinds[m.kind].load.read(now, RATE_FADE);
@@ -582,8 +583,7 @@
         ((mean + (m.load.0 - mean) * fresh).max(m.held), mean)
     }
 
-    /// What answers of the machine took against the usual, filled up with its kind's, times how much more
-    /// it holds than others of its kind.
+    /// Its answers' times against the usual, filled up with its kind's, times what it holds against its kind.
     fn cost(&mut self, i: usize) -> f64 {
         let (now, (holds, mean)) = (self.now, self.load(i));
         let m = &mut self.machines[i];
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -282,5 +282,11 @@
     // Some time after, it is learned again; and what the trial saw is not held to be calm.
     serve(&mut b, 10 * MS, 5);
     told(&mut b, 3, Phase::Trial);
-    assert!(b.module.calm.outcomes > 10.0 && b.module.calm.share() < 0.05, "{:?}", b.module.calm);
+    let calm = b.module.calm;
+    assert!(calm.outcomes > 10.0 && calm.share() < 0.05, "{calm:?}");
+    // A trial that comes with no quiet time before it is held against the same.
+    told(&mut b, 3, Phase::GoingBack);
+    serve(&mut b, 40 * MS, 3);
+    told(&mut b, 4, Phase::Trial);
+    assert_eq!(b.module.calm, calm);
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -427,3 +427,19 @@
         }
     }
 }
+
+#[test]
+fn a_machine_that_lets_tries_time_out_is_dear() {
+    let mut b = Bench::new(settings());
+    b.round(0, |to| ["m1", "m2"].into_iter().for_each(|m| warm(to, m, "z1", 1)));
+    let mut on_first = 0;
+    for id in 0..300 {
+        let sent = b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
+        let first = count(&sent, &format!("try {id} m1")) > 0;
+        on_first += usize::from(first);
+        // It answers probes and one req in three.
+        let (end, took) = if first && id % 3 > 0 { (End::TimedOut, 900) } else { (End::Done, 10) };
+        b.round(10 * MS, |to| to.outcome(id, 0, end, took * MS, true, None));
+    }
+    assert!(on_first < 100, "{on_first}");
+}
