--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -71,6 +71,13 @@
     lay_flat("", &file.settings, &mut flat);
     let told: Told = flat.into_iter().collect();
     let links = tidescale_settings::links(&told).map_err(|e| format!("settings: {e}"))?;
+    // The protocol has no answer that goes on after its first row.
+    for i in 0..told.count("classes").map_err(|e| format!("settings: {e}"))? {
+        let stream = format!("classes.{i}.stream");
+        if told.flag(&stream) == Ok(true) {
+            return Err(format!("settings: {stream}: answers do not stream over this protocol"));
+        }
+    }
     let settings = tidescale_settings::decode(&told).map_err(|e| format!("settings: {e}"))?;
     Ok(Config {
         listen: file.listen,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
+use tidescale::decide::SWEEP;
 use tidescale::front::{Repeat, Route, Scope, Settings};
 
 pub type Fault = String;
@@ -58,6 +59,16 @@
     pub fn flag(&self, path: &str) -> Result<bool, Fault> {
         flag(self.text(path)?).map_err(|e| format!("{path}: {e}"))
     }
+    /// One of these words, by its place among them.
+    pub fn word(&self, path: &str, words: &[&str]) -> Result<usize, Fault> {
+        let told = self.text(path)?;
+        words.iter().position(|w| *w == told).ok_or_else(|| format!("{path}: unknown word: {told}"))
+    }
+    /// A number within these bounds, both included.
+    pub fn within(&self, path: &str, least: f64, most: f64) -> Result<f64, Fault> {
+        let told: f64 = self.number(path)?;
+        if (least..=most).contains(&told) { Ok(told) } else { Err(format!("{path}: out of range: {told}")) }
+    }
     pub fn count(&self, path: &str) -> Result<usize, Fault> {
         let path = format!("{path}.count");
         if self.0.contains_key(&path) { self.number(&path) } else { Ok(0) }
@@ -84,7 +95,7 @@
         connect_within: told.time("policy_limits.connect_timeout")?,
         idle_for: told.time("policy_limits.conn_idle")?,
         longest_timeout,
-        load_on_demand: told.text("stats.how")? == "pull",
+        load_on_demand: told.word("stats.how", &["piggyback", "pull", "silent"])? == 1,
     })
 }
 
@@ -114,33 +125,50 @@
         });
     }
     let caps = told.text("family_info.stage_cap")?;
+    let stage_caps: Vec<f64> =
+        caps.split(',').filter(|c| !c.is_empty()).map(number).collect::<Result<_, _>>()?;
+    if stage_caps.iter().any(|c| !(0.0..=1.0).contains(c)) {
+        return Err(format!("family_info.stage_cap: out of range: {caps}"));
+    }
+    // What is due is seen once in so long: an answer may come that much after its time.
+    let slack = told.time("rules.answer_slack")?;
+    if slack < SWEEP {
+        return Err(format!("rules.answer_slack: under {} ms it can't be kept", SWEEP / 1000));
+    }
+    let ask_list = told.word("membership_mode", &["push", "ask"])? == 1;
+    let (me, fronts) = (told.number("me")?, told.number::<u32>("balancers")?.max(1));
+    if me >= fronts {
+        return Err(format!("me: out of range: {me}"));
+    }
     Ok(Settings {
-        me: told.number("me")?,
-        fronts: told.number::<u32>("balancers")?.max(1),
+        me,
+        fronts,
         zone: told.text("zone")?.into(),
         routes,
-        ask_list: told.text("membership_mode")? == "ask",
+        ask_list,
+        must_ask_in: if ask_list { told.time("rules.must_ask_in")? } else { u64::MAX },
         cross_zone_price: told.number("tariffs.cross_zone")?,
         probes: told.flag("policy_limits.probes")?,
         cancel: told.flag("policy_limits.may_cancel")?,
-        max_tries: told.number("policy_limits.max_attempts")?,
+        second_copies: told.flag("policy_limits.second_copies")?,
+        max_tries: told.within("policy_limits.max_attempts", 1.0, 1e6)? as usize,
         max_come_back: if told.flag("policy_limits.retry_after")? {
             told.time("policy_limits.max_retry_after")?
         } else {
             0
         },
         grace: told.time("rules.drain_grace")?,
-        cold_from: told.number("rules.cold_from")?,
+        cold_from: told.within("rules.cold_from", 0.0, 1.0)?,
         cold_for: told.time("rules.cold")?,
-        fall_multiple: told.number("rules.fall_multiple")?,
+        fall_multiple: told.within("rules.fall_multiple", 0.0, 1e6)?,
         fall_for: told.time("rules.fall")?,
-        stage_caps: caps.split(',').filter(|c| !c.is_empty()).map(number).collect::<Result<_, _>>()?,
-        free: told.number("family_info.allowance")?,
+        stage_caps,
+        free: told.within("family_info.allowance", 0.0, 1e9)?,
         exposure_window: told.time("family_info.exposure_window")?,
-        by_route: told.text("family_info.counted_by")? == "each_class",
+        by_route: told.word("family_info.counted_by", &["all", "each_class"])? == 1,
         guarded_stages: told.number("family_info.guarded_stages")?,
         one_way: told.flag("family_info.forward_only")?,
-        timed: told.text("family_info.gate_mode")? == "automatic",
+        timed: told.word("family_info.gate_mode", &["first_voice", "by_count", "automatic"])? == 2,
         min_dwell: told.time("family_info.min_dwell")?,
         back_votes: told.number("family_info.to_abort")?,
         votes_per_s: told.number("family_info.api_rate")?,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -126,8 +126,7 @@
             "OPENED" => {
                 let [job, took, _machine, trial] = parts(line)?;
                 micros(took)?;
-                number::<usize>(trial)?;
-                number::<u64>(job)?;
+                to.begun(number(job)?, number(trial)?);
             }
             "WAKEUP" => {
                 let [token] = parts(line)?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,8 @@
 const FIRST_ROOM: f64 = 6.0;
 const COLD_PART: f64 = 0.65; // Prudent part of what a cold machine can take from all fronts together.
 const PROBE_EVERY: u64 = 400 * MS;
-const SWEEP: u64 = 10 * MS;
+/// Time-outs and due answers are seen this late at most.
+pub const SWEEP: u64 = 10 * MS;
 const STALL: u64 = 100 * MS;
 
 impl Arm {
@@ -135,7 +136,7 @@
 
     /// The notice does not say whether a watch still stands; spread out, or all fronts call at once.
     pub fn list_failed(&mut self) {
-        self.ask_at = self.now + SECOND / 2 + self.rng.rand_u64() % SECOND;
+        self.ask_at = self.now + (SECOND / 2 + self.rng.rand_u64() % SECOND).min(self.set.must_ask_in);
     }
 
     pub fn req(&mut self, id: u64, route: usize, key: Option<&str>, left: u64, hint: f64) {
@@ -674,12 +675,14 @@
             (0..self.set.routes.len()).map(|r| self.usual_for(r, 1.0).unwrap_or(f64::INFINITY)).collect();
         // The first answers of all are the quick ones.
         let known = self.usual[usual.len()].sums[2] >= 5.0 * LEAST_OUTCOMES;
-        let (mut overdue, easy) = (Vec::new(), self.set.cancel && known && !self.jammed());
+        // Without a copy beside it a try that may be lost is only waited for, as any other.
+        let copies = self.set.cancel && self.set.second_copies;
+        let (mut overdue, easy) = (Vec::new(), copies && known && !self.jammed());
         self.held = 0.0;
         for (id, rq) in &mut self.reqs {
             let objective = self.set.routes[rq.route].objective;
             let first = easy && !rq.over && rq.tries.len() == 1;
-            for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out) {
+            for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.out && !t.begun) {
                 // What a silent machine keeps takes no room of the others.
                 let (m, age) = (&mut self.machines[t.machine], now - t.sent);
                 let silent = m.heard <= t.sent;
--- a/src/front.rs
+++ b/src/front.rs
@@ -43,9 +43,13 @@
     pub routes: Vec<Route>,
     /// The machine list has to be asked for.
     pub ask_list: bool,
+    /// A front without a watch that has not asked for so long counts as told.
+    pub must_ask_in: u64,
     pub cross_zone_price: f64,
     pub probes: bool,
     pub cancel: bool,
+    /// Two tries of a req may be out together.
+    pub second_copies: bool,
     pub max_tries: usize,
     /// 0 where no time to come back reaches the client.
     pub max_come_back: u64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -196,6 +196,8 @@
     pub counted: bool,
     /// Out for so long that its answer may be lost.
     pub stuck: bool,
+    /// Its answer streams to the client, and no time is set to it any more.
+    pub begun: bool,
     pub settled: bool,
     pub warm: bool,
     /// What its machine held when it was sent.
@@ -344,6 +346,12 @@
         self.reqs.values_mut().for_each(|rq| (rq.due, rq.objective) = (rq.due.min(by), rq.objective.min(by)));
     }
 
+    pub fn begun(&mut self, id: u64, n: usize) {
+        if let Some(t) = self.reqs.get_mut(&id).and_then(|rq| rq.tries.get_mut(n)) {
+            (t.begun, t.stuck) = (true, false);
+        }
+    }
+
     pub fn withdrawn(&mut self, id: u64) {
         if let Some(rq) = self.reqs.get_mut(&id) {
             rq.over = true;
