--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,6 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use tidescale::decide::SWEEP;
 use tidescale::front::{Repeat, Route, Scope, Settings};
 
 pub type Fault = String;
@@ -130,11 +129,6 @@
     if stage_caps.iter().any(|c| !(0.0..=1.0).contains(c)) {
         return Err(format!("family_info.stage_cap: out of range: {caps}"));
     }
-    // What is due is seen once in so long: an answer may come that much after its time.
-    let slack = told.time("rules.answer_slack")?;
-    if slack < SWEEP {
-        return Err(format!("rules.answer_slack: under {} ms it can't be kept", SWEEP / 1000));
-    }
     let ask_list = told.word("membership_mode", &["push", "ask"])? == 1;
     let (me, fronts) = (told.number("me")?, told.number::<u32>("balancers")?.max(1));
     if me >= fronts {
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,460 @@
+//! The five rules and the yes-or-no limits, checked from outside over seeded random rounds, under every
+//! combination of the limits. The checker keeps books of its own and hears only what a host would see.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{MS, settings};
+use oorandom::Rand64;
+use tidescale::decide::{Balancer, SWEEP};
+use tidescale::front::*;
+
+const MACHINES: u64 = 9;
+const SPELL: u64 = 7 * MS;
+/// Reqs a second that a machine bears; a warm one answers about that many of this front's.
+const BEARS: f64 = 25.0;
+
+#[derive(Clone)]
+struct Seat {
+    zone: &'static str,
+    cell: u64,
+    build: u32,
+    standing: Standing,
+    started: u64,
+    /// When it was last told as ready no longer.
+    left: u64,
+}
+
+struct Sent {
+    machine: u64,
+    sent: u64,
+    answers: u64,
+    end: Option<End>,
+    cell: u64,
+    zone: &'static str,
+    started: u64,
+}
+
+struct Asked {
+    route: usize,
+    key: Option<String>,
+    due: u64,
+    over: bool,
+    tries: Vec<Sent>,
+}
+
+/// All that the rules need, and what was broken first.
+struct Outside {
+    set: Settings,
+    now: u64,
+    rng: Rand64,
+    seats: Vec<Seat>,
+    reqs: BTreeMap<u64, Asked>,
+    news: (u32, u32, Phase, f64),
+    /// The cap as it binds: a lower one after the grace, counted from then on.
+    binds: (f64, u64),
+    lower: Option<u64>,
+    taken: Vec<(u64, usize)>,
+    exposed: Vec<(u64, usize, u32)>,
+    cold: Vec<(u64, u64)>,
+    keys: BTreeMap<String, u32>,
+    probes: Vec<(u64, u64)>,
+    vote: bool,
+    asked_list: bool,
+    broken: Option<String>,
+}
+
+impl Outside {
+    fn new(set: Settings, seed: u64) -> Self {
+        let mut rng = Rand64::new(u128::from(seed));
+        let zones = ["z1", "z2"];
+        let seat = |i: u64| Seat {
+            zone: zones[(i % 2) as usize],
+            cell: rng.rand_u64() % 3,
+            build: 1,
+            standing: Standing::Ready,
+            started: 0,
+            left: 0,
+        };
+        let seats = (0..MACHINES).map(seat).collect();
+        Outside {
+            now: 100_000 * MS,
+            rng,
+            seats,
+            reqs: BTreeMap::new(),
+            news: (1, 2, Phase::Released, 1.0),
+            binds: (1.0, 0),
+            lower: None,
+            taken: Vec::new(),
+            exposed: Vec::new(),
+            cold: Vec::new(),
+            keys: BTreeMap::new(),
+            probes: Vec::new(),
+            vote: false,
+            asked_list: false,
+            broken: None,
+            set,
+        }
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        self.rng.rand_float() < share
+    }
+
+    fn demand(&mut self, kept: bool, rule: &str, what: impl std::fmt::Display) {
+        if !kept && self.broken.is_none() {
+            self.broken = Some(format!("{rule}: {what} at {}", self.now));
+        }
+    }
+
+    fn on_trial(&self, build: u32) -> bool {
+        build > self.news.0 || (build == self.news.0 && self.news.2 != Phase::Released)
+    }
+
+    fn tell(&self, to: &mut Balancer, i: usize) {
+        let s = &self.seats[i];
+        to.machine(&format!("m{i}"), (s.zone, s.cell, "k"), s.build, s.standing, s.started);
+    }
+
+    /// A new stage or build, a build going back or taken out; the caps rise and fall.
+    fn move_on(&mut self, to: &mut Balancer) {
+        let (build, stage, phase, _) = self.news;
+        let caps = self.set.stage_caps.clone();
+        let last = caps.len() as u32 - 1;
+        self.news = match phase {
+            Phase::Released | Phase::Withdrawn => (build + 1, 0, Phase::Trial, caps[0]),
+            Phase::Trial if self.chance(0.2) => (build, stage, Phase::GoingBack, 0.0),
+            Phase::Trial if self.chance(0.2) => (build, 0, Phase::Trial, caps[0]),
+            Phase::Trial if stage < last => (build, stage + 1, Phase::Trial, caps[stage as usize + 1]),
+            Phase::Trial => (build, last, Phase::Released, 1.0),
+            Phase::GoingBack => (build, stage, Phase::Withdrawn, 0.0),
+        };
+        let cap = self.news.3;
+        if cap < self.binds.0 && build == self.news.0 {
+            self.lower.get_or_insert(self.now + self.set.grace);
+        } else {
+            (self.binds, self.lower) = ((cap, self.now), None);
+        }
+        to.news(self.news.0, self.news.1, self.news.2, cap, 0);
+    }
+
+    /// A machine drains, goes, comes back as another process, or another build takes its place.
+    fn shuffle(&mut self, to: &mut Balancer) {
+        let i = (self.rng.rand_u64() % MACHINES) as usize;
+        let ready = self.seats.iter().filter(|s| s.standing == Standing::Ready).count();
+        let fate = self.rng.rand_u64() % 4;
+        let (now, newest) = (self.now, self.news.0 + u32::from(self.rng.rand_u64() % 8 == 0));
+        let zone = if self.chance(0.2) { "z1" } else { self.seats[i].zone };
+        let s = &mut self.seats[i];
+        match fate {
+            0 if ready > 2 && s.standing == Standing::Ready => {
+                (s.standing, s.left) = (Standing::Draining, now)
+            }
+            1 if ready > 2 && s.standing == Standing::Draining => s.standing = Standing::Gone,
+            _ if s.standing != Standing::Ready => {
+                s.build = if fate == 2 { newest } else { newest.max(2) - 1 };
+                (s.standing, s.started, s.zone) = (Standing::Ready, now - 300 * MS, zone);
+            }
+            _ => {}
+        }
+        self.tell(to, i);
+    }
+
+    /// What became of the try, if anything by now; told to the module and kept.
+    fn outcomes(&mut self, to: &mut Balancer) {
+        let now = self.now;
+        for (&id, rq) in &mut self.reqs {
+            for (n, t) in rq.tries.iter_mut().enumerate().filter(|(_, t)| t.end.is_none()) {
+                let gone = self.seats[t.machine as usize].started != t.started;
+                let late = now >= rq.due && !rq.over;
+                if now < t.answers && !gone && !late {
+                    continue;
+                }
+                let drawn = self.rng.rand_u64() % 100;
+                let end = match drawn {
+                    _ if gone => End::Reset,
+                    _ if late => End::TimedOut,
+                    0..3 => End::Error,
+                    3..5 => End::Reset,
+                    5..7 => End::Spoilt,
+                    7..10 => End::Full,
+                    10..12 => End::Refused,
+                    12 => End::NotSent,
+                    _ => End::Done,
+                };
+                t.end = Some(end);
+                if end == End::Done {
+                    rq.over = true;
+                    if let Some(key) = &rq.key {
+                        self.keys.insert(key.clone(), self.seats[t.machine as usize].build);
+                    }
+                }
+                to.outcome(id, n, end, now - t.sent, rq.over, None);
+            }
+        }
+        self.reqs.retain(|_, rq| !rq.over || rq.tries.iter().any(|t| t.end.is_none()));
+    }
+
+    fn new_reqs(&mut self, to: &mut Balancer) {
+        while self.chance(0.35) {
+            let id = 1000 + self.taken.len() as u64;
+            let route = (self.rng.rand_u64() % self.set.routes.len() as u64) as usize;
+            let key = self.chance(0.5).then(|| format!("k{}", self.rng.rand_u64() % 20));
+            let left = 50 * MS + self.rng.rand_u64() % (900 * MS);
+            to.req(id, route, key.as_deref(), left, 0.0);
+            self.taken.push((self.now, route));
+            self.reqs.insert(id, Asked { route, key, due: self.now + left, over: false, tries: Vec::new() });
+        }
+    }
+
+    /// Rule 5, for the try just sent.
+    fn exposure(&mut self, id: u64, route: usize, build: u32) {
+        if !self.on_trial(build) {
+            return;
+        }
+        self.exposed.push((self.now, route, build));
+        let told = build == self.news.0;
+        let stage = if told { self.news.1 } else { 0 };
+        let retriable = self.set.routes[route].repeat == Repeat::Retriable;
+        self.demand(
+            retriable || stage >= self.set.guarded_stages,
+            "rule 5",
+            format!("{id} in a guarded stage"),
+        );
+        let (cap, counted_from) = if told { self.binds } else { (self.set.stage_caps[0], 0) };
+        let from = counted_from.max(self.now.saturating_sub(self.set.exposure_window));
+        let counts = |r: usize| !self.set.by_route || r == route;
+        let tries = self.exposed.iter().filter(|(at, r, b)| *at >= from && counts(*r) && *b == build).count();
+        let taken = self.taken.iter().filter(|(at, r)| *at >= from && counts(*r)).count();
+        // Where a cap has fallen, what went out within the grace is not held against it.
+        let within = tries as f64 <= self.set.free + cap * taken as f64;
+        self.demand(
+            within,
+            "rule 5",
+            format!("{id}: {tries} tries at build {build} of {taken} reqs, cap {cap}"),
+        );
+    }
+
+    /// Rule 2 for one more try of this req at this machine, or for shedding it where there is none.
+    fn effect(&mut self, id: u64, to: Option<usize>) {
+        let rq = &self.reqs[&id];
+        let never = |e: &Option<End>| matches!(e, Some(End::Full | End::Refused | End::NotSent));
+        let mut ran = rq.tries.iter().filter(|t| !never(&t.end));
+        let now = self.now;
+        let kept = match (self.set.routes[rq.route].repeat, to.map(|i| &self.seats[i])) {
+            (Repeat::Retriable, _) => true,
+            (Repeat::NonRetriable, _) => ran.next().is_none(),
+            (Repeat::Deduped { scope: Scope::All, .. }, None) => true,
+            (Repeat::Deduped { .. }, None) => ran.next().is_none(),
+            (Repeat::Deduped { scope, window }, Some(m)) => ran.all(|t| {
+                let inside = match scope {
+                    Scope::All => true,
+                    Scope::Zone => t.zone == m.zone,
+                    Scope::Cell => t.cell == m.cell,
+                };
+                inside && now < t.sent + window
+            }),
+        };
+        self.demand(kept, "rule 2", format!("{id} to {to:?}"));
+    }
+}
+
+impl Inbox for Outside {
+    fn replay(&mut self, to: &mut Balancer) {
+        if self.now == 100_000 * MS {
+            (0..self.seats.len()).for_each(|i| self.tell(to, i));
+            to.news(1, 2, Phase::Released, 1.0, 60_000 * MS);
+        }
+        if self.lower.is_some_and(|at| self.now >= at) {
+            (self.binds, self.lower) = ((self.news.3, self.now), None);
+        }
+        // The first seconds are quiet, for a front learns what machines bear.
+        let quiet = self.now < 102_000 * MS;
+        if !quiet && self.chance(0.02) {
+            self.move_on(to);
+        }
+        if !quiet && self.chance(0.1) {
+            self.shuffle(to);
+        }
+        if self.asked_list && self.chance(0.02) {
+            self.asked_list = false;
+            to.list_failed();
+        }
+        self.outcomes(to);
+        for (_, i) in self.probes.extract_if(.., |(at, _)| *at <= self.now).collect::<Vec<_>>() {
+            let end = if self.chance(0.7) { End::Done } else { End::Refused };
+            to.probed(&format!("m{i}"), end, None);
+        }
+        if self.vote && self.chance(0.3) {
+            self.vote = false;
+            to.answered(if self.chance(0.7) { Answer::Counts } else { Answer::Unknown });
+        }
+        if self.chance(0.01) {
+            let i = self.rng.rand_u64() % MACHINES;
+            to.flagged(&format!("m{i}"), 100 * MS);
+        }
+        if self.chance(0.01)
+            && let Some((&id, rq)) = self.reqs.iter_mut().next_back()
+        {
+            rq.over = true;
+            to.withdrawn(id);
+        }
+        self.new_reqs(to);
+    }
+}
+
+/// The outside as the writer: each decision is held against the books.
+impl Writer for Outside {
+    fn upstream_try(&mut self, id: u64, machine: &str, until: u64) {
+        let i: usize = machine[1..].parse().unwrap();
+        let over = self.reqs.get(&id).is_none_or(|rq| rq.over);
+        self.demand(!over, "rule 1", format!("{id} sent after its end"));
+        if over {
+            return;
+        }
+        let (route, tries, due) = {
+            let rq = &self.reqs[&id];
+            (rq.route, rq.tries.len(), rq.due)
+        };
+        self.demand(tries < self.set.max_tries, "limits", format!("{id}: try {tries}"));
+        self.demand(until <= due, "limits", format!("{id}: waits too long"));
+        self.effect(id, Some(i));
+        let alone = self.set.second_copies || self.reqs[&id].tries.iter().all(|t| t.end.is_some());
+        self.demand(alone, "rule 2", format!("a second copy of {id}"));
+        let s = self.seats[i].clone();
+        let open = s.standing == Standing::Ready || self.now <= s.left + self.set.grace;
+        self.demand(open, "rule 3", format!("{id} to {:?} {machine}", s.standing));
+        self.exposure(id, route, s.build);
+        let key = self.reqs[&id].key.clone();
+        let bound = key.and_then(|k| self.keys.get(&k).copied()).filter(|b| self.on_trial(*b)).unwrap_or(0);
+        let free = !self.set.one_way
+            || matches!(self.news.2, Phase::GoingBack | Phase::Withdrawn)
+            || s.build >= bound;
+        self.demand(free, "rule 5", format!("the key of {id} back from build {bound}"));
+        let age = self.now.saturating_sub(s.started);
+        if s.started > 0 && age < self.set.cold_for {
+            self.cold.push((self.now, i as u64));
+            let from = self.now.saturating_sub(self.set.fall_for);
+            let sent =
+                self.cold.iter().filter(|(at, of)| *at > from.max(s.started) && *of == i as u64).count();
+            let warm =
+                self.set.cold_from + (1.0 - self.set.cold_from) * age as f64 / self.set.cold_for as f64;
+            let most = self.set.fall_multiple * BEARS * warm * self.set.fall_for as f64 / 1e6 + 3.0;
+            self.demand(
+                sent as f64 <= most,
+                "rule 4",
+                format!("{sent} to cold {machine}, {most:.1} at most"),
+            );
+        }
+        let (draw, far) = (self.rng.rand_u64() % 100, self.rng.rand_u64());
+        let takes = if draw < 3 { 2000 * MS } else { 5 * MS + far % (30 * MS) };
+        let sent = Sent {
+            machine: i as u64,
+            sent: self.now,
+            answers: self.now + takes,
+            end: None,
+            cell: s.cell,
+            zone: s.zone,
+            started: s.started,
+        };
+        self.reqs.get_mut(&id).unwrap().tries.push(sent);
+    }
+    fn cancel_try(&mut self, id: u64, n: usize) {
+        self.demand(self.set.cancel, "limits", format!("{id} {n} cancelled"));
+    }
+    fn shed(&mut self, id: u64, come_back: u64) {
+        self.demand(come_back <= self.set.max_come_back, "limits", format!("{id} told to come back"));
+        self.effect(id, None);
+        self.error(id);
+    }
+    fn error(&mut self, id: u64) {
+        let over = self.reqs.get(&id).is_none_or(|rq| rq.over);
+        self.demand(!over, "rule 1", format!("{id} answered twice"));
+        self.reqs.get_mut(&id).into_iter().for_each(|rq| rq.over = true);
+    }
+    fn vote(&mut self, build: u32, _stage: u32, verdict: Verdict) {
+        let allowed = match verdict {
+            Verdict::On => !self.set.timed,
+            Verdict::Hold => self.set.timed,
+            Verdict::Back | Verdict::None => true,
+        };
+        self.demand(allowed && build == self.news.0, "limits", format!("vote {verdict:?} on {build}"));
+        self.demand(!self.vote, "limits", "a vote before the answer to the last");
+        self.vote = true;
+    }
+    fn probe(&mut self, machine: &str, until: u64) {
+        self.demand(self.set.probes, "limits", format!("a probe of {machine}"));
+        let at = if self.chance(0.8) { self.now + 20 * MS } else { until };
+        self.probes.push((at, machine[1..].parse().unwrap()));
+    }
+    fn watch_list(&mut self) {
+        self.demand(self.set.ask_list, "limits", "the list asked for");
+        self.asked_list = true;
+    }
+    fn wake(&mut self, _after: u64) {}
+    fn note(&mut self, _text: &str) {}
+}
+
+/// The outside once as what came in, once as where decisions go.
+struct Half<'a>(&'a std::cell::RefCell<Outside>);
+
+impl Inbox for Half<'_> {
+    fn replay(&mut self, to: &mut Balancer) {
+        self.0.borrow_mut().replay(to);
+    }
+}
+
+/// Drives a module that was told `told`, held against `set`; the first rule that broke.
+fn play(told: &Settings, set: &Settings, seed: u64, rounds: usize) -> Option<String> {
+    let outside = std::cell::RefCell::new(Outside::new(set.clone(), seed));
+    let mut module = Balancer::new(told.clone(), seed, 100_000 * MS);
+    for _ in 0..rounds {
+        let now = outside.borrow().now;
+        let mut decided = Vec::new();
+        module.round(now, &mut Half(&outside), &mut Later(&mut decided));
+        let mut o = outside.borrow_mut();
+        decided.into_iter().for_each(|write| write(&mut o));
+        let overdue = o.reqs.iter().find(|(_, rq)| !rq.over && now > rq.due + SWEEP + SPELL);
+        let overdue = overdue.map(|(id, _)| *id);
+        o.demand(overdue.is_none(), "rule 1", format!("{overdue:?} has no answer"));
+        if o.broken.is_some() {
+            break;
+        }
+        o.now += 1 + o.rng.rand_u64() % SPELL;
+    }
+    outside.into_inner().broken
+}
+
+type Write = Box<dyn FnOnce(&mut Outside)>;
+
+/// Decisions in order, for the outside can't be lent out while it replays.
+struct Later<'a>(&'a mut Vec<Write>);
+
+impl Writer for Later<'_> {
+    fn upstream_try(&mut self, rq: u64, machine: &str, until: u64) {
+        let machine = machine.to_string();
+        self.0.push(Box::new(move |o| o.upstream_try(rq, &machine, until)));
+    }
+    fn cancel_try(&mut self, rq: u64, n: usize) {
+        self.0.push(Box::new(move |o| o.cancel_try(rq, n)));
+    }
+    fn shed(&mut self, rq: u64, come_back: u64) {
+        self.0.push(Box::new(move |o| o.shed(rq, come_back)));
+    }
+    fn error(&mut self, rq: u64) {
+        self.0.push(Box::new(move |o| o.error(rq)));
+    }
+    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
+        self.0.push(Box::new(move |o| o.vote(build, stage, verdict)));
+    }
+    fn probe(&mut self, machine: &str, until: u64) {
+        let machine = machine.to_string();
+        self.0.push(Box::new(move |o| o.probe(&machine, until)));
+    }
+    fn watch_list(&mut self) {
+        self.0.push(Box::new(|o| o.watch_list()));
+    }
+    fn wake(&mut self, _after: u64) {}
+    fn note(&mut self, _text: &str) {}
+}
