Keep what a front has learned: facts, their file, ageing, and a modelled disk

Need: a restarted front forgets which machines are slow and which builds looked poor. This is the part without sockets; nothing uses it yet. Change: crates/memory with the facts, a versioned file with a checksum and records that can be stepped over, two generations written to a file of their own, ageing and a schedule of background work that do no I/O, a folder held by one process, and a modelled disk on which the power fails at every step.

--- /dev/null
+++ b/crates/memory/src/lib.rs
@@ -0,0 +1,11 @@
+//! What a front has learned, kept over a restart: the facts, their file, how they age, and the folder they live in.
+//!
+//! `ageing` and `schedule` decide and do no I/O; `disk` is the one edge to files, `model` its modelled side.
+
+pub mod ageing;
+pub mod disk;
+pub mod facts;
+pub mod image;
+pub mod model;
+pub mod schedule;
+pub mod store;
