--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,14 +32,16 @@
 /// What evidence must show beyond the bounds: late and lost answers come of machines, links and load too.
 const DOUBT: [f64; TESTS] = [1.5, 1.5, 0.0, 1.5];
 /// Evidence fades, or a build that turns bad late would hide behind its good start.
-const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 20e6];
+pub(crate) const EVIDENCE_FADE: [f64; TESTS] = [10e6, 10e6, 30e6, 20e6];
 /// A try is slow at so many times what its route usually takes there, and what its machine's load explains.
 const SLOW: f64 = 2.0;
 const LOADED: f64 = 1.35;
-const USUAL_FADE: f64 = 30e6;
-const RATE_FADE: f64 = 5e6;
+pub(crate) const USUAL_FADE: f64 = 30e6;
+pub(crate) const RATE_FADE: f64 = 5e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
+/// So many outcomes from before a restart count for each side at most: they hasten a verdict and never carry it.
+const MOST_RECALLED: [f64; 2] = [LEAST_OUTCOMES / 2.0, 2.0 * LEAST_OUTCOMES];
 const STUCK: f64 = 4.0; // So long against the usual, and half its objective: a first try may be lost.
 const FIRST_ROOM: f64 = 6.0;
 const COLD_PART: f64 = 0.65; // Prudent part of what a cold machine can take from all fronts together.
@@ -368,6 +370,18 @@
             }
             fleet.extend(Some([t.all[SHARED], t.hits[SHARED]]).filter(|_| !lost));
         }
+        let (fresh, mut past) = (sides.map(|[new, _]| new), [[Arm::default(); 2]; TESTS]);
+        for (&(build, _), t) in self.recalled.iter_mut().filter(|((b, _), _)| *b <= n.build) {
+            t.read(now, EVIDENCE_FADE);
+            for (test, arms) in past.iter_mut().enumerate().filter(|(test, _)| *test != SHARED) {
+                arms[usize::from(build < n.build)].add(t.all[test], t.hits[test].min(t.all[test]));
+            }
+        }
+        for (sides, past) in sides.iter_mut().zip(past) {
+            for ((side, past), most) in sides.iter_mut().zip(past).zip(MOST_RECALLED) {
+                side.add_part(past, (most / past.outcomes.max(1e-9)).min(1.0));
+            }
+        }
         sides[SHARED][0] = Arm::of_lower(fleet, FLEET);
         // The whole fleet against before; a few usual outcomes stand in where there were few.
         sides[SHARED][1] = self.calm;
@@ -382,7 +396,8 @@
         let part = if votes > 1.0 { (votes.sqrt() - 0.82).powi(2) } else { ALPHA };
         let share = (ALPHA / part * f64::from(self.set.fronts)).ln().max(0.0);
         let mut lifted = now >= n.since + HORIZON;
-        self.leaning = false;
+        // Offered again under its number, a build found bad before a restart is held, as long as a hold may last.
+        self.leaning = self.suspect.is_some_and(|(build, until)| build == n.build && now < until);
         for (test, [new, old]) in sides.into_iter().enumerate() {
             // A front that started lately knows of no time before.
             let fleet = f64::from(test == SHARED);
@@ -399,7 +414,10 @@
             let doubt = DOUBT[if test == ERRORS && alone > 0.0 { FAILURES } else { test }];
             let doubt = doubt * (1.0 + 2.0 * new.spread[2] / new.outcomes.powi(2));
             let both = (s.exp() + far.exp()).ln() - doubt - share;
-            if both >= upper && self.condemned != Some(n.build) {
+            // What was seen before a restart may be over: this front's own outcomes must say the same.
+            let own = fresh[test].hits >= 1.0 && fresh[test].share() > old.share();
+            let own = own || past[test][0].outcomes == 0.0;
+            if both >= upper && own && self.condemned != Some(n.build) {
                 self.condemned = Some(n.build);
                 let told = [new.hits, new.outcomes, old.hits, old.outcomes];
                 out.note(&format!("build {} to go back: test {test}, new and old {told:.1?}", n.build));
--- a/src/state.rs
+++ b/src/state.rs
@@ -100,6 +100,11 @@
     pub fn share(&self) -> f64 {
         if self.outcomes > 0.0 { self.hits / self.outcomes } else { 0.0 }
     }
+    /// A part of another side's sums.
+    pub fn add_part(&mut self, of: Arm, part: f64) {
+        (self.outcomes, self.hits) = (self.outcomes + part * of.outcomes, self.hits + part * of.hits);
+        self.spread.iter_mut().zip(of.spread).for_each(|(sum, x)| *sum += part * part * x);
+    }
     pub fn add(&mut self, n: f64, k: f64) {
         (self.outcomes, self.hits) = (self.outcomes + n, self.hits + k);
         self.spread = [self.spread[0] + k * k, self.spread[1] + k * n, self.spread[2] + n * n];
@@ -265,6 +270,10 @@
     pub keys: BTreeMap<String, u32>,
     /// By build and machine.
     pub evidence: BTreeMap<(u32, usize), Tally>,
+    /// The same out of a memory: from before this front's start.
+    pub recalled: BTreeMap<(u32, usize), Tally>,
+    /// A build that was condemned before this front's start, and until when that is remembered.
+    pub suspect: Option<(u32, u64)>,
     /// Of the look before.
     pub variances: [Option<[f64; 2]>; TESTS],
     /// The fleet before the trial.
@@ -315,6 +324,8 @@
             recount: None,
             keys: BTreeMap::new(),
             evidence: BTreeMap::new(),
+            recalled: BTreeMap::new(),
+            suspect: None,
             variances: [None; TESTS],
             calm: Arm::default(),
             fleet: 0,
@@ -367,10 +378,12 @@
     /// Drops less than half an outcome of evidence, keys that bind nothing any more, and the names of machines that
     /// are gone and that nothing speaks of: ids come and go for as long as a front lives.
     pub(crate) fn tidy(&mut self, fades: [f64; TESTS]) {
-        for t in self.evidence.values_mut() {
-            t.read(self.now, fades);
+        for tallies in [&mut self.evidence, &mut self.recalled] {
+            for t in tallies.values_mut() {
+                t.read(self.now, fades);
+            }
+            tallies.retain(|_, t| t.all.iter().chain(&t.hits).any(|n| *n >= 0.5));
         }
-        self.evidence.retain(|_, t| t.all.iter().chain(&t.hits).any(|n| *n >= 0.5));
         let here = self.machines.iter().filter(|m| m.standing != Standing::Gone);
         if let Some(oldest) = here.map(|m| m.build).min() {
             self.keys.retain(|_, build| *build > oldest);
@@ -378,7 +391,7 @@
         let (reqs, evidence) = (&self.reqs, &self.evidence);
         let spoken_of = |i: usize| {
             let by = |rq: &Req| rq.suspect == Some(i) || rq.tries.iter().any(|t| t.machine == i);
-            evidence.keys().any(|(_, of)| *of == i) || reqs.values().any(by)
+            evidence.keys().chain(self.recalled.keys()).any(|(_, of)| *of == i) || reqs.values().any(by)
         };
         let over = |m: &Machine| m.standing == Standing::Gone && !m.probe_out && m.held <= 0.0;
         self.names.retain(|_, i| !over(&self.machines[*i]) || spoken_of(*i));
