Test what a recalled fact does: hastens verdicts, spares slow machines, heals in 30 s

Need: restarts must neither cost clients what was known nor condemn what has healed. Change: tests of the module with and without memory; evidence alone, ten restarts in a row, a healed build and machine, keys one way, a cold machine.

--- a/crates/memory/src/ageing.rs
+++ b/crates/memory/src/ageing.rs
@@ -11,7 +11,7 @@
 /// After so many half-lives a fact is over.
 const LIVES: u64 = 8;
 /// A machine's own pace counts as so many answers at most: the next few outweigh it, and the module lets it fade
-/// within seconds, so that a machine that has healed is at its fair share again without being probed.
+/// within seconds, so that a machine that has healed is at its fair share again within 30 s without being probed.
 pub const PACE_ANSWERS: f64 = 4.0;
 /// What is usual counts as so many answers at most: a fleet that has changed is known anew soon.
 pub const USUAL_ANSWERS: f64 = 200.0;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod limits;
+mod recall;
 
 use common::{Bench, MS, count, settings, warm};
 use tidescale::front::*;
