Front keeps its memory: operators' file, command line, a writer thread, tidescale-lab

Need: the memory had to come to the front without a stall of its loop, and to be shown against kills and losses of power.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,63 @@
+//! `tidescale-lab`: experiments by sub-command. Each prints one summary line last and exits non-zero where a stated
+//! bound is broken; the same seed gives the same cases.
+
+mod disk;
+mod torture;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Experiments on tidescale.
+#[derive(Parser)]
+#[command(name = "tidescale-lab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The power fails at every step of seeded histories of saves on a modelled disk.
+    Disk {
+        #[arg(long, default_value_t = 1000)]
+        histories: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Processes that save are killed, on the real file system.
+    Torture {
+        #[arg(long, default_value_t = 5000)]
+        kills: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Folders in parallel.
+        #[arg(long, default_value_t = 8)]
+        lanes: u64,
+        /// Where the folders are made; they are removed at the end.
+        #[arg(long)]
+        dir: Option<PathBuf>,
+    },
+    /// What `torture` starts and kills.
+    #[command(hide = true)]
+    Saver { folder: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Disk { histories, seed } => disk::run(histories, seed),
+        Command::Torture { kills, seed, lanes, dir } => torture::run(kills, seed, lanes, dir),
+        Command::Saver { folder } => torture::save(&folder),
+    };
+    match done {
+        Ok(line) => {
+            println!("{line}");
+            ExitCode::SUCCESS
+        }
+        Err(line) => {
+            println!("FAILED: {line}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/short.rs
@@ -0,0 +1,22 @@
+//! Short forms of the long runs, with fixed seeds.
+
+use std::process::Command;
+
+fn lab(args: &[&str]) -> (bool, String) {
+    let done = Command::new(env!("CARGO_BIN_EXE_tidescale-lab")).args(args).output().unwrap();
+    (done.status.success(), String::from_utf8(done.stdout).unwrap())
+}
+
+#[test]
+fn histories_on_a_modelled_disk_read_back_whole() {
+    let (whole, told) = lab(&["disk", "--histories", "60", "--seed", "7"]);
+    assert!(whole && told.lines().last().unwrap().starts_with("disk: 60 histories"), "{told}");
+    assert_eq!(told.matches("caught in history").count(), 3, "{told}");
+}
+
+#[test]
+fn processes_killed_during_writes_leave_whole_states() {
+    let dir = env!("CARGO_TARGET_TMPDIR");
+    let (whole, told) = lab(&["torture", "--kills", "60", "--lanes", "4", "--seed", "7", "--dir", dir]);
+    assert!(whole && told.contains("60 kills in 4 folders"), "{told}");
+}
--- /dev/null
+++ b/crates/node/src/commands.rs
@@ -0,0 +1,139 @@
+//! The command line beside serving: looks at what a front keeps.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::{Args, Parser, Subcommand};
+use comfy_table::{Table, presets};
+use serde_json::json;
+use tidescale_memory::ageing::{self, Listed};
+use tidescale_memory::disk::Folder;
+use tidescale_memory::image::{self, Image};
+use tidescale_memory::store;
+
+use crate::keep;
+
+/// A front tier that watches over software updates.
+#[derive(Parser)]
+#[command(name = "tidescale", version, max_term_width = 100)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Serve; the same as no command at all.
+    Run(Run),
+    /// Look at, check or clear what a front has learned and keeps.
+    #[command(subcommand)]
+    Memory(Memory),
+}
+
+#[derive(Args, Default)]
+pub struct Run {
+    /// The operators' file; without one nothing in it is on.
+    #[arg(long, value_name = "FILE")]
+    pub operators: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+pub enum Memory {
+    /// Each fact with its age and what it would count for now.
+    Show {
+        path: PathBuf,
+        /// One JSON document in place of a table.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Exit code 0 where a state is whole and nothing else lies beside it, 1 otherwise.
+    Check { path: PathBuf },
+    /// Remove what is kept; a front that holds the folder has to stop first.
+    Clear { path: PathBuf },
+}
+
+fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
+/// The newest whole state at a file or in a folder, and what is not whole.
+fn look(path: &Path) -> Result<(Option<Image>, Vec<String>), String> {
+    if path.is_dir() {
+        let opened = store::look(&mut Folder::look(path));
+        return Ok((opened.image, opened.notes));
+    }
+    let file = std::fs::File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let mut bytes = Vec::new();
+    std::io::Read::read_to_end(&mut std::io::Read::take(file, (image::MOST_BYTES + 4096) as u64), &mut bytes)
+        .map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(match image::decode(&bytes) {
+        Ok(image) => (Some(image), Vec::new()),
+        Err(unfit) => (None, vec![format!("{}: {unfit}", path.display())]),
+    })
+}
+
+fn age_text(seen: u64, now: u64) -> String {
+    match ageing::age(seen, now) {
+        Some(age) => humantime::format_duration(Duration::from_secs(age / 1_000_000)).to_string(),
+        None => "in the future".into(),
+    }
+}
+
+fn show(path: &Path, as_json: bool) -> Result<bool, String> {
+    let (image, notes) = look(path)?;
+    notes.iter().for_each(|note| eprintln!("tidescale: {note}"));
+    let Some(image) = image else {
+        return Err(format!("{}: no whole state", path.display()));
+    };
+    let (now, listed) = (now(), keep::processes(&image));
+    let weight =
+        |f| if keep::stands(f, &listed) == Some(Listed::Other) { 0.0 } else { ageing::weight(f, now) };
+    if as_json {
+        let facts: Vec<_> = image.facts.iter().map(|f| json!({"fact": f, "weight": weight(f)})).collect();
+        let all = json!({"sequence": image.sequence, "written": image.written,
+            "unknown_records": image.unknown, "facts": facts});
+        println!("{all}");
+    } else {
+        let mut table = Table::new();
+        table.load_style(presets::NOTHING).set_header(["fact", "of", "age", "weight"]);
+        for f in &image.facts {
+            let (kind, of) = f.subject();
+            table.add_row([kind.into(), of, age_text(f.seen(), now), format!("{:.2}", weight(f))]);
+        }
+        println!("{table}");
+        let (number, written) = (image.sequence, age_text(image.written, now));
+        println!("state {number}, written {written} ago, {} facts", image.facts.len());
+    }
+    Ok(notes.is_empty())
+}
+
+fn check(path: &Path) -> Result<bool, String> {
+    let (image, notes) = look(path)?;
+    notes.iter().for_each(|note| println!("{note}"));
+    match &image {
+        Some(image) => println!("state {} is whole, {} facts", image.sequence, image.facts.len()),
+        None => println!("no whole state"),
+    }
+    Ok(image.is_some() && notes.is_empty())
+}
+
+fn clear(path: &Path) -> Result<bool, String> {
+    let fault = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    if !path.is_dir() {
+        return Err(fault(&"not a folder"));
+    }
+    let mut folder = Folder::hold(path).map_err(|e| fault(&e))?;
+    let removed = store::clear(&mut folder).map_err(|e| fault(&e))?;
+    println!("{removed} files removed");
+    Ok(true)
+}
+
+pub fn memory(command: &Memory) -> Result<ExitCode, String> {
+    let whole = match command {
+        Memory::Show { path, json } => show(path, *json),
+        Memory::Check { path } => check(path),
+        Memory::Clear { path } => clear(path),
+    }?;
+    Ok(if whole { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -70,11 +70,13 @@
 pub struct Discovery {
     streams: Streams,
     version: u64,
+    /// When the list was last heard to be true.
+    heard: u64,
 }
 
 impl Discovery {
     pub fn new(addr: SocketAddr) -> Discovery {
-        Discovery { streams: Streams::new(Part::Watch, addr, SILENCE), version: 0 }
+        Discovery { streams: Streams::new(Part::Watch, addr, SILENCE), version: 0, heard: 0 }
     }
 
     /// The list as this front last had it serves until the watch answers.
@@ -89,6 +91,11 @@
         known.tell(ground, upstream, to);
     }
 
+    /// The list's version, and when it was last heard from discovery.
+    pub fn heard(&self) -> (u64, u64) {
+        (self.version, self.heard)
+    }
+
     fn path(&self) -> String {
         format!("/discovery/hosts?follow=1&since={}", self.version)
     }
@@ -113,8 +120,9 @@
     }
 
     pub fn serve(&mut self, ground: &mut Ground, upstream: &mut Upstream, to: &mut Balancer) {
-        let version = &mut self.version;
+        let (version, heard) = (&mut self.version, &mut self.heard);
         self.streams.serve(ground, |line, _, ground| {
+            *heard = ground.now;
             if !line.trim().is_empty() {
                 let listing: Listing = serde_json::from_str(line).map_err(|e| e.to_string())?;
                 *version = listing.version;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -17,7 +17,9 @@
 use crate::config::{self, Config};
 use crate::deadlines::Deadlines;
 use crate::discovery::Discovery;
+use crate::keep::{self, Beside, Keeper};
 use crate::link::{Ground, Owner, Part, Ready};
+use crate::operators::Operators;
 use crate::platform::{Bulletin, Votes};
 use crate::upstream::{Cause, Upstream};
 
@@ -266,6 +268,13 @@
     clock: Clock,
     node: RefCell<Node>,
     pub module: Balancer,
+    keeper: Option<Keeper>,
+}
+
+impl Node {
+    fn beside(&self) -> Beside<'_> {
+        Beside { upstream: &self.upstream, list: self.discovery.heard() }
+    }
 }
 
 impl Front {
@@ -309,11 +318,25 @@
             ground,
         });
         let module = Balancer::new(config.settings.clone(), config.seed, now);
-        let mut front = Front { events, ready: Ready::default(), clock, node, module };
+        let mut front = Front { events, ready: Ready::default(), clock, node, module, keeper: None };
         front.round(Some(config));
         Ok(front)
     }
 
+    /// Takes up what was kept, as far as it still counts, and keeps it from now on.
+    pub fn keep(&mut self, operators: &Operators) {
+        let Some(set) = &operators.memory else { return };
+        let (now, node) = (self.clock.now(), self.node.borrow());
+        let log = node.ground.log.clone();
+        let Some((keeper, image)) = Keeper::open(set, now, log.clone()) else { return };
+        if let Some(image) = image {
+            let counted = keep::recall(&image, &node.beside(), now, &mut self.module);
+            let age_s = now.saturating_sub(image.written) / (1000 * MS);
+            info!(log, "memory read"; "facts" => image.facts.len(), "counted" => counted, "age_s" => age_s);
+        }
+        self.keeper = Some(keeper);
+    }
+
     fn round(&mut self, first: Option<&Config>) {
         let now = self.clock.now();
         self.node.borrow_mut().ground.now = now;
@@ -324,7 +347,9 @@
     /// Waits for news or a deadline and answers it; whether the front goes on.
     pub fn turn(&mut self) -> Result<bool, String> {
         let due = self.node.borrow().ground.deadlines.next();
-        let pause = match due {
+        let now = self.clock.now();
+        let keep_at = self.keeper.as_mut().and_then(|k| k.wake_at(now));
+        let pause = match due.into_iter().chain(keep_at).min() {
             _ if self.node.borrow().is_pressed() => Some(Duration::ZERO),
             due => due.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now()))),
         };
@@ -334,15 +359,28 @@
             warn!(self.node.borrow().ground.log, "a turn came late"; "late_ms" => late / MS);
         }
         self.round(None);
+        if let Some(keeper) = &mut self.keeper {
+            keeper.slice(&self.node.borrow().beside(), self.clock.now(), &mut self.module);
+        }
         Ok(!self.node.borrow().is_finished())
     }
 }
 
 /// Serves until told to stop.
-pub fn run(config: &Config, path: PathBuf, listener: TcpListener, log: Logger) -> Result<(), String> {
+pub fn run(
+    config: &Config,
+    operators: &Operators,
+    path: PathBuf,
+    listener: TcpListener,
+    log: Logger,
+) -> Result<(), String> {
     let mut front = Front::new(config, path, listener, log.clone())?;
+    front.keep(operators);
     info!(log, "serving"; "listen" => %config.listen);
     while front.turn()? {}
+    if let Some(keeper) = &mut front.keeper {
+        keeper.finish(&front.node.borrow().beside(), front.clock.now(), &mut front.module);
+    }
     info!(log, "stopped");
     Ok(())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,13 +3,16 @@
 
 pub mod buffers;
 pub mod clients;
+pub mod commands;
 pub mod config;
 pub mod deadlines;
 pub mod discovery;
 pub mod front;
 pub mod http;
+pub mod keep;
 pub mod link;
 pub mod logging;
+pub mod operators;
 pub mod pg;
 pub mod platform;
 pub mod slots;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use clap::Parser;
 use socket2::{Domain, Protocol, Socket, Type};
+use tidescale_node::commands::{self, Cli, Command, Run};
+use tidescale_node::operators::{self, Operators};
 use tidescale_node::{config, front, logging};
 
 const BACKLOG: i32 = 1024;
@@ -18,20 +21,48 @@
     Ok(socket.into())
 }
 
-fn start() -> Result<(), String> {
+fn start(run: &Run) -> Result<ExitCode, String> {
     let path = PathBuf::from(std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
     let config = config::read(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+    let operators = match &run.operators {
+        None => Operators::default(),
+        Some(path) => {
+            let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+            operators::read(&text).map_err(|e| format!("{}: {e}", path.display()))?
+        }
+    };
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    front::run(&config, path, listener, logging::start())
+    front::run(&config, &operators, path, listener, logging::start())?;
+    Ok(ExitCode::SUCCESS)
 }
 
-fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("tidescale: {}", fault.replace('\n', " "));
-            ExitCode::FAILURE
+/// Of a fault in the arguments one line is told.
+fn arguments() -> Result<Cli, ExitCode> {
+    Cli::try_parse().map_err(|e| {
+        if !e.use_stderr() {
+            let _ = e.print();
+            return ExitCode::SUCCESS;
         }
-    }
+        let told = e.to_string();
+        let line = told.lines().find(|l| !l.trim().is_empty()).unwrap_or_default();
+        eprintln!("tidescale: {}", line.trim_start_matches("error: "));
+        ExitCode::from(2)
+    })
+}
+
+fn main() -> ExitCode {
+    let cli = match arguments() {
+        Ok(cli) => cli,
+        Err(code) => return code,
+    };
+    let done = match &cli.command {
+        None => start(&Run::default()),
+        Some(Command::Run(run)) => start(run),
+        Some(Command::Memory(command)) => commands::memory(command),
+    };
+    done.unwrap_or_else(|fault| {
+        eprintln!("tidescale: {}", fault.replace('\n', " "));
+        ExitCode::FAILURE
+    })
 }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -190,6 +190,10 @@
         }
     }
 
+    pub fn listed(&self, name: &str) -> Option<Listed> {
+        self.machines.get(name)?.listed
+    }
+
     pub fn names(&self) -> Vec<String> {
         self.machines.keys().cloned().collect()
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -418,7 +418,7 @@
             let own = fresh[test].hits >= 1.0 && fresh[test].share() > old.share();
             let own = own || past[test][0].outcomes == 0.0;
             if both >= upper && own && self.condemned != Some(n.build) {
-                self.condemned = Some(n.build);
+                (self.condemned, self.condemned_at) = (Some(n.build), now);
                 let told = [new.hits, new.outcomes, old.hits, old.outcomes];
                 out.note(&format!("build {} to go back: test {test}, new and old {told:.1?}", n.build));
             }
--- a/src/recall.rs
+++ b/src/recall.rs
@@ -75,7 +75,7 @@
         }
         let suspect = self.suspect.filter(|(_, until)| now < *until);
         let suspect = suspect.map(|(build, until)| (build, until - SUSPECT_FOR));
-        if let Some((build, seen)) = self.condemned.map(|build| (build, now)).or(suspect) {
+        if let Some((build, seen)) = self.condemned.map(|build| (build, self.condemned_at)).or(suspect) {
             out.condemned(build, seen);
         }
         for k in &mut self.kinds {
@@ -86,7 +86,7 @@
             let name = self.set.routes.get(r).map(|route| route.name.as_str());
             out.route(name, usual.read(now, USUAL_FADE));
         }
-        if self.calm_at > 0 {
+        if self.calm.outcomes > 0.0 {
             let c = self.calm;
             out.calm(self.calm_at, [c.outcomes, c.hits], c.spread, (self.fleet, self.calm_sends));
         }
