--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,9 @@
 //! bound is broken; the same seed gives the same cases.
 
 mod disk;
+mod restart;
+mod standins;
+mod table;
 mod torture;
 
 use std::path::PathBuf;
@@ -39,6 +42,21 @@
         #[arg(long)]
         dir: Option<PathBuf>,
     },
+    /// Fronts killed under load and started again, with and without memory.
+    Restart {
+        #[arg(long, default_value_t = 5)]
+        runs: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long)]
+        out: PathBuf,
+        /// The front's program; the `tidescale` beside this one where none is named.
+        #[arg(long)]
+        front: Option<PathBuf>,
+        /// Plays at a time.
+        #[arg(long, default_value_t = 4)]
+        lanes: usize,
+    },
     /// What `torture` starts and kills.
     #[command(hide = true)]
     Saver { folder: PathBuf },
@@ -48,6 +66,7 @@
     let done = match Cli::parse().command {
         Command::Disk { histories, seed } => disk::run(histories, seed),
         Command::Torture { kills, seed, lanes, dir } => torture::run(kills, seed, lanes, dir),
+        Command::Restart { runs, seed, out, front, lanes } => restart::run(runs, seed, &out, front, lanes),
         Command::Saver { folder } => torture::save(&folder),
     };
     match done {
--- a/crates/node/src/keep.rs
+++ b/crates/node/src/keep.rs
@@ -21,7 +21,7 @@
 use crate::operators::Memory;
 use crate::upstream::Upstream;
 
-/// Machines in a slice.
+/// Machines, or machines' evidence, in a slice.
 const SLICE: usize = 64;
 const PRIORITY: u8 = 1;
 
@@ -136,17 +136,26 @@
 /// A state on its way to the thread that writes.
 type Parcel = (u64, Vec<Fact>);
 
+/// Where gathering goes on.
+#[derive(Clone, Copy)]
+enum Cursor {
+    Machines(usize),
+    Evidence((u32, usize)),
+    Rest,
+}
+
 pub struct Keeper {
     schedule: Schedule,
     job: usize,
     facts: Vec<Fact>,
-    /// The machine to go on with.
-    cursor: Option<usize>,
+    cursor: Cursor,
     parcels: SyncSender<Parcel>,
     done: Receiver<io::Result<usize>>,
     /// Parcels that have no answer yet.
     out: usize,
     stop_within: Duration,
+    /// The longest that a slice has kept the loop.
+    longest: Duration,
     log: Logger,
 }
 
@@ -180,18 +189,28 @@
         let mut schedule = Schedule::new(set.time_a_second as f64, set.bytes_a_second as f64, now);
         let job = schedule.add(PRIORITY, now + set.every, set.every);
         let stop_within = Duration::from_micros(set.stop_within);
-        let (facts, cursor, out) = (Vec::new(), Some(0), 0);
-        Some((Keeper { schedule, job, facts, cursor, parcels, done, out, stop_within, log }, opened.image))
+        let (facts, cursor, out, longest) = (Vec::new(), Cursor::Machines(0), 0, Duration::ZERO);
+        Some((
+            Keeper { schedule, job, facts, cursor, parcels, done, out, stop_within, longest, log },
+            opened.image,
+        ))
     }
 
     /// Some machines, or all the rest; whether all is gathered.
     fn gather(&mut self, most: usize, beside: &Beside, now: u64, from: &mut Balancer) -> bool {
         let mut to = Gathered { now, beside, facts: &mut self.facts };
         match self.cursor {
-            Some(at) => self.cursor = from.remember_machines(at, most, &mut to),
-            None => {
+            Cursor::Machines(at) => {
+                let next = from.remember_machines(at, most, &mut to);
+                self.cursor = next.map_or(Cursor::Evidence((0, 0)), Cursor::Machines);
+            }
+            Cursor::Evidence(at) => {
+                let next = from.remember_evidence(at, most, &mut to);
+                self.cursor = next.map_or(Cursor::Rest, Cursor::Evidence);
+            }
+            Cursor::Rest => {
                 from.remember_rest(&mut to);
-                self.cursor = Some(0);
+                self.cursor = Cursor::Machines(0);
                 // What must not be cut off where the whole would be too long comes first.
                 self.facts.reverse();
                 return true;
@@ -224,7 +243,9 @@
             self.hand_over(now);
             self.schedule.ended(self.job, now);
         }
-        self.schedule.spent(begun.elapsed().as_micros() as u64, 0, now);
+        let took = begun.elapsed();
+        self.longest = self.longest.max(took);
+        self.schedule.spent(took.as_micros() as u64, 0, now);
     }
 
     /// A thread that still writes an earlier state takes none: a disk that stalls must not fill the memory.
@@ -244,7 +265,7 @@
     pub fn finish(&mut self, beside: &Beside, now: u64, from: &mut Balancer) {
         let by = Instant::now() + self.stop_within;
         self.facts.clear();
-        self.cursor = Some(0);
+        self.cursor = Cursor::Machines(0);
         while !self.gather(SLICE, beside, now, from) {}
         let rest = || by.saturating_duration_since(Instant::now());
         if self.out > 0
@@ -259,7 +280,8 @@
                 Err(_) => return warn!(self.log, "memory not written in time at the end"),
             }
         }
-        info!(self.log, "memory written at the end");
+        let longest = self.longest.as_micros() as u64;
+        info!(self.log, "memory written at the end"; "longest_slice_us" => longest);
     }
 }
 
--- a/src/recall.rs
+++ b/src/recall.rs
@@ -2,9 +2,11 @@
 //! age. Open reqs, exposure, credits of cold machines, room and votes are neither told nor taken: a front that
 //! restarts has taken nothing yet, and may send no more than one that knows nothing.
 
-use crate::decide::Balancer;
+use std::collections::BTreeMap;
+
+use crate::decide::{Balancer, EVIDENCE_FADE, RATE_FADE, USUAL_FADE};
 use crate::front::{Phase, Standing};
-use crate::state::{Arm, Fading, Tally};
+use crate::state::{Arm, Fading, TESTS, Tally};
 
 /// A machine as it is listed, and what was learned of it.
 pub struct Known<'a> {
@@ -44,7 +46,7 @@
     pub fn remember_machines(&mut self, from: usize, most: usize, out: &mut dyn Recorder) -> Option<usize> {
         let (now, end) = (self.now, self.machines.len().min(from + most));
         for i in from..end {
-            let pace = self.machines[i].pace.read(now, crate::decide::RATE_FADE);
+            let pace = self.machines[i].pace.read(now, RATE_FADE);
             let m = &self.machines[i];
             if m.standing == Standing::Gone || self.find(&m.name) != Some(i) {
                 continue;
@@ -63,9 +65,8 @@
         (end < self.machines.len()).then_some(end)
     }
 
-    /// All but the machines.
+    /// All but machines and evidence.
     pub fn remember_rest(&mut self, out: &mut dyn Recorder) {
-        use crate::decide::{EVIDENCE_FADE, RATE_FADE, USUAL_FADE};
         let now = self.now;
         if let Some(n) = self.news {
             out.news(n.build, n.stage, n.phase, n.cap, n.since);
@@ -91,22 +92,35 @@
             out.calm(self.calm_at, [c.outcomes, c.hits], c.spread, (self.fleet, self.calm_sends));
         }
         out.zones(self.zones.each_mut().map(|z| z.read(now, RATE_FADE)));
-        // Own and recalled outcomes are apart and never of the same try.
-        let mut sums = self.evidence.clone();
-        for (of, t) in &self.recalled {
-            let mut t = *t;
-            t.read(now, EVIDENCE_FADE);
-            let sum = sums.entry(*of).or_default();
-            sum.read(now, EVIDENCE_FADE);
-            for test in 0..t.all.len() {
-                (sum.all[test], sum.hits[test]) =
-                    (sum.all[test] + t.all[test], sum.hits[test] + t.hits[test]);
+    }
+
+    /// Evidence from this build and machine on, so much at most; where to go on, none after the last.
+    pub fn remember_evidence(
+        &mut self,
+        from: (u32, usize),
+        most: usize,
+        out: &mut dyn Recorder,
+    ) -> Option<(u32, usize)> {
+        let next = |of: &BTreeMap<(u32, usize), Tally>| -> Vec<(u32, usize)> {
+            of.range(from..).take(most).map(|(key, _)| *key).collect()
+        };
+        let mut keys = [next(&self.evidence), next(&self.recalled)].concat();
+        keys.sort_unstable();
+        keys.dedup();
+        let whole = keys.len() < most;
+        keys.truncate(most);
+        for (build, i) in &keys {
+            // Own and recalled outcomes are apart and never of the same try.
+            let (mut all, mut hits) = ([0.0; TESTS], [0.0; TESTS]);
+            for tallies in [&mut self.evidence, &mut self.recalled] {
+                let Some(t) = tallies.get_mut(&(*build, *i)) else { continue };
+                t.read(self.now, EVIDENCE_FADE);
+                all.iter_mut().zip(t.all).for_each(|(sum, x)| *sum += x);
+                hits.iter_mut().zip(t.hits).for_each(|(sum, x)| *sum += x);
             }
+            out.evidence(&self.machines[*i].name, *build, &all, &hits);
         }
-        for ((build, i), t) in &mut sums {
-            t.read(now, EVIDENCE_FADE);
-            out.evidence(&self.machines[*i].name, *build, &t.all, &t.hits);
-        }
+        keys.last().filter(|_| !whole).map(|(build, i)| (*build, i + 1))
     }
 
     /// A machine's pace, and whether it is set aside until probes say otherwise.
--- a/tests/recall/mod.rs
+++ b/tests/recall/mod.rs
@@ -46,6 +46,10 @@
     while let Some(at) = from {
         from = b.module.remember_machines(at, 1, &mut kept);
     }
+    let mut from = Some((0, 0));
+    while let Some(at) = from {
+        from = b.module.remember_evidence(at, 1, &mut kept);
+    }
     b.module.remember_rest(&mut kept);
     kept
 }
