--- a/crates/lab/src/restart.rs
+++ b/crates/lab/src/restart.rs
@@ -351,6 +351,9 @@
     })
 }
 
+/// One figure of a play.
+type Figure<'a> = &'a dyn Fn(&Row) -> f64;
+
 fn median(mut of: Vec<f64>) -> f64 {
     of.retain(|x| x.is_finite());
     of.sort_unstable_by(f64::total_cmp);
@@ -406,7 +409,7 @@
     let of = |case: Case, remembers: bool, figure: &dyn Fn(&Row) -> f64| {
         median(rows.iter().filter(|r| r.case == case && r.remembers == remembers).map(figure).collect())
     };
-    let figures: [(&str, &dyn Fn(&Row) -> f64); 10] = [
+    let figures: [(&str, Figure); 10] = [
         ("within objective, 1 s", &|r| r.within[0]),
         ("within objective, 3 s", &|r| r.within[1]),
         ("within objective, 10 s", &|r| r.within[2]),
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -109,11 +109,11 @@
                     if stream.write_all(text.as_bytes()).is_err() {
                         return;
                     }
-                    while streams {
-                        thread::sleep(Duration::from_secs(1));
-                        if stream.write_all(chunk(beat).as_bytes()).is_err() {
-                            return;
+                    if streams {
+                        while stream.write_all(chunk(beat).as_bytes()).is_ok() {
+                            thread::sleep(Duration::from_secs(1));
                         }
+                        return;
                     }
                 }
             });
