--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod standins;
 mod table;
 mod torture;
+mod verdicts;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -57,6 +58,20 @@
         #[arg(long, default_value_t = 4)]
         lanes: usize,
     },
+    /// Trials of builds whose truth is known, against the stated rates.
+    Verdicts {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 10_000)]
+        runs: u64,
+        #[arg(long, value_enum, default_value = "small")]
+        fleet: verdicts::Fleet,
+        /// Whose word counts.
+        #[arg(long, value_enum, default_value = "module")]
+        word: verdicts::Word,
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// What `torture` starts and kills.
     #[command(hide = true)]
     Saver { folder: PathBuf },
@@ -67,6 +82,9 @@
         Command::Disk { histories, seed } => disk::run(histories, seed),
         Command::Torture { kills, seed, lanes, dir } => torture::run(kills, seed, lanes, dir),
         Command::Restart { runs, seed, out, front, lanes } => restart::run(runs, seed, &out, front, lanes),
+        Command::Verdicts { seed, runs, fleet, word, out } => {
+            verdicts::run(seed, runs, fleet, word, out.as_deref())
+        }
         Command::Saver { folder } => torture::save(&folder),
     };
     match done {
--- a/crates/lab/tests/short.rs
+++ b/crates/lab/tests/short.rs
@@ -20,3 +20,12 @@
     let (whole, told) = lab(&["torture", "--kills", "60", "--lanes", "4", "--seed", "7", "--dir", dir]);
     assert!(whole && told.contains("60 kills in 4 folders"), "{told}");
 }
+
+#[test]
+fn words_that_are_wrong_about_builds_are_caught_and_the_modules_is_not() {
+    for (word, runs, caught) in [("never", "40", true), ("first", "60", true), ("module", "200", false)] {
+        let (_, told) = lab(&["verdicts", "--runs", runs, "--seed", "3", "--word", word]);
+        let last = told.lines().last().unwrap();
+        assert!(last.contains(" trials, ") && last.ends_with("broken") == caught, "{last}");
+    }
+}
--- a/crates/node/src/commands.rs
+++ b/crates/node/src/commands.rs
@@ -12,7 +12,7 @@
 use tidescale_memory::image::{self, Image};
 use tidescale_memory::store;
 
-use crate::keep;
+use crate::{explain, keep};
 
 /// A front tier that watches over software updates.
 #[derive(Parser)]
@@ -29,6 +29,11 @@
     /// Look at, check or clear what a front has learned and keeps.
     #[command(subcommand)]
     Memory(Memory),
+    /// The verdicts in a front's log as a table; exit code 1 where there are none.
+    Explain {
+        /// The log; standard input where none is named.
+        log: Option<PathBuf>,
+    },
 }
 
 #[derive(Args, Default)]
@@ -129,6 +134,27 @@
     Ok(true)
 }
 
+pub fn explain(log: Option<&Path>) -> Result<ExitCode, String> {
+    let text = match log {
+        Some(path) => std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?,
+        None => {
+            let mut text = Vec::new();
+            std::io::Read::read_to_end(&mut std::io::stdin(), &mut text).map_err(|e| e.to_string())?;
+            text
+        }
+    };
+    Ok(match explain::table(&String::from_utf8_lossy(&text)) {
+        Some(table) => {
+            println!("{table}");
+            ExitCode::SUCCESS
+        }
+        None => {
+            println!("no verdicts");
+            ExitCode::FAILURE
+        }
+    })
+}
+
 pub fn memory(command: &Memory) -> Result<ExitCode, String> {
     let whole = match command {
         Memory::Show { path, json } => show(path, *json),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -10,7 +10,7 @@
 use calloop::signals::{Event, Signal, Signals};
 use slog::{Logger, error, info, warn};
 use tidescale::decide::Balancer;
-use tidescale::front::{Inbox, Verdict, Writer};
+use tidescale::front::{Finding, Inbox, Verdict, Writer};
 
 use crate::buffers::{self, Pool};
 use crate::clients::Clients;
@@ -256,8 +256,14 @@
         let ground = &mut self.0.borrow_mut().ground;
         ground.deadlines.set((Part::Module, 0), ground.now + after);
     }
-    fn note(&mut self, text: &str) {
-        info!(self.0.borrow().ground.log, "module: {}", text);
+    fn found(&mut self, f: &Finding) {
+        let round = |x: f64| format!("{x:.2}");
+        info!(self.0.borrow().ground.log, "verdict: to go back";
+            "build" => f.build, "stage" => f.stage, "test" => crate::explain::TESTS[f.test],
+            "new_hits" => round(f.new[0]), "new_outcomes" => round(f.new[1]),
+            "old_hits" => round(f.old[0]), "old_outcomes" => round(f.old[1]),
+            "recalled" => round(f.recalled), "score" => round(f.score), "bound" => round(f.bound),
+            "alpha" => f.alpha, "beta" => f.beta, "aside" => f.aside);
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod deadlines;
 pub mod discovery;
+pub mod explain;
 pub mod front;
 pub mod http;
 pub mod keep;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -59,6 +59,7 @@
     let done = match &cli.command {
         None => start(&Run::default()),
         Some(Command::Run(run)) => start(run),
+        Some(Command::Explain { log }) => commands::explain(log.as_deref()),
         Some(Command::Memory(command)) => commands::memory(command),
     };
     done.unwrap_or_else(|fault| {
--- a/crates/node/tests/tables.rs
+++ b/crates/node/tests/tables.rs
@@ -6,6 +6,7 @@
 use tidescale::front::End;
 use tidescale_node::buffers::{Chain, Fill, Pool, SIZE};
 use tidescale_node::deadlines::Deadlines;
+use tidescale_node::explain;
 use tidescale_node::logging::Counts;
 use tidescale_node::slots::Slots;
 use tidescale_node::upstream::{Cause, Failure, Reached};
@@ -132,3 +133,26 @@
     assert_eq!(at(1, 1000), Some(3));
     assert_eq!(at(1, 2500), Some(0));
 }
+
+#[test]
+fn a_verdict_in_a_log_is_explained_and_other_lines_are_not() {
+    let line = "Dec 01 19:12:52.618 INFO verdict: to go back, aside: 1, beta: 0.2, alpha: 0.05, bound: 2.77, \
+        score: 3.10, recalled: 4.00, old_outcomes: 71.80, old_hits: 0.00, new_outcomes: 27.90, new_hits: 3.00, \
+        test: errors, stage: 1, build: 42";
+    let log = format!("Dec 01 19:12:52.317 INFO serving, listen: 127.0.0.1:1\n{line}\n");
+    let table = explain::table(&log).unwrap();
+    for part in [
+        "| 42 ",
+        "3.00 of 27.90 (10.8%)",
+        "3.10 of 2.77",
+        "errors alone",
+        "4.00 outcomes from before",
+        "1 of its machines",
+    ] {
+        assert!(table.contains(part), "{part}: {table}");
+    }
+    assert_eq!(table.lines().count(), 3, "{table}");
+    assert_eq!(explain::table("Dec 01 19:12:52.317 INFO vote, verdict: Back, stage: 1, build: 42"), None);
+    // A line cut off tells what it has.
+    assert!(explain::table("x INFO verdict: to go back, build: 42").unwrap().contains("?"));
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use tidescale::decide::{Balancer, SWEEP};
-use tidescale::front::{Answer, End, Inbox, Load, Phase, Standing, Verdict, Writer};
+use tidescale::front::{Answer, End, Finding, Inbox, Load, Phase, Standing, Verdict, Writer};
 use tidescale_settings::{Fault, Told, flag, micros, number};
 
 type List = Rc<Vec<String>>;
@@ -250,8 +250,12 @@
     fn wake(&mut self, after: u64) {
         let _ = writeln!(self.0, "SCHEDULE {} 0", ms(after));
     }
-    fn note(&mut self, text: &str) {
-        let _ = writeln!(self.0, "EMIT {}", text.replace('\n', " "));
+    fn found(&mut self, f: &Finding) {
+        let Finding { build, test, new: [k, n], old: [l, m], .. } = f;
+        let _ = writeln!(
+            self.0,
+            "EMIT build {build} to go back: test {test}, new and old [{k:.1}, {n:.1}, {l:.1}, {m:.1}]"
+        );
     }
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,9 @@
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
-use crate::front::{Answer, End, Inbox, Load, Phase, Repeat, Route, Scope, Standing, Verdict, Writer};
+use crate::front::{
+    Answer, End, Finding, Inbox, Load, Phase, Repeat, Route, Scope, Standing, Verdict, Writer,
+};
 pub use crate::state::{Arm, Balancer};
 use crate::state::{Machine, News, Req, Room, TESTS, Try};
 
@@ -419,8 +421,20 @@
             let own = own || past[test][0].outcomes == 0.0;
             if both >= upper && own && self.condemned != Some(n.build) {
                 (self.condemned, self.condemned_at) = (Some(n.build), now);
-                let told = [new.hits, new.outcomes, old.hits, old.outcomes];
-                out.note(&format!("build {} to go back: test {test}, new and old {told:.1?}", n.build));
+                let of_it = |m: &&Machine| m.aside && m.build == n.build && m.standing == Standing::Ready;
+                out.found(&Finding {
+                    build: n.build,
+                    stage: n.stage,
+                    test,
+                    new: [new.hits, new.outcomes],
+                    old: [old.hits, old.outcomes],
+                    recalled: past[test][0].outcomes.min(MOST_RECALLED[0]),
+                    score: both,
+                    bound: upper,
+                    alpha: ALPHA,
+                    beta: BETA,
+                    aside: self.machines.iter().filter(of_it).count(),
+                });
             }
             self.leaning |= both > 0.0;
             lifted |= test == FAILURES && s <= lower;
--- a/src/front.rs
+++ b/src/front.rs
@@ -117,6 +117,28 @@
     None,
 }
 
+/// What a front found against a build: the outcomes on both sides, and what they were held to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finding {
+    pub build: u32,
+    pub stage: u32,
+    /// 0 failures, 1 slowness against the earlier build, 2 errors, 3 the whole fleet against before the trial.
+    pub test: usize,
+    /// Hits and outcomes of the new build, and of what it is compared with; recalled ones are among them.
+    pub new: [f64; 2],
+    pub old: [f64; 2],
+    /// Outcomes of the new build from before a restart.
+    pub recalled: f64,
+    /// The score, less what is doubted and this front's part of α, and the bound that it has passed.
+    pub score: f64,
+    pub bound: f64,
+    /// The rates that the bounds stand for.
+    pub alpha: f64,
+    pub beta: f64,
+    /// Machines of the build that were set aside as failing by themselves.
+    pub aside: usize,
+}
+
 /// What became of a vote.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -152,5 +174,6 @@
     fn watch_list(&mut self);
     /// Asks for another round after so long.
     fn wake(&mut self, after: u64);
-    fn note(&mut self, text: &str);
+    /// A build is found bad, for the first time.
+    fn found(&mut self, finding: &Finding);
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,7 +32,7 @@
         self.0.push("watch".into());
     }
     fn wake(&mut self, _after: u64) {}
-    fn note(&mut self, _text: &str) {}
+    fn found(&mut self, _finding: &Finding) {}
 }
 
 struct Calls<F>(Option<F>);
--- a/tests/limits/mod.rs
+++ b/tests/limits/mod.rs
@@ -397,7 +397,7 @@
         self.asked_list = true;
     }
     fn wake(&mut self, _after: u64) {}
-    fn note(&mut self, _text: &str) {}
+    fn found(&mut self, _finding: &Finding) {}
 }
 
 /// The outside once as what came in, once as where decisions go.
@@ -460,7 +460,7 @@
         self.0.push(Box::new(|o| o.watch_list()));
     }
     fn wake(&mut self, _after: u64) {}
-    fn note(&mut self, _text: &str) {}
+    fn found(&mut self, _finding: &Finding) {}
 }
 
 const FLAGS: usize = 9;
