--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,7 @@
 pub(crate) const RATE_FADE: f64 = 5e6;
 /// The share of a route's objective that an answer should take; the room for tries follows it.
 const EASE: f64 = 0.25;
-/// So many outcomes from before a restart count for each side at most: they hasten a verdict and never carry it.
+/// So many outcomes of before a restart count on each side at most: they hasten a verdict, never carry it.
 const MOST_RECALLED: [f64; 2] = [LEAST_OUTCOMES / 2.0, 2.0 * LEAST_OUTCOMES];
 const STUCK: f64 = 4.0; // So long against the usual, and half its objective: a first try may be lost.
 const FIRST_ROOM: f64 = 6.0;
@@ -398,7 +398,7 @@
         let part = if votes > 1.0 { (votes.sqrt() - 0.82).powi(2) } else { ALPHA };
         let share = (ALPHA / part * f64::from(self.set.fronts)).ln().max(0.0);
         let mut lifted = now >= n.since + HORIZON;
-        // Offered again under its number, a build found bad before a restart is held, as long as a hold may last.
+        // Offered again under its number, a build found bad before a restart is held while a hold may last.
         self.leaning = self.suspect.is_some_and(|(build, until)| build == n.build && now < until);
         for (test, [new, old]) in sides.into_iter().enumerate() {
             // A front that started lately knows of no time before.
