Tell the longest turn of the loop; a condemned build is held for a minute, tested

Need: the loop's longest turn with memory on against off was not told. Change: the front times its turns and tells the longest when it stops; the lab reads it for both; a test of how long a condemnation is remembered.

--- a/crates/lab/src/restart.rs
+++ b/crates/lab/src/restart.rs
@@ -270,6 +270,22 @@
     up_with_ms: f64,
     up_without_ms: f64,
     longest_slice_us: f64,
+    longest_turn_us: [f64; 2],
+}
+
+/// A front's log after some seconds and SIGTERM.
+fn stopped(mut front: Front) -> Result<String, String> {
+    let log = drain(&mut front);
+    thread::sleep(Duration::from_secs(3));
+    Command::new("kill").args(["-TERM", &front.0.id().to_string()]).status().map_err(fault)?;
+    front.0.wait().map_err(fault)?;
+    log.join().map_err(|_| "no log".into())
+}
+
+/// A number that the log tells under this name.
+fn told(log: &str, name: &str) -> Result<f64, String> {
+    let digits = log.split(name).nth(1).and_then(|t| t.split(|c: char| !c.is_ascii_digit()).next());
+    digits.and_then(|t| t.parse().ok()).ok_or_else(|| format!("the front does not tell {name}"))
 }
 
 fn size(number: u64, machines: usize, program: &Path, dir: &Path) -> Result<Size, String> {
@@ -325,19 +341,13 @@
     )
     .map_err(fault)?;
     let (without, up_without) = up(program, &config_path, None, listen)?;
-    drop(without);
+    let without = stopped(without)?;
     fs::create_dir_all(&folder).map_err(fault)?;
     fs::write(folder.join("memory.0"), &bytes).map_err(fault)?;
-    let (mut front, up_with) = up(program, &config_path, Some(&operators), listen)?;
-    let log = drain(&mut front);
-    thread::sleep(Duration::from_secs(3));
-    Command::new("kill").args(["-TERM", &front.0.id().to_string()]).status().map_err(fault)?;
-    front.0.wait().map_err(fault)?;
-    let log = log.join().map_err(|_| "no log")?;
-    let longest =
-        log.split("longest_slice_us: ").nth(1).and_then(|t| t.split(|c: char| !c.is_ascii_digit()).next());
-    let longest_slice_us =
-        longest.and_then(|t| t.parse().ok()).ok_or("the front does not tell its longest slice")?;
+    let (front, up_with) = up(program, &config_path, Some(&operators), listen)?;
+    let with = stopped(front)?;
+    let longest_slice_us = told(&with, "longest_slice_us: ")?;
+    let longest_turn_us = [told(&with, "longest_turn_us: ")?, told(&without, "longest_turn_us: ")?];
     let _ = fs::remove_dir_all(&dir);
     let ms = |d: Duration| d.as_secs_f64() * 1e3;
     Ok(Size {
@@ -348,6 +358,7 @@
         up_with_ms: ms(up_with),
         up_without_ms: ms(up_without),
         longest_slice_us,
+        longest_turn_us,
     })
 }
 
@@ -440,11 +451,19 @@
         }
         text.push('\n');
     }
-    text += "\n| machines | bytes | encode ms | decode ms | up with ms | up without ms | longest slice us |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n";
+    text += "\n| machines | bytes | encode ms | decode ms | up with ms | up without ms | longest slice us | longest turn us with | without |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n";
     for s in sizes {
         text += &format!(
-            "| {} | {:.0} | {:.2} | {:.2} | {:.0} | {:.0} | {:.0} |\n",
-            s.machines, s.bytes, s.encode_ms, s.decode_ms, s.up_with_ms, s.up_without_ms, s.longest_slice_us
+            "| {} | {:.0} | {:.2} | {:.2} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} |\n",
+            s.machines,
+            s.bytes,
+            s.encode_ms,
+            s.decode_ms,
+            s.up_with_ms,
+            s.up_without_ms,
+            s.longest_slice_us,
+            s.longest_turn_us[0],
+            s.longest_turn_us[1]
         );
     }
     fs::write(out.join("tables.md"), &text).map_err(fault)?;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -275,6 +275,8 @@
     node: RefCell<Node>,
     pub module: Balancer,
     keeper: Option<Keeper>,
+    /// The longest turn since the first.
+    longest: Duration,
 }
 
 impl Node {
@@ -324,7 +326,15 @@
             ground,
         });
         let module = Balancer::new(config.settings.clone(), config.seed, now);
-        let mut front = Front { events, ready: Ready::default(), clock, node, module, keeper: None };
+        let mut front = Front {
+            events,
+            ready: Ready::default(),
+            clock,
+            node,
+            module,
+            keeper: None,
+            longest: Duration::ZERO,
+        };
         front.round(Some(config));
         Ok(front)
     }
@@ -364,10 +374,12 @@
         if late > LATE {
             warn!(self.node.borrow().ground.log, "a turn came late"; "late_ms" => late / MS);
         }
+        let begun = Instant::now();
         self.round(None);
         if let Some(keeper) = &mut self.keeper {
             keeper.slice(&self.node.borrow().beside(), self.clock.now(), &mut self.module);
         }
+        self.longest = self.longest.max(begun.elapsed());
         Ok(!self.node.borrow().is_finished())
     }
 }
@@ -387,6 +399,6 @@
     if let Some(keeper) = &mut front.keeper {
         keeper.finish(&front.node.borrow().beside(), front.clock.now(), &mut front.module);
     }
-    info!(log, "stopped");
+    info!(log, "stopped"; "longest_turn_us" => front.longest.as_micros() as u64);
     Ok(())
 }
--- a/tests/recall/mod.rs
+++ b/tests/recall/mod.rs
@@ -240,3 +240,23 @@
     };
     assert!(sent(true) <= sent(false), "{} against {}", sent(true), sent(false));
 }
+
+#[test]
+fn a_build_condemned_before_a_restart_is_held_for_a_minute_from_then_and_no_longer() {
+    // Seconds since it was condemned -> held at the beginning of a stage.
+    for (passed, held) in [(0, true), (58, true), (60, false), (4000, false)] {
+        let now = 100_000 * SECOND;
+        let set = Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() };
+        let mut b = Bench { now, module: Balancer::new(set, 1, now) };
+        b.round(0, |to| {
+            warm(to, "n1", "z1", 2);
+            to.news(2, 0, Phase::Trial, 0.5, 0);
+            to.recall_condemned(2, now - passed * SECOND);
+        });
+        let got: Vec<_> = (0..4).flat_map(|_| b.round(250 * MS, |_| {})).collect();
+        assert_eq!(got.iter().any(|l| l == "vote 2 0 Hold"), held, "{passed}: {got:?}");
+        // The hold is lifted as any other, and nothing sends it back.
+        let later: Vec<_> = (0..40).flat_map(|_| b.round(250 * MS, |_| {})).collect();
+        assert!(!later.iter().any(|l| l.ends_with("Back")), "{later:?}");
+    }
+}
