--- /dev/null
+++ b/crates/node/tests/loopback/clients.rs
@@ -0,0 +1,248 @@
+//! Clients: what they send and how they leave.
+
+use std::io::{Read, Write};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use tidescale_node::pg;
+
+use crate::common::*;
+
+#[test]
+fn answers_come_whole_and_in_order_however_the_bytes_come() {
+    let value: Vec<u8> = (0..60_000u32).map(|i| (i * 7) as u8).collect();
+    let long = value.clone();
+    let (addr, seen) =
+        machine(move |n| if n == 0 { Act::Row(long.clone()) } else { Act::Row(vec![n as u8]) });
+    let front = start(&told(&[addr], 128));
+    let mut client = Client::open(front.addr);
+    let all =
+        [startup(), query("look", 1, 900), out(|o| pg::put_query(o, b"")), query("pay", 2, 800)].concat();
+    for byte in &all[..all.len() - 20] {
+        client.send(&[*byte]);
+    }
+    assert_eq!(client.answer(), ("RSSSZ".into(), vec![]));
+    client.send(&all[all.len() - 20..]);
+    assert_eq!(client.answer(), ("TDCZ".into(), value));
+    assert_eq!(client.answer(), ("IZ".into(), vec![]));
+    assert_eq!(client.answer(), ("TDCZ".into(), vec![1]));
+    let seen = seen.lock().unwrap();
+    assert!(
+        seen[0].starts_with("SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=look,d=")
+            && seen.len() == 2
+    );
+}
+
+#[test]
+fn malformed_clients_are_told_and_reach_no_machine() {
+    let (addr, seen) = machine(|_| Act::Row(vec![1]));
+    let front = start(&told(&[addr], 128));
+    let odd = |statement: &str| out(|o| pg::put_query(o, statement.as_bytes()));
+    // What is sent once admitted -> tags, code; a dot where the front closes.
+    let table: [(Vec<u8>, &str, &str); 10] = [
+        (odd("SELECT 1"), "EZ", "42601"),
+        (odd("SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=look */"), "EZ", "42601"),
+        (query("elsewhere", 1, 900), "EZ", "42601"),
+        (
+            [message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b""), message(b'S', b"")].concat(),
+            "EZ",
+            "0A000",
+        ),
+        (message(b'F', b"1234"), "EZ", "0A000"),
+        (message(b'!', b""), "E.", "08P01"),
+        (vec![b'Q', 0, 0, 0, 1], "E.", "08P01"),
+        (vec![b'Q', 0x7f, 0, 0, 0], "E.", "08P01"),
+        (message(b'Q', b"no end"), "E.", "08P01"),
+        (message(b'X', b""), ".", ""),
+    ];
+    for (sent, tags, code) in table {
+        let mut client = Client::open(front.addr);
+        client.send(&startup());
+        assert_eq!(client.answer().0, "RSSSZ");
+        client.send(&sent);
+        assert_eq!(client.answer(), (tags.into(), code.into()), "{sent:?}");
+        if tags.ends_with('Z') {
+            client.send(&query("look", 7, 900));
+            assert_eq!(client.answer().0, "TDCZ", "{sent:?}");
+        }
+    }
+    let mut client = Client::open(front.addr);
+    client.send(&[0, 0, 0, 8, 4, 210, 22, 47]);
+    let mut one = [0];
+    client.0.read_exact(&mut one).unwrap();
+    assert_eq!(one, *b"N");
+    client.send(&startup());
+    assert_eq!(client.answer().0, "RSSSZ");
+    for first in [&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 1][..], &[0, 0, 0, 8, 0, 2, 0, 0]] {
+        let mut client = Client::open(front.addr);
+        client.send(first);
+        assert!(client.answer().0.ends_with('.'));
+    }
+    assert!(seen.lock().unwrap().iter().all(|q| q.contains("id=7")));
+}
+
+#[test]
+fn a_client_that_goes_away_has_its_try_given_up() {
+    let (addr, seen) = machine(|_| Act::Silence);
+    let front = start(&told(&[addr], 128));
+    let mut client = Client::open(front.addr);
+    client.send(&[startup(), query("look", 1, 1200)].concat());
+    let wait_for = |n: usize| {
+        let begun = Instant::now();
+        while seen.lock().unwrap().len() < n {
+            assert!(begun.elapsed() < Duration::from_millis(1000), "{:?}", seen.lock().unwrap());
+            thread::sleep(Duration::from_millis(5));
+        }
+    };
+    wait_for(1);
+    drop(client);
+    wait_for(2);
+    assert_eq!(seen.lock().unwrap()[1], "gone");
+}
+
+#[test]
+fn a_full_budget_closes_idle_connections_and_ends_nothing() {
+    let (addr, _) = machine(|_| {
+        thread::sleep(Duration::from_millis(40));
+        Act::Row(vec![5])
+    });
+    // Six clients and six connections to machines.
+    let front = start(&told(&[addr], 50));
+    let mut idle: Vec<Client> = (0..6).map(|_| Client::open(front.addr)).collect();
+    for client in &mut idle {
+        client.send(&startup());
+        assert_eq!(client.answer().0, "RSSSZ");
+    }
+    let mut busy: Vec<Client> = (0..9).map(|_| Client::open(front.addr)).collect();
+    for (i, client) in busy.iter_mut().enumerate() {
+        client.send(&[startup(), query("look", i as u32, 1200)].concat());
+    }
+    assert!(idle.iter_mut().all(Client::ended));
+    // The first six are served, as far as connections go; the others wait until these stand idle.
+    let mut rows = 0;
+    for client in &mut busy {
+        assert_eq!(client.answer().0, "RSSSZ");
+        let (tags, value) = client.answer();
+        assert!(tags == "TDCZ" || (tags, &value[..]) == ("EZ".into(), b"53300"), "{value:?}");
+        rows += usize::from(value == [5]);
+    }
+    assert!(rows >= 2, "{rows}");
+}
+
+#[test]
+fn a_panic_ends_the_connection_that_it_came_from_and_no_other() {
+    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let (_, (struck, other)) = with_front(
+        &told(&[addr], 128),
+        // The module knows nothing of the second route any more.
+        |front| front.module.set.routes.truncate(1),
+        |addr| {
+            let [mut struck, mut other] = [(); 2].map(|()| Client::open(addr));
+            for client in [&mut struck, &mut other] {
+                client.send(&startup());
+                assert_eq!(client.answer().0, "RSSSZ");
+            }
+            struck.send(&query("pay", 1, 900));
+            let struck = struck.answer().0;
+            other.send(&query("look", 2, 900));
+            (struck, other.answer().0)
+        },
+    );
+    assert_eq!((struck.as_str(), other.as_str()), (".", "TDCZ"));
+}
+
+#[test]
+fn whatever_clients_send_they_are_told_or_closed_in_time() {
+    let (addr, seen) = machine(|_| Act::Row(vec![5]));
+    let front = start(&told(&[addr], 128));
+    let half = startup();
+    let begun = Instant::now();
+    let mut silent: Vec<Client> = (0..3).map(|_| Client::open(front.addr)).collect();
+    silent[1].send(&half[..9]);
+    silent[2].send(&startup());
+    assert_eq!(silent[2].answer().0, "RSSSZ");
+    // Half a message, with lengths that are far too long among them; the head alone is refused at once.
+    let asked = query("look", 1, 900);
+    let table = [(asked[..30].to_vec(), 2000..3000), (b"Q\x03\x93\x87\0SELECT".to_vec(), 0..500)];
+    let told: Vec<_> = table
+        .into_iter()
+        .map(|(sent, within)| {
+            let mut client = Client::open(front.addr);
+            client.send(&[startup(), sent].concat());
+            thread::spawn(move || {
+                assert_eq!(client.answer().0, "RSSSZ");
+                let begun = Instant::now();
+                assert_eq!(client.answer(), ("E.".into(), b"08P01".to_vec()));
+                assert!(within.contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+            })
+        })
+        .collect();
+    // One that sends megabytes reads why it is turned down, however late it looks.
+    let mut sender = Client::open(front.addr);
+    sender.send(&[startup(), b"Q\x03\x93\x87\0".to_vec()].concat());
+    thread::sleep(Duration::from_millis(50));
+    let _ = sender.0.write_all(&vec![b'x'; 200_000]);
+    assert_eq!((sender.answer().0, sender.answer().0), ("RSSSZ".into(), "E.".into()));
+    // Hundreds at once, more than is read at a time and more answers than may pile up: all in their order.
+    let mut many = Client::open(front.addr);
+    let mut all = startup();
+    let (good, bad) = (|i| query("look", i, 5000), query("nowhere", 1, 900));
+    for i in 0..400 {
+        all.extend(if i % 20 == 0 { good(100 + i) } else { bad.clone() });
+    }
+    many.send(&all);
+    assert_eq!(many.answer().0, "RSSSZ");
+    for i in 0..400 {
+        assert_eq!(many.answer().0, if i % 20 == 0 { "TDCZ" } else { "EZ" }, "{i}");
+    }
+    for client in &mut silent {
+        assert!(client.ended() && begun.elapsed() < Duration::from_millis(3000));
+    }
+    told.into_iter().for_each(|t| t.join().unwrap());
+    assert!(seen.lock().unwrap().iter().all(|q| q.contains("c=look")));
+}
+
+#[test]
+fn an_id_that_is_open_is_no_other_reqs_and_a_resting_client_is_closed() {
+    let (addr, seen) = machine(|_| {
+        thread::sleep(Duration::from_millis(300));
+        Act::Row(vec![5])
+    });
+    let front = start(&told(&[addr], 128));
+    let mut clients = [(); 2].map(|()| Client::open(front.addr));
+    for client in &mut clients {
+        client.send(&startup());
+        assert_eq!(client.answer().0, "RSSSZ");
+    }
+    let [owner, other] = &mut clients;
+    owner.send(&query("look", 1, 1200));
+    thread::sleep(Duration::from_millis(50));
+    other.send(&query("look", 1, 1200));
+    assert_eq!((other.answer().0, owner.answer().0), ("EZ".into(), "TDCZ".into()));
+    let begun = Instant::now();
+    other.send(&query("look", 1, 1200));
+    assert_eq!((other.answer().0, seen.lock().unwrap().len()), ("TDCZ".into(), 2));
+    // Not before two seconds have passed since its last answer.
+    assert!(owner.ended() && begun.elapsed() > Duration::from_millis(2000));
+    assert!(other.ended() && begun.elapsed() > Duration::from_millis(2300));
+}
+
+#[test]
+fn clients_that_ask_once_and_stay_leave_room_for_others() {
+    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    // Sixteen may rest.
+    let front = start(&told(&[addr], 128));
+    let begun = Instant::now();
+    let mut clients: Vec<Client> = (0..24).map(|_| Client::open(front.addr)).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&[startup(), query("look", i as u32, 900)].concat());
+        assert_eq!((client.answer().0, client.answer().0), ("RSSSZ".into(), "TDCZ".into()));
+    }
+    thread::sleep(Duration::from_millis(150));
+    // One more answer, and the first eight are closed long before their time; the others are not.
+    clients[23].send(&query("look", 99, 900));
+    assert_eq!(clients[23].answer().0, "TDCZ");
+    assert!(clients[..8].iter_mut().all(Client::ended) && begun.elapsed() < Duration::from_millis(1500));
+    clients[23].send(&query("look", 100, 900));
+    assert_eq!(clients[23].answer().0, "TDCZ");
+}
--- /dev/null
+++ b/crates/node/tests/loopback/list.rs
@@ -0,0 +1,143 @@
+//! Discovery and its streams.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use tidescale_node::buffers::Pool;
+use tidescale_node::deadlines::Deadlines;
+use tidescale_node::link::{Ground, Part, Ready};
+use tidescale_node::stream::{Standing, Stream};
+
+use crate::common::*;
+
+fn ground(events: &calloop::EventLoop<'static, Ready>) -> Ground {
+    let [pool, clients_pool, streams_pool] = [8, 8, 8].map(Pool::new);
+    let (log, deadlines) = (slog::Logger::root(slog::Discard, slog::o!()), Deadlines::default());
+    Ground { handle: events.handle(), pool, clients_pool, streams_pool, deadlines, log, now: 0 }
+}
+
+#[test]
+fn a_stream_that_falls_silent_or_ends_is_opened_again() {
+    // One that goes on without a word, one that ends, one that is no answer, one that is declined.
+    let heads = [
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\n",
+        "nonsense\r\n\r\n",
+        "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for head in heads {
+        let (addr, asked) = http(|_| head.into());
+        let mut events = calloop::EventLoop::try_new().unwrap();
+        let mut ground = ground(&events);
+        let (begun, mut ready) = (Instant::now(), Ready::default());
+        let mut stream = Stream::new((Part::Watch, 0), addr, 50_000);
+        stream.open("/there", &mut ground);
+        while asked.lock().unwrap().len() < 3 {
+            assert!(begun.elapsed() < PATIENCE, "{head}");
+            events.dispatch(Duration::from_millis(5), &mut ready).unwrap();
+            ground.now = begun.elapsed().as_micros() as u64;
+            ready.sockets.drain(..).for_each(|(_, readiness)| stream.found(readiness));
+            stream.serve(&mut ground, |_, _, _| Ok(()));
+            if ground.deadlines.due(ground.now).is_some() && stream.due(&mut ground) {
+                stream.open("/there", &mut ground);
+            }
+        }
+        // Ever longer pauses, or a peer that is down would be asked all the time.
+        assert!(
+            begun.elapsed() >= Duration::from_millis(if head.contains("Length: 1") { 200 } else { 300 }),
+            "{head}"
+        );
+    }
+}
+
+#[test]
+fn what_discovery_lists_takes_the_place_of_what_was_known() {
+    let [(earlier, none), (later, some)] = [(); 2].map(|()| machine(|_| Act::Row(vec![5])));
+    let list = listing(&[(later, 41)]);
+    let (discovery, asked) = http(move |_| {
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n", list.len() + 1)
+    });
+    let (platform, _) = http(|_| String::new());
+    let front = start(&told_by(&[(earlier, 41)], 128, discovery, platform));
+    let mut client = Client::open(front.addr);
+    client.send(&startup());
+    client.answer();
+    let begun = Instant::now();
+    while some.lock().unwrap().is_empty() {
+        assert!(begun.elapsed() < PATIENCE);
+        client.send(&query("look", 1, 900));
+        assert_eq!(client.answer().0, "TDCZ");
+    }
+    // An idle connection to the earlier address is not used for the later one.
+    let before = none.lock().unwrap().len();
+    client.send(&query("look", 2, 900));
+    assert_eq!((client.answer().0, none.lock().unwrap().len()), ("TDCZ".into(), before));
+    assert!(asked.lock().unwrap()[0].starts_with("GET /discovery/hosts?follow=1&since=41 HTTP/1.1\r\n"));
+}
+
+#[test]
+fn a_stream_is_left_only_when_the_one_in_its_place_has_told_something() {
+    let (old, _) = http(|_| "HTTP/1.1 200 OK\r\n\r\nold\n".into());
+    // The new address says nothing on the first connection.
+    let calls = Mutex::new(0);
+    let (new, _) = http(move |_| {
+        *calls.lock().unwrap() += 1;
+        if *calls.lock().unwrap() == 1 { String::new() } else { "HTTP/1.1 200 OK\r\n\r\nnew\n".into() }
+    });
+    let mut events = calloop::EventLoop::try_new().unwrap();
+    let mut ground = ground(&events);
+    let (begun, mut ready, mut lines) = (Instant::now(), Ready::default(), Vec::new());
+    let mut streams = Standing::new(Part::Watch, old, 60_000);
+    streams.open("/there", &mut ground);
+    let mut left = None;
+    while !lines.contains(&"new".to_string()) {
+        assert!(begun.elapsed() < PATIENCE, "{lines:?}");
+        events.dispatch(Duration::from_millis(5), &mut ready).unwrap();
+        ground.now = begun.elapsed().as_micros() as u64;
+        ready.sockets.drain(..).for_each(|((_, number), readiness)| streams.found(number, readiness));
+        streams.serve(&mut ground, |line, _, _| {
+            lines.push(line.to_string());
+            Ok(())
+        });
+        if left.is_none() && !lines.is_empty() {
+            assert!(
+                !streams.move_to(old, "/there", &mut ground) && streams.move_to(new, "/there", &mut ground)
+            );
+            left = Some(ground.now);
+        }
+        while let Some((_, number)) = ground.deadlines.due(ground.now) {
+            if streams.due(number, &mut ground) {
+                streams.open("/there", &mut ground);
+            }
+        }
+    }
+    assert_eq!(lines.iter().filter(|l| *l == "new").count(), 1);
+    // Only the new one is left, with its deadline and that for the next.
+    let due: Vec<_> = std::iter::from_fn(|| ground.deadlines.due(u64::MAX)).collect();
+    assert_eq!(due, [(Part::Watch, 1), (Part::Watch, u64::MAX)]);
+}
+
+#[test]
+fn a_watch_that_only_shows_life_is_opened_anew() {
+    let (machine, seen) = machine(|_| Act::Row(vec![5]));
+    let list = listing(&[(machine, 41)]);
+    let calls = Mutex::new(0);
+    let (discovery, _) = http(move |_| {
+        *calls.lock().unwrap() += 1;
+        // The first goes on with empty lines and never tells of the machine.
+        let line = if *calls.lock().unwrap() == 1 { "" } else { &list };
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1)
+    });
+    let (platform, _) = http(|_| String::new());
+    let front = start(&told_by(&[], 128, discovery, platform));
+    let mut client = Client::open(front.addr);
+    client.send(&startup());
+    client.answer();
+    let begun = Instant::now();
+    while seen.lock().unwrap().is_empty() {
+        assert!(begun.elapsed() < Duration::from_millis(4500));
+        client.send(&query("look", 1, 200));
+        client.answer();
+    }
+}
--- /dev/null
+++ b/crates/node/tests/loopback/main.rs
@@ -0,0 +1,10 @@
+//! The front on loopback sockets, with stand-ins for machines, discovery and the platform; by subject.
+
+mod clients;
+mod common;
+mod files;
+mod list;
+mod reload;
+mod start;
+mod stop;
+mod upstream;
--- /dev/null
+++ b/crates/node/tests/loopback/start.rs
@@ -0,0 +1,53 @@
+//! Starting, with good and bad words.
+
+use std::process::Command;
+
+use tidescale_node::operators;
+
+use crate::common::*;
+
+#[test]
+fn a_bad_configuration_ends_with_one_line() {
+    let path = format!("{}/bad.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, told(&[], 128).replace("\"rules\"", "\"rulez\"")).unwrap();
+    for path in [Some(path.as_str()), Some("/nowhere/config.json"), None] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
+        command.env_remove("PROXY_CONFIG").envs(path.map(|p| ("PROXY_CONFIG", p)));
+        let done = command.output().unwrap();
+        let said = String::from_utf8(done.stderr).unwrap();
+        assert!(
+            !done.status.success() && said.lines().count() == 1 && said.starts_with("tidescale: "),
+            "{said}"
+        );
+    }
+}
+
+#[test]
+fn bad_arguments_are_one_line_and_exit_code_2() {
+    for words in [&["bogus"][..], &["run", "--operators"], &["memory"], &["memory", "show"], &["run", "x"]] {
+        let (code, told, complaint) = tidescale(words);
+        assert!(
+            code == Some(2) && told.is_empty() && complaint.lines().count() == 1,
+            "{words:?}: {complaint}"
+        );
+    }
+    assert_eq!(tidescale(&["--version"]).0, Some(0));
+}
+
+#[test]
+fn an_operators_file_that_cannot_be_used_is_refused_with_line_and_field() {
+    let table = [
+        ("folder = \"f\"\nevery = \"5\"", "line 3, `every = \"5\"`: `5` is no time with a unit"),
+        ("folder = \"f\"\nevery = 5", "line 3, `every = 5`"),
+        ("folder = \"f\"\nevry = \"5 s\"", "unknown field `evry`"),
+        ("folder = \"f\"\nevery = \"1 ms\"", "memory.every: out of its bounds"),
+        ("folder = \"f\"\nbytes_a_second = \"4\"", "`4` is no size with a unit"),
+        ("every = \"5 s\"", "missing field `folder`"),
+        ("folder = \"\"", "memory.folder: empty"),
+    ];
+    for (text, wanted) in table {
+        let fault = operators::read(&format!("[memory]\n{text}")).unwrap_err();
+        assert!(fault.contains(wanted), "{text}: {fault}");
+    }
+    assert!(operators::read("[memroy]").is_err() && operators::read("").unwrap().memory.is_none());
+}
