Read lists over several lines; a watch that is behind changes nothing

Discovery::serve read each line as a list of its own, so that an indented list ended the watch again and again, and with two streams side by side the last one read won: a list at version 44 from the stream in its place undid the leaving told at 45. Red before: 'the list was not read', and (44, Some(Ready)) where 45 and Draining are wanted. Lines are now gathered until all braces are closed; an empty line within one ends the watch, which is opened anew at once. A change that is behind is passed over; a whole list that is behind is taken only 6 s after the last newer one, as discovery that counts anew. A stream takes the earlier one's place only with something whole (Stream::serve set told with the first line); a sign of life in the bulletin belongs to no event.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use slog::info;
 use tidescale::decide::Balancer;
 use tidescale::front::Standing;
 
@@ -13,6 +14,9 @@
 const MS: u64 = 1000;
 /// Three of the empty lines that come while nothing changes.
 const SILENCE: u64 = 6000 * MS;
+/// What discovery has to tell arrives within this, by whichever way.
+const SETTLED: u64 = 6000 * MS;
+const LONGEST_LIST: usize = 4 * 1024 * 1024;
 
 #[derive(Deserialize)]
 pub struct Listing {
@@ -70,13 +74,15 @@
 pub struct Discovery {
     streams: Streams,
     version: u64,
-    /// When the list was last heard to be true.
+    /// When the list was last heard to be true, and when it last changed.
     heard: u64,
+    newer: u64,
 }
 
 impl Discovery {
     pub fn new(addr: SocketAddr) -> Discovery {
-        Discovery { streams: Streams::new(Part::Watch, addr, SILENCE), version: 0, heard: 0 }
+        let streams = Streams::new(Part::Watch, addr, SILENCE);
+        Discovery { streams, version: 0, heard: 0, newer: 0 }
     }
 
     /// The list as this front last had it serves until the watch answers.
@@ -120,15 +126,55 @@
     }
 
     pub fn serve(&mut self, ground: &mut Ground, upstream: &mut Upstream, to: &mut Balancer) {
-        let (version, heard) = (&mut self.version, &mut self.heard);
-        self.streams.serve(ground, |line, _, ground| {
+        let (version, heard, newer) = (&mut self.version, &mut self.heard, &mut self.newer);
+        self.streams.serve(ground, |line, held, ground| {
             *heard = ground.now;
-            if !line.trim().is_empty() {
-                let listing: Listing = serde_json::from_str(line).map_err(|e| e.to_string())?;
-                *version = listing.version;
-                listing.tell(ground, upstream, to);
+            if line.trim().is_empty() {
+                // The sign of life stands between lists: what was begun before it has no end.
+                return if held.is_empty() { Ok(()) } else { Err("a list without its end".into()) };
             }
+            held.push_str(line);
+            held.push('\n');
+            if !is_whole(held, line.len() + 1) {
+                return if held.len() > LONGEST_LIST { Err("a list too long".into()) } else { Ok(()) };
+            }
+            let listing: Listing = serde_json::from_str(held).map_err(|e| e.to_string())?;
+            held.clear();
+            // Two streams stand side by side for a while, and what one of them tells may be behind the other. Only
+            // a whole list is believed that stays behind: then discovery counts anew.
+            let behind = listing.version < *version;
+            if behind && (!listing.full || ground.now < *newer + SETTLED) {
+                info!(ground.log, "passed over a list that is behind"; "version" => listing.version,
+                    "known" => *version);
+                return Ok(());
+            }
+            if listing.version != *version {
+                *newer = ground.now;
+            }
+            *version = listing.version;
+            listing.tell(ground, upstream, to);
             Ok(())
         });
     }
 }
+
+/// Whether the text, to which so many bytes were just added, can be a whole object: each brace that it opens is
+/// closed. A list may come over many lines, and is read once.
+fn is_whole(text: &str, added: usize) -> bool {
+    // Only what closes the outermost brace ends a list; of a long one most lines do not even end with a brace.
+    if !text[text.len() - added..].trim_end().ends_with('}') && text.starts_with('{') {
+        return false;
+    }
+    let (mut depth, mut quoted, mut escaped) = (0usize, false, false);
+    for byte in text.bytes() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' => escaped = quoted,
+            b'"' => quoted = !quoted,
+            b'{' if !quoted => depth += 1,
+            b'}' if !quoted => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    depth == 0
+}
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -152,6 +152,10 @@
 
     pub fn serve(&mut self, ground: &mut Ground, to: &mut Balancer) {
         self.streams.serve(ground, |line, held, _| {
+            // A sign of life belongs to no event.
+            if line.starts_with(':') {
+                return Ok(());
+            }
             if !line.is_empty() {
                 held.push_str(line);
                 held.push('\n');
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -98,11 +98,13 @@
         if fault.is_ok() {
             let (pause, told, held) = (&mut self.pause, &mut self.told, &mut self.held);
             let lines = self.answer.lines(|line| {
-                (*pause, *told) = (FIRST_PAUSE, true);
+                *pause = FIRST_PAUSE;
                 // What follows something that can't be read is worth no more than that.
                 if fault.is_ok() {
                     fault = each(line, held, ground);
                 }
+                // A part of something longer takes no earlier stream's place.
+                *told |= fault.is_ok() && held.is_empty();
             });
             fault = fault.and(lines.map_err(|e| e.0.to_string()));
         }
--- a/crates/node/tests/loopback/list.rs
+++ b/crates/node/tests/loopback/list.rs
@@ -1,12 +1,18 @@
 //! Discovery and its streams.
 
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use tidescale::decide::Balancer;
+use tidescale::front::Standing;
 use tidescale_node::buffers::Pool;
+use tidescale_node::config;
 use tidescale_node::deadlines::Deadlines;
+use tidescale_node::discovery::Discovery;
 use tidescale_node::link::{Ground, Part, Ready};
-use tidescale_node::stream::{Standing, Stream};
+use tidescale_node::stream::{self, Stream};
+use tidescale_node::upstream::Upstream;
 
 use crate::common::*;
 
@@ -87,7 +93,7 @@
     let mut events = calloop::EventLoop::try_new().unwrap();
     let mut ground = ground(&events);
     let (begun, mut ready, mut lines) = (Instant::now(), Ready::default(), Vec::new());
-    let mut streams = Standing::new(Part::Watch, old, 60_000);
+    let mut streams = stream::Standing::new(Part::Watch, old, 60_000);
     streams.open("/there", &mut ground);
     let mut left = None;
     while !lines.contains(&"new".to_string()) {
@@ -141,3 +147,121 @@
         client.answer();
     }
 }
+
+/// Spread over many lines, as a person would read it.
+fn indented(list: &str) -> String {
+    serde_json::to_string_pretty(&serde_json::from_str::<serde_json::Value>(list).unwrap()).unwrap() + "\n"
+}
+
+#[test]
+fn a_list_over_several_lines_is_read_like_one_on_a_single_line() {
+    let (machine, seen) = machine(|_| Act::Row(vec![5]));
+    let [gate, discovery] = [(); 2].map(|()| Gate::new());
+    let (platform, _) = http(|_| String::new());
+    let front = start(&told_by(&[(gate.addr(), 41)], 128, discovery.addr(), platform));
+    let mut watch = discovery.accept();
+    watch.stream();
+    let text = indented(&list(42, true, &[entry("s-{1}\\\"", machine, "active", 0, 41)]));
+    // In pieces that end within a line and within a word, with a sign of life before and behind.
+    watch.chunk("\n");
+    let (middle, end) = (text.len() / 2, text.len() - 3);
+    [&text[..middle], &text[middle..end], &text[end..]].into_iter().for_each(|piece| watch.chunk(piece));
+    watch.chunk("\n");
+    let mut client = Client::admitted(front.addr);
+    let begun = Instant::now();
+    while seen.lock().unwrap().is_empty() {
+        assert!(begun.elapsed() < Duration::from_millis(2000), "the list was not read");
+        client.send(&query("look", 1, 200));
+        client.answer();
+    }
+}
+
+#[test]
+fn a_list_that_breaks_off_is_asked_for_anew_at_once() {
+    let [gate, discovery] = [(); 2].map(|()| Gate::new());
+    let (platform, _) = http(|_| String::new());
+    for spoilt in
+        ["{\"version\":42,\n\n", "{\"version\":42}\n", "noise\n", "{\"version\":42,\"full\":true,\"serv\n\n"]
+    {
+        let _front = start(&told_by(&[(gate.addr(), 41)], 128, discovery.addr(), platform));
+        let mut watch = discovery.accept();
+        watch.stream();
+        let begun = Instant::now();
+        watch.chunk(spoilt);
+        let _anew = discovery.accept();
+        // Long before it would be opened anew without cause.
+        assert!(begun.elapsed() < Duration::from_millis(1500), "{spoilt}");
+    }
+}
+
+/// Discovery's part of a front alone, its turns driven by hand, its clock told.
+struct Watching {
+    events: calloop::EventLoop<'static, Ready>,
+    ready: Ready,
+    ground: Ground,
+    upstream: Upstream,
+    module: Balancer,
+    discovery: Discovery,
+}
+
+impl Watching {
+    fn at(addr: SocketAddr) -> Watching {
+        let config = config::read(&told(&[], 128)).ok().unwrap();
+        let events = calloop::EventLoop::try_new().unwrap();
+        let mut ground = ground(&events);
+        ground.now = 1_000_000;
+        let mut discovery = Discovery::new(addr);
+        discovery.open(&mut ground);
+        let upstream = Upstream::new(config.links.clone(), 8);
+        let module = Balancer::new(config.settings.clone(), 1, 0);
+        Watching { events, ready: Ready::default(), ground, upstream, module, discovery }
+    }
+    fn turn(&mut self) {
+        self.events.dispatch(Duration::from_millis(5), &mut self.ready).unwrap();
+        let found: Vec<_> = self.ready.sockets.drain(..).collect();
+        found.into_iter().for_each(|((_, number), readiness)| self.discovery.found(number, readiness));
+        self.discovery.serve(&mut self.ground, &mut self.upstream, &mut self.module);
+    }
+    /// Until the list stands at this version and its only machine so.
+    fn until(&mut self, version: u64, standing: Standing) {
+        let begun = Instant::now();
+        let now = |w: &Watching| (w.discovery.heard().0, w.module.machines.first().map(|m| m.standing));
+        while now(self) != (version, Some(standing)) {
+            assert!(begun.elapsed() < PATIENCE, "{:?}", now(self));
+            self.turn();
+        }
+    }
+}
+
+#[test]
+fn of_two_watches_the_one_that_is_behind_changes_nothing() {
+    let line = |version, full, state| {
+        list(version, full, &[entry("s-0", "127.0.0.1:1".parse().unwrap(), state, 0, 41)]) + "\n"
+    };
+    let [first, second] = [(); 2].map(|()| Gate::new());
+    let mut w = Watching::at(first.addr());
+    w.turn();
+    let mut earlier = first.accept();
+    earlier.stream();
+    earlier.chunk(&line(44, true, "active"));
+    w.until(44, Standing::Ready);
+    assert!(w.discovery.move_to(second.addr(), &mut w.ground));
+    w.turn();
+    let mut later = second.accept();
+    later.stream();
+    // A list that is not whole yet takes nobody's place: the earlier one still tells.
+    later.chunk("{\n");
+    (0..20).for_each(|_| w.turn());
+    earlier.chunk(&line(45, false, "leaving"));
+    w.until(45, Standing::Draining);
+    // The one in its place is still behind, with a whole list and with a change.
+    later.chunk(&line(44, true, "active")[1..]);
+    later.chunk(&line(44, false, "active"));
+    later.chunk(&line(46, false, "leaving"));
+    w.until(46, Standing::Draining);
+    // A whole list that stays behind is discovery that counts anew; a change that does is not.
+    w.ground.now += 7_000_000;
+    later.chunk(&line(3, false, "active"));
+    later.chunk(&line(2, true, "active"));
+    w.until(2, Standing::Ready);
+}
