--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -20,6 +20,9 @@
 /// For so long after a kept connection broke under a query, what may run only once goes over new ones.
 const STALE: u64 = 10_000 * MS;
 const READ_AHEAD: usize = pg::LONGEST_ANSWER + 4096;
+/// A machine may send an answer twice, some milliseconds apart: the second would be taken for the answer to a query
+/// written meanwhile, so that a connection stands quiet for so long before it is used again.
+const QUIET: u64 = 20 * MS;
 
 /// How far a try had come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -175,7 +178,7 @@
     }
 
     /// Where a machine listens, what process it is, and whether anything new goes there; what idles there in vain
-    /// is closed.
+    /// is closed, and a try whose connection is still coming up has no query to write any more.
     pub fn place(&mut self, name: &str, listed: Option<Listed>, wanted: bool, ground: &mut Ground) {
         let m = self.machines.entry(name.into()).or_default();
         if m.listed != listed || !wanted {
@@ -183,6 +186,13 @@
                 self.table.remove(key);
                 ground.deadlines.clear((Part::Machine, key));
             }
+            let coming = |c: &Conn| c.up_by.is_some() && c.machine == name;
+            let coming: Vec<u64> = self.table.iter().filter(|(_, c)| coming(c)).map(|(key, _)| key).collect();
+            for key in coming {
+                ground.deadlines.clear((Part::Machine, key));
+                let work = self.table.remove(key).and_then(|c| c.work);
+                self.ended.extend(work.map(|work| (work.job, name.to_string(), End::NotSent)));
+            }
         }
         (m.listed, m.wanted) = (listed, wanted);
         if listed.is_none() {
@@ -256,7 +266,10 @@
             self.table.remove(key);
             ground.deadlines.clear((Part::Machine, key));
         }
-        while let Some(key) = m.idle.pop_if(|_| !fresh) {
+        let quiet = |key: &u64| !fresh && self.table.get(*key).is_some_and(|c| c.used + QUIET <= ground.now);
+        let quiet: Vec<u64> = m.idle.iter().copied().filter(quiet).collect();
+        for key in quiet.into_iter().rev() {
+            m.idle.retain(|k| *k != key);
             // A close that has come in the meantime would look like a req that may have run.
             if self.table.get(key).is_some_and(|c| c.link.is_quiet()) {
                 return Ok(Some(key));
@@ -292,7 +305,8 @@
     /// Writes the query of a connection that is up, and what still waits.
     fn write(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients) {
         let Some(c) = self.table.get_mut(key) else { return };
-        if let Some(work) = c.work.as_mut().filter(|w| c.up_by.is_none() && w.reached == Reached::Nothing) {
+        let begins = |w: &&mut Work| w.reached == Reached::Nothing && w.end.is_none();
+        if let Some(work) = c.work.as_mut().filter(|w| c.up_by.is_none() && begins(w)) {
             match work.job {
                 Job::Try { id, .. } => {
                     let Some(rq) = clients.req(id) else { return };
@@ -350,7 +364,7 @@
         if matches!(read, Ok(Fill::Starved)) {
             self.again.push(key);
         }
-        let rested = self.messages(key, ground, clients);
+        let rested = self.messages(key, ground, clients, to);
         self.tell_answered(key, ground, clients, to);
         match rested {
             Err(Malformed(why)) => return self.fail(key, Cause::Malformed(why), ground, clients, to),
@@ -370,7 +384,13 @@
     }
 
     /// Whether the connection is free for the next query.
-    fn messages(&mut self, key: u64, ground: &mut Ground, clients: &mut Clients) -> Result<bool, Malformed> {
+    fn messages(
+        &mut self,
+        key: u64,
+        ground: &mut Ground,
+        clients: &mut Clients,
+        to: &mut Balancer,
+    ) -> Result<bool, Malformed> {
         let (mut body, mut rested) = (Vec::new(), false);
         while let Some(c) = self.table.get_mut(key) {
             let Some((tag, len)) = pg::message(&c.link.input, pg::from_machine)? else { break };
@@ -418,7 +438,7 @@
                     let (code, message) = pg::error(&body)?;
                     if !matches!(code.as_str(), pg::SHED | pg::STARTING | "XX000") {
                         info!(ground.log, "machine answered with an unknown error";
-                            "machine" => &c.machine, "code" => &code, "message" => message);
+                            "machine" => &c.machine, "code" => &code, "message" => message.chars().take(200).collect::<String>());
                     }
                     // Before a query was written it is the connection that was turned down.
                     let end = Some(error_end(&code)).filter(|end| !starting || *end == End::Full);
@@ -429,6 +449,16 @@
                 b'Z' if body != b"I" => return Err(Malformed("not ready after an answer")),
                 b'Z' if starting => {
                     c.up_by = None;
+                    // Much may have been told and passed since its machine was chosen.
+                    if let Some(work) = c.work.as_mut().filter(|w| w.end.is_none())
+                        && let Job::Try { id, n } = work.job
+                        && !to.may_begin(id, n)
+                    {
+                        debug!(ground.log, "a try that may not go any more"; "machine" => &c.machine);
+                        work.end = Some(End::NotSent);
+                        rested = true;
+                        continue;
+                    }
                     let until = c.work.as_ref().map_or(ground.now, |w| w.until);
                     ground.deadlines.set((Part::Machine, key), until);
                     self.write(key, ground, clients);
--- a/crates/node/tests/loopback/upstream.rs
+++ b/crates/node/tests/loopback/upstream.rs
@@ -2,7 +2,9 @@
 
 use std::net::TcpListener;
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tidescale_node::pg;
 
 use crate::common::*;
 
@@ -117,3 +119,147 @@
         client.answer();
     }
 }
+
+/// Known are only machines that let nobody in until told to.
+fn known_only(gate: &Gate, discovery: &Gate) -> String {
+    let (platform, _) = http(|_| String::new());
+    told_by(&[(gate.addr(), 41)], 128, discovery.addr(), platform)
+        .replace("\"connect_timeout\":250.0", "\"connect_timeout\":4000.0")
+        .replace("\"target\":500.0,\"deadline\":1200.0", "\"target\":4000.0,\"deadline\":8000.0")
+}
+
+#[test]
+fn a_try_whose_machine_is_told_otherwise_while_it_connects_goes_elsewhere() {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    // How the machine comes in the list before its connection is up.
+    let table = [
+        ("leaving", 0, 41, false),
+        ("left", 0, 41, false),
+        ("active", now, 41, true),
+        ("active", 0, 42, true),
+    ];
+    for (state, started, build, moves) in table {
+        let (gate, discovery) = (Gate::new(), Gate::new());
+        let [(other, _), (moved, _)] = [5, 6].map(|value| machine(move |_| Act::Row(vec![value])));
+        let front = start(&known_only(&gate, &discovery));
+        let mut watch = discovery.accept();
+        watch.stream();
+        let [mut first, mut second] = [(); 2].map(|()| Client::admitted(front.addr));
+        first.send(&query("look", 1, 8000));
+        let mut late = gate.accept();
+        late.startup();
+        let listed = entry("s-0", if moves { moved } else { gate.addr() }, state, started, build);
+        watch.chunk(&format!("{}\n", list(42, false, &[listed, entry("s-1", other, "active", 0, 41)])));
+        // Whoever is served elsewhere shows that the list has been read.
+        second.send(&query("look", 2, 8000));
+        assert_eq!(second.answer().0, "TDCZ", "{state} {started} {build}");
+        late.let_in();
+        assert_eq!(late.query(), None, "{state} {started} {build}");
+        assert_eq!(first.answer().0, "TDCZ", "{state} {started} {build}");
+    }
+}
+
+#[test]
+fn nothing_begins_for_a_client_that_left_while_its_try_connects() {
+    let (gate, discovery) = (Gate::new(), Gate::new());
+    // Nor where a try that is out may not be given up.
+    for cancel in ["true", "false"] {
+        let config =
+            known_only(&gate, &discovery).replace("\"may_cancel\":true", &format!("\"may_cancel\":{cancel}"));
+        let front = start(&config);
+        let [mut leaves, mut stays] = [(); 2].map(|()| Client::admitted(front.addr));
+        leaves.send(&query("look", 1, 8000));
+        let mut late = gate.accept();
+        late.startup();
+        drop(leaves);
+        // Answered by the front itself, after it has found that the other has gone.
+        stays.send(&out(|o| pg::put_query(o, b"")));
+        assert_eq!(stays.answer().0, "IZ");
+        late.let_in();
+        stays.send(&query("look", 2, 8000));
+        let asked = late.query().or_else(|| {
+            let mut anew = gate.accept();
+            anew.startup();
+            anew.let_in();
+            anew.query()
+        });
+        assert!(asked.as_ref().is_some_and(|q| q.contains("id=2")), "{cancel}: {asked:?}");
+    }
+}
+
+#[test]
+fn a_repeat_whose_window_ends_while_it_connects_is_not_written() {
+    let (gate, discovery) = (Gate::new(), Gate::new());
+    let config = known_only(&gate, &discovery).replace(
+        "\"pay\",\"idempotency\":\"fragile\",\"target\":500.0,\"deadline\":1000.0",
+        "\"pay\",\"idempotency\":\"dedup\",\"key_scope\":\"all\",\"repeat_window\":300.0,\"target\":4000.0,\"deadline\":8000.0",
+    );
+    let front = start(&config);
+    let mut client = Client::admitted(front.addr);
+    let keyed = "SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=pay,d=8000,k=5c */";
+    client.send(&out(|o| pg::put_query(o, keyed.as_bytes())));
+    let mut first = gate.accept();
+    first.startup();
+    first.let_in();
+    assert!(first.query().is_some());
+    let ran = Instant::now();
+    // It may have run. The connection takes no further query.
+    first.send(&error("XX000"));
+    let mut second = gate.accept();
+    second.startup();
+    thread::sleep(Duration::from_millis(310).saturating_sub(ran.elapsed()));
+    second.let_in();
+    // No machine may run it again: the client is told at once.
+    assert_eq!(client.answer().0, "EZ");
+    drop(front);
+    assert_eq!(second.query(), None);
+}
+
+#[test]
+fn a_connection_that_is_turned_down_and_then_let_in_takes_no_query() {
+    let (gate, discovery) = (Gate::new(), Gate::new());
+    let front = start(&known_only(&gate, &discovery));
+    let mut client = Client::admitted(front.addr);
+    client.send(&query("pay", 1, 900));
+    let mut odd = gate.accept();
+    odd.startup();
+    odd.send(&[message(b'R', &[0; 4]), error("XX000"), message(b'Z', b"I")].concat());
+    // What may run only once was told as never written, and goes out again.
+    let mut good = gate.accept();
+    good.startup();
+    good.let_in();
+    assert!(good.query().is_some());
+    good.answer(5);
+    assert_eq!(client.answer().0, "TDCZ");
+    drop(front);
+    assert_eq!(odd.query(), None);
+}
+
+#[test]
+fn a_second_answer_that_comes_late_is_not_the_next_reqs() {
+    let (gate, discovery) = (Gate::new(), Gate::new());
+    let front = start(&known_only(&gate, &discovery));
+    let mut client = Client::admitted(front.addr);
+    client.send(&query("look", 1, 8000));
+    let mut kept = gate.accept();
+    kept.startup();
+    kept.let_in();
+    assert!(kept.query().is_some());
+    kept.answer(1);
+    assert_eq!(client.answer(), ("TDCZ".into(), vec![1]));
+    client.send(&query("look", 2, 8000));
+    // Where it goes over another connection, the first has no query when its answer comes again.
+    kept.0.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    if kept.query().is_some() {
+        kept.send(&row(&[1]));
+        kept.answer(2);
+    } else {
+        kept.answer(1);
+        let mut anew = gate.accept();
+        anew.startup();
+        anew.let_in();
+        assert!(anew.query().is_some());
+        anew.answer(2);
+    }
+    assert_eq!(client.answer(), ("TDCZ".into(), vec![2]));
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -189,7 +189,11 @@
     /// What an outcome says of its machine and of room, there and in all: thin fronts learn only from all.
     fn feel(&mut self, i: usize, route: usize, end: End, took: u64) {
         let (now, objective) = (self.now, self.set.routes[route].objective);
+        let deserted = end == End::Done && self.deserted();
         let m = &mut self.machines[i];
+        if deserted && m.aside {
+            m.renew(2.0, now);
+        }
         if matches!(end, End::Done | End::Error | End::Spoilt | End::Unfit) {
             (m.heard, m.refused) = (now, 0);
         }
@@ -202,7 +206,7 @@
         // A process that takes no connections serves nothing, however many others do the same.
         m.refused += u32::from(end == End::Refused);
         if m.refused >= 2 && self.set.probes && !m.aside {
-            (m.aside, m.answered, m.probed) = (true, 0, now);
+            (m.aside, m.answered, m.probed, m.risked) = (true, 0, now, now);
         }
         let ease = if end == End::Done { took as f64 / objective as f64 } else { 1.0 };
         if self.stalled || !matches!(end, End::Done | End::Full | End::TimedOut) {
@@ -221,9 +225,10 @@
         for rq in self.reqs.values_mut().filter(|rq| rq.suspect == Some(i)) {
             (rq.suspect, rq.deadly) = (None, matches!(end, End::Refused | End::Reset | End::TimedOut));
         }
+        let deserted = self.deserted();
         let m = &mut self.machines[i];
         (m.probe_out, m.answered) = (false, if end == End::Done { m.answered + 1 } else { 0 });
-        if m.aside && m.answered >= m.wanted {
+        if m.aside && m.answered >= if deserted { 2 } else { m.wanted } {
             m.renew(2.0, now);
             m.wanted = (m.wanted * 2).min(16); // Some machines answer probes and fail reqs.
         }
@@ -480,7 +485,7 @@
                 self.probe(*i, out);
             } else if !m.aside && m.silent && aside * 3 < ready.len() {
                 aside += 1;
-                (m.aside, m.answered, m.probed) = (true, 0, now);
+                (m.aside, m.answered, m.probed, m.risked) = (true, 0, now, now);
             } else if !m.aside && now >= m.started + self.set.cold_for {
                 self.kinds[m.kind].borne.add([0.0, LOOK as f64 / 1e6], now, RATE_FADE);
             }
@@ -498,10 +503,12 @@
 
     /// Rule 2 and the limits on tries: may this req go out to this machine now?
     fn may_try(&self, rq: &Req, m: &Machine) -> bool {
-        if rq.tries.len() >= self.set.max_tries || rq.deadly {
-            return false;
-        }
-        let mut ran = rq.tries.iter().filter(|t| t.ran);
+        rq.tries.len() < self.set.max_tries && !rq.deadly && self.may_repeat(rq, m, None)
+    }
+
+    /// Rule 2: may it run there, with all that ran before or may have, but for this try of it?
+    fn may_repeat(&self, rq: &Req, m: &Machine, but: Option<usize>) -> bool {
+        let mut ran = rq.tries.iter().enumerate().filter(|(n, t)| t.ran && Some(*n) != but).map(|(_, t)| t);
         match self.set.routes[rq.route].repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => ran.next().is_none(),
@@ -518,6 +525,25 @@
         }
     }
 
+    /// The rules once more, for a try whose connection had to be made first and only now takes the query: what was
+    /// told and what has passed since it was chosen binds it too. One that may not go now has never run.
+    pub fn may_begin(&mut self, id: u64, n: usize) -> bool {
+        let (now, Some(rq)) = (self.now, self.reqs.get(&id)) else { return false };
+        let Some(t) = rq.tries.get(n).filter(|t| t.out && !rq.over && now < rq.due) else { return false };
+        let (m, build, sent, route) = (&self.machines[t.machine], t.build, t.sent, rq.route);
+        let same = m.standing == Standing::Ready && (m.build, m.started) == (build, t.started);
+        if !same || !self.may_repeat(rq, m, Some(n)) {
+            return false;
+        }
+        // Rule 5 counts a try from when it is written.
+        self.exposed.take(build, route, sent);
+        let may = self.may_expose(build, route);
+        if may {
+            self.exposed.push(build, route, now);
+        }
+        may
+    }
+
     /// Rule 5: may one more try of this route go to this build?
     fn may_expose(&self, build: u32, route: usize) -> bool {
         if !self.on_trial(build) {
@@ -572,9 +598,13 @@
         let held = self.set.one_way
             && self.news.is_some_and(|n| !matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
         let floor = rq.key.as_ref().filter(|_| held).and_then(|k| self.keys.get(k)).copied().unwrap_or(0);
+        // Where all are set aside, one req at a time tries each as a probe would: the fault may be the front's own,
+        // or lie with the probes.
+        let deserted = self.deserted();
+        let last = |m: &Machine| deserted && m.held < 1.0 && now >= m.risked + SECOND;
         let fits = |m: &Machine| {
-            let open = m.standing == Standing::Ready && !m.aside && m.held < m.room.tries.floor();
-            open && m.build >= floor && self.may_try(rq, m)
+            let open = if m.aside { last(m) } else { m.held < m.room.tries.floor() };
+            open && m.standing == Standing::Ready && m.build >= floor && self.may_try(rq, m)
         };
         let open: Vec<usize> = (0..self.machines.len()).filter(|i| fits(&self.machines[*i])).collect();
         let untried = |i: &usize| !rq.tries.iter().any(|t| t.machine == *i);
@@ -690,6 +720,7 @@
         let age = if started == 0 { u64::MAX } else { now.saturating_sub(started) };
         let m = &mut self.machines[i];
         m.held += 1.0;
+        m.risked = if m.aside { now } else { m.risked };
         m.credit -= f64::from(age < self.set.cold_for);
         let rq = self.reqs.get_mut(&id).unwrap();
         let (settled, warm) = (age >= SETTLING, age >= self.set.cold_for.max(SETTLING));
--- a/src/recall.rs
+++ b/src/recall.rs
@@ -133,7 +133,7 @@
         }
         // Where nothing may be probed, nothing would bring it back.
         if aside && probes && m.standing == Standing::Ready {
-            (m.aside, m.answered, m.probed) = (true, 0, 0);
+            (m.aside, m.answered, m.probed, m.risked) = (true, 0, 0, self.now);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,6 +40,15 @@
     pub fn push(&mut self, build: u32, route: usize, now: u64) {
         self.0.entry((build, route)).or_default().push_back(now);
     }
+    /// Takes out one that happened just then.
+    pub fn take(&mut self, build: u32, route: usize, at: u64) {
+        if let Some(times) = self.0.get_mut(&(build, route)) {
+            let i = times.partition_point(|t| *t < at);
+            if times.get(i) == Some(&at) {
+                times.remove(i);
+            }
+        }
+    }
     /// How often at this time or later; on one route or on all.
     pub fn since(&self, build: u32, route: Option<usize>, at: u64) -> usize {
         let counts = |(b, r): &(u32, usize)| *b == build && route.is_none_or(|route| *r == route);
@@ -175,6 +184,8 @@
     pub aside: bool,
     pub probe_out: bool,
     pub probed: u64,
+    /// While set aside: since when, or when a req was last tried there.
+    pub risked: u64,
     pub answered: u32,
     pub wanted: u32,
     /// Of a cold machine: the part of a req that this front may send.
@@ -440,6 +451,12 @@
         [new, ready.count() - new]
     }
 
+    /// Machines are in service, and all of them are set aside.
+    pub(crate) fn deserted(&self) -> bool {
+        let mut ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).peekable();
+        ready.peek().is_some() && ready.all(|m| m.aside)
+    }
+
     /// A machine's own report, for it and for its kind.
     pub(crate) fn note_load(&mut self, i: usize, load: Option<Load>, fade: f64) {
         let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) else { return };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,6 +5,7 @@
 mod recall;
 
 use common::{Bench, MS, count, settings, warm};
+use tidescale::decide::Balancer;
 use tidescale::front::*;
 
 #[test]
@@ -445,3 +446,127 @@
     }
     assert!(on_first < 100, "{on_first}");
 }
+
+#[test]
+fn a_try_whose_connection_comes_late_is_held_to_what_came_meanwhile() {
+    fn listed(to: &mut Balancer, build: u32, standing: Standing, started: u64) {
+        to.machine("m1", ("z1", 0, "k"), build, standing, started);
+    }
+    type Meanwhile = fn(&mut Balancer);
+    // what came, after how long -> may the query be written
+    let table: [(&str, Meanwhile, u64, bool); 9] = [
+        ("nothing", |_| {}, 10, true),
+        ("the same again", |to| listed(to, 1, Standing::Ready, 0), 10, true),
+        ("it drains", |to| listed(to, 1, Standing::Draining, 0), 10, false),
+        ("it is gone", |to| listed(to, 1, Standing::Gone, 0), 10, false),
+        ("a whole list without it", |to| to.list(true), 10, false),
+        ("it runs another build", |to| listed(to, 2, Standing::Ready, 0), 10, false),
+        ("it has started anew", |to| listed(to, 1, Standing::Ready, to.now), 10, false),
+        ("the client has left", |to| to.withdrawn(7), 10, false),
+        ("the client's time is over", |_| {}, 900, false),
+    ];
+    for (what, meanwhile, after, wanted) in table {
+        let mut b = Bench::new(settings());
+        let sent = b.round(0, |to| {
+            warm(to, "m1", "z1", 1);
+            to.req(7, 0, None, 900 * MS, 1.0);
+        });
+        assert_eq!(sent, ["try 7 m1"]);
+        let mut may = None;
+        b.round(after * MS, |to| {
+            meanwhile(to);
+            may = Some(to.may_begin(7, 0));
+        });
+        assert_eq!(may, Some(wanted), "{what}");
+    }
+    // The window of the first try ends while the second one's connection is made.
+    for (route, after, wanted) in [(1, 299, true), (1, 300, false), (0, 300, true)] {
+        let mut b = Bench::new(settings());
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 1);
+            to.req(7, route, None, 900 * MS, 1.0);
+        });
+        let got = b.round(10 * MS, |to| to.outcome(7, 0, End::Error, 10 * MS, false, None));
+        assert_eq!(got, ["try 7 m1"]);
+        let mut may = None;
+        b.round((after - 10) * MS, |to| may = Some(to.may_begin(7, 1)));
+        assert_eq!(may, Some(wanted), "{route} {after}");
+    }
+}
+
+#[test]
+fn a_try_at_a_build_on_trial_counts_from_when_it_is_written() {
+    // The cap falls before the query can be written.
+    for (cap, wanted) in [(0.1, true), (0.0, false)] {
+        let mut b = Bench::new(settings());
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 2);
+            to.news(2, 1, Phase::Trial, 0.1, 0);
+            to.req(7, 0, None, 900 * MS, 1.0);
+        });
+        let mut may = None;
+        b.round(10 * MS, |to| {
+            to.news(2, 1, Phase::Trial, cap, 0);
+            may = Some(to.may_begin(7, 0));
+        });
+        assert_eq!(may, Some(wanted), "{cap}");
+    }
+    // Two are free in any window: one written late leaves room for one only when the first window is over.
+    for (late, wanted) in [(0, 2), (600, 1)] {
+        let mut b = Bench::new(settings());
+        let both =
+            |to: &mut Balancer, from: u64| (from..from + 2).for_each(|id| to.req(id, 0, None, 900 * MS, 1.0));
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 2);
+            to.news(2, 1, Phase::Trial, 0.1, 0);
+            both(to, 0);
+        });
+        b.round(late * MS, |to| assert!(to.may_begin(1, 0)));
+        b.round(MS, |to| (0..2).for_each(|id| to.outcome(id, 0, End::Done, MS, true, None)));
+        let got = b.round((4010 - 1 - late) * MS, |to| both(to, 10));
+        assert_eq!(count(&got, "try"), wanted, "{late}");
+    }
+}
+
+#[test]
+fn a_front_whose_machines_are_all_set_aside_finds_its_way_out() {
+    // Probes are lost on this front's way to the machines, or have come back late too often before.
+    for (probes, most) in [(None, 1500), (Some(End::Done), 1300)] {
+        let mut b = Bench::new(settings());
+        b.round(0, |to| {
+            warm(to, "m1", "z1", 1);
+            warm(to, "m2", "z1", 1);
+            (1..5).for_each(|id| to.req(id, 2, None, 400 * MS, 1.0));
+        });
+        b.round(0, |to| (1..5).for_each(|id| to.outcome(id, 0, End::Refused, MS, false, None)));
+        b.round(0, |to| (1..5).for_each(|id| to.outcome(id, 1, End::Refused, MS, false, None)));
+        b.module.machines.iter_mut().for_each(|m| m.wanted = 16);
+        let (begun, mut tried) = (b.now, None);
+        for id in 0..20u64 {
+            let got: Vec<_> = (0..10)
+                .flat_map(|n| {
+                    b.round(10 * MS, |to| {
+                        if n == 0 {
+                            to.req(100 + id, 0, None, 400 * MS, 1.0);
+                        }
+                        for m in ["m1", "m2"].iter().filter(|_| n == 5) {
+                            probes.into_iter().for_each(|end| to.probed(m, end, None));
+                        }
+                    })
+                })
+                .collect();
+            if count(&got, "try 1") > 0 {
+                tried = Some((b.now - begun) / MS);
+                break;
+            }
+        }
+        assert!(tried.is_some_and(|ms| ms <= most), "{probes:?}: {tried:?}");
+        // While none has answered, one try a machine and second.
+        if probes.is_none() {
+            let got: Vec<_> = (0..50)
+                .flat_map(|n| b.round(10 * MS, |to| to.req(500 + n, 0, None, 400 * MS, 1.0)))
+                .collect();
+            assert!(count(&got, "try") <= 1, "{got:?}");
+        }
+    }
+}
