--- a/src/decide.rs
+++ b/src/decide.rs
@@ -115,7 +115,10 @@
         let least = 2.0 * self.serving(0)[0] as f64 / f64::from(self.set.fronts);
         self.room.tries = self.room.tries.max(if self.stalled { f64::INFINITY } else { least });
         self.serve(out);
-        let pause = if self.reqs.is_empty() { LOOK } else { SWEEP };
+        // A req that waits is given up as soon as its time is over, however little slack there is.
+        let waits = |rq: &&Req| !rq.over && rq.objective > now && !rq.tries.iter().any(|t| t.out);
+        let over = self.reqs.values().filter(waits).map(|rq| rq.objective - now).min();
+        let pause = if self.reqs.is_empty() { LOOK } else { SWEEP.min(over.unwrap_or(SWEEP)) };
         if now >= self.wake_at || now + pause < self.wake_at {
             self.wake_at = now + pause;
             out.wake(pause);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -570,3 +570,20 @@
         }
     }
 }
+
+#[test]
+fn a_req_that_waits_is_given_up_in_the_very_round_that_its_time_is_over() {
+    // Rounds come only when the module has asked for them.
+    for left in [333, 500, 504, 777] {
+        let mut b = Bench::new(settings());
+        let begun = b.now;
+        let got = b.round(0, |to| {
+            to.machine("m1", ("z1", 0, "k"), 1, Standing::Draining, 0);
+            to.req(7, 0, None, left * MS, 1.0);
+        });
+        assert!(got.is_empty());
+        let got = std::iter::repeat_with(|| b.round(b.module.wake_at - b.now, |_| {}));
+        assert_eq!(got.take(200).find(|got| !got.is_empty()), Some(vec!["shed 7".to_string()]));
+        assert_eq!((b.now - begun) / MS, left.min(500), "{left}");
+    }
+}
