Read on behind an open req while buffers are ample, so that its time is known

Cause: Client::wants() stops at 16 KiB while a req is open, and what stood in the kernel got its time when it was read at last. Up to 256 KiB are read ahead now while more than half of the buffers are free.

--- a/crates/node/src/buffers.rs
+++ b/crates/node/src/buffers.rs
@@ -27,6 +27,11 @@
         let shelf = self.0.borrow();
         shelf.out >= shelf.most
     }
+    /// More than half of it is left.
+    pub fn is_ample(&self) -> bool {
+        let shelf = self.0.borrow();
+        shelf.out < shelf.most / 2
+    }
     fn take(&self) -> Buffer {
         let mut shelf = self.0.borrow_mut();
         shelf.out += 1;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -10,7 +10,7 @@
 use tidescale::decide::Balancer;
 use tidescale::front::{Repeat, Route};
 
-use crate::buffers::{Chain, Fill, SIZE};
+use crate::buffers::{Chain, Fill, Pool, SIZE};
 use crate::link::{Ground, Link, Part};
 use crate::pg::{self, Malformed, Opening};
 use crate::slots::Slots;
@@ -33,8 +33,10 @@
 const TAKEN: usize = 16;
 /// What is read while a req is open, and the answers that may wait for a client that asks on and on.
 const AHEAD: usize = SIZE;
+/// The same while buffers are ample: only what has been read is known to have come, and time runs for it.
+const FAR_AHEAD: usize = 16 * SIZE;
 /// So many times are kept of what is read ahead.
-const MARKS: usize = 64;
+const MARKS: usize = 256;
 
 /// What a connection owes; in the order in which connections make room for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -157,10 +159,11 @@
     }
 
     /// How much has to be held to look at the next message; of what follows an open req only the beginning.
-    fn wants(&self) -> usize {
+    fn wants(&self, pool: &Pool) -> usize {
         let head = || pg::head(&self.link.input, pg::from_client).ok().flatten();
         let next = if self.admitted && self.takes() { head() } else { None };
-        next.map_or(AHEAD, |(_, len)| len.max(AHEAD))
+        let ahead = if self.admitted && pool.is_ample() { FAR_AHEAD } else { AHEAD };
+        next.map_or(ahead, |(_, len)| len.max(ahead))
     }
 }
 
@@ -342,7 +345,7 @@
                 }
                 break;
             }
-            let (most, held) = (c.wants(), c.link.input.len());
+            let (most, held) = (c.wants(&ground.clients_pool), c.link.input.len());
             let read = c.link.read(most);
             c.came.read(c.link.input.len() - held, ground.now);
             // An end can stand behind more than is read ahead.
