An asked list is waited for and not asked for again; streams come back apart

Logs of 300 fronts: 3398 watches ended with status 503, 1739 'silent', every front asking again at 2.0 s sharp, in step with all others. Cause: Stream::open gave an answer 1 s though calls wait in turn at one service, Standing opened each watch anew every 3 s as if discovery were free, and pauses had no chance in them: harmless in one front, an overload that feeds itself in 300. A list that is asked for is now waited for 4 s, opened anew only when it was silent for 3.5 s, and pauses of all streams last once to twice their length, by the told seed. Red before: both new tests in loopback/list.rs (they need the new constructor).

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,12 +8,15 @@
 use tidescale::front::Standing;
 
 use crate::link::{Ground, Part};
-use crate::stream::Standing as Streams;
+use crate::stream::{Pace, Standing as Streams};
 use crate::upstream::Upstream;
 
 const MS: u64 = 1000;
 /// Three of the empty lines that come while nothing changes.
 const SILENCE: u64 = 6000 * MS;
+/// One service for all fronts takes few calls a second, and lets them wait in turn: whoever gives up early has had the
+/// work done in vain, and asks for it again. What it misses counts as told 6 s after a watch has fallen silent.
+const ASKED: Pace = Pace { silence: 3500 * MS, opening: 4000 * MS, afresh: None };
 /// What discovery has to tell arrives within this, by whichever way.
 const SETTLED: u64 = 6000 * MS;
 const LONGEST_LIST: usize = 4 * 1024 * 1024;
@@ -80,8 +83,10 @@
 }
 
 impl Discovery {
-    pub fn new(addr: SocketAddr) -> Discovery {
-        let streams = Streams::new(Part::Watch, addr, SILENCE);
+    /// `ask`: the list has to be asked for, of one service for all fronts.
+    pub fn new(addr: SocketAddr, ask: bool, seed: u64) -> Discovery {
+        let pace = if ask { ASKED } else { Pace::near(SILENCE) };
+        let streams = Streams::new(Part::Watch, addr, pace, seed);
         Discovery { streams, version: 0, heard: 0, newer: 0 }
     }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -331,8 +331,8 @@
             Clients::new(&ground, listener, routes, for_clients).map_err(|e| failed("listener", &e))?;
         let node = RefCell::new(Node {
             upstream: Upstream::new(config.links.clone(), for_machines),
-            discovery: Discovery::new(config.discovery),
-            bulletin: Bulletin::new(config.platform),
+            discovery: Discovery::new(config.discovery, config.settings.ask_list, config.seed),
+            bulletin: Bulletin::new(config.platform, config.seed),
             votes: Votes::new(config.platform, config.settings.vote_wait),
             longest: config.links.longest_timeout,
             config: path,
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -10,7 +10,7 @@
 use crate::buffers::Fill;
 use crate::http;
 use crate::link::{Ground, Link, Part};
-use crate::stream::Standing;
+use crate::stream::{Pace, Standing};
 
 const MS: u64 = 1000;
 const BULLETIN: &str = "/bulletin";
@@ -128,8 +128,8 @@
 }
 
 impl Bulletin {
-    pub fn new(addr: SocketAddr) -> Bulletin {
-        Bulletin { streams: Standing::new(Part::Bulletin, addr, SILENCE) }
+    pub fn new(addr: SocketAddr, seed: u64) -> Bulletin {
+        Bulletin { streams: Standing::new(Part::Bulletin, addr, Pace::near(SILENCE), seed) }
     }
 
     pub fn open(&mut self, ground: &mut Ground) {
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use calloop::Readiness;
+use oorandom::Rand32;
 use slog::info;
 
 use crate::buffers::Fill;
@@ -23,11 +24,30 @@
 const ANEW: u64 = u64::MAX;
 const READ_AHEAD: usize = 256 * 1024;
 
+/// How long a stream is waited for, in microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Longer than any pause between signs of life.
+    pub silence: u64,
+    /// An answer that begins takes no longer.
+    pub opening: u64,
+    /// So often a standing stream is opened anew; never where each call costs the far side what all fronts share.
+    pub afresh: Option<u64>,
+}
+
+impl Pace {
+    /// Of a far side that is on this front's own machine, or answers at once.
+    pub fn near(silence: u64) -> Pace {
+        Pace { silence, opening: OPENING, afresh: Some(AFRESH) }
+    }
+}
+
 pub struct Stream {
     owner: Owner,
     addr: SocketAddr,
-    /// Longer than any pause between signs of life.
-    silence: u64,
+    pace: Pace,
+    /// Fronts whose streams ended together must not come back together, or they would all be turned away again.
+    chance: Rand32,
     link: Option<Link>,
     answer: http::Answer,
     pause: u64,
@@ -38,9 +58,10 @@
 }
 
 impl Stream {
-    pub fn new(owner: Owner, addr: SocketAddr, silence: u64) -> Stream {
+    pub fn new(owner: Owner, addr: SocketAddr, pace: Pace, seed: u64) -> Stream {
         let (answer, pause, held) = (http::Answer::default(), FIRST_PAUSE, String::new());
-        Stream { owner, addr, silence, link: None, answer, pause, told: false, held }
+        let chance = Rand32::new(seed ^ (owner.0 as u64) << 32 ^ owner.1);
+        Stream { owner, addr, pace, chance, link: None, answer, pause, told: false, held }
     }
 
     pub fn open(&mut self, path: &str, ground: &mut Ground) {
@@ -50,16 +71,17 @@
             Ok(mut link) => {
                 http::get(&mut link.output, &self.addr.to_string(), path);
                 self.link = Some(link);
-                ground.deadlines.set(self.owner, ground.now + self.silence.min(OPENING));
+                ground.deadlines.set(self.owner, ground.now + self.pace.silence.min(self.pace.opening));
             }
             Err(e) => self.broken(&e.to_string(), ground),
         }
     }
 
     fn broken(&mut self, why: &str, ground: &mut Ground) {
-        info!(ground.log, "stream ended"; "part" => ?self.owner.0, "why" => why, "again_ms" => self.pause / MS);
+        let pause = (self.pause as f64 * f64::from(1.0 + self.chance.rand_float())) as u64;
+        info!(ground.log, "stream ended"; "part" => ?self.owner.0, "why" => why, "again_ms" => pause / MS);
         self.link = None;
-        ground.deadlines.set(self.owner, ground.now + self.pause);
+        ground.deadlines.set(self.owner, ground.now + pause);
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
@@ -110,7 +132,7 @@
         }
         if heard {
             let whole = self.held.is_empty() && self.answer.is_between();
-            ground.deadlines.set(self.owner, ground.now + if whole { self.silence } else { PART });
+            ground.deadlines.set(self.owner, ground.now + if whole { self.pace.silence } else { PART });
         }
         match (fault, flushed, read) {
             (Err(why), ..) => self.broken(&why, ground),
@@ -126,17 +148,24 @@
 /// goes on until the new one tells something, or what is told in between would be missed.
 pub struct Standing {
     now: Stream,
+    seed: u64,
     earlier: Option<Stream>,
 }
 
 impl Standing {
-    pub fn new(part: Part, addr: SocketAddr, silence: u64) -> Standing {
-        Standing { now: Stream::new((part, 0), addr, silence), earlier: None }
+    pub fn new(part: Part, addr: SocketAddr, pace: Pace, seed: u64) -> Standing {
+        Standing { now: Stream::new((part, 0), addr, pace, seed), seed, earlier: None }
     }
 
     pub fn open(&mut self, path: &str, ground: &mut Ground) {
         self.now.open(path, ground);
-        ground.deadlines.set((self.now.owner.0, ANEW), ground.now + AFRESH);
+        self.anew(ground);
+    }
+
+    fn anew(&self, ground: &mut Ground) {
+        if let Some(afresh) = self.now.pace.afresh {
+            ground.deadlines.set((self.now.owner.0, ANEW), ground.now + afresh);
+        }
     }
 
     /// Whether the address is another one.
@@ -151,7 +180,7 @@
 
     fn replace(&mut self, addr: SocketAddr, ground: &mut Ground) {
         let (part, made) = self.now.owner;
-        let next = Stream::new((part, made + 1), addr, self.now.silence);
+        let next = Stream::new((part, made + 1), addr, self.now.pace, self.seed);
         let left = std::mem::replace(&mut self.now, next);
         if left.told || self.earlier.is_none() {
             self.leave(ground);
@@ -185,7 +214,7 @@
         if self.now.link.is_some() && self.now.answer.has_begun() {
             self.now.broken("nothing told", ground);
         }
-        ground.deadlines.set((self.now.owner.0, ANEW), ground.now + AFRESH);
+        self.anew(ground);
         false
     }
 
--- a/crates/node/tests/loopback/list.rs
+++ b/crates/node/tests/loopback/list.rs
@@ -12,7 +12,7 @@
 use tidescale_node::deadlines::Deadlines;
 use tidescale_node::discovery::Discovery;
 use tidescale_node::link::{Ground, Part, Ready};
-use tidescale_node::stream::{self, Stream};
+use tidescale_node::stream::{self, Pace, Stream};
 use tidescale_node::upstream::Upstream;
 
 use crate::common::*;
@@ -37,7 +37,7 @@
         let mut events = calloop::EventLoop::try_new().unwrap();
         let mut ground = ground(&events);
         let (begun, mut ready) = (Instant::now(), Ready::default());
-        let mut stream = Stream::new((Part::Watch, 0), addr, 50_000);
+        let mut stream = Stream::new((Part::Watch, 0), addr, Pace::near(50_000), 7);
         stream.open("/there", &mut ground);
         while asked.lock().unwrap().len() < 3 {
             assert!(begun.elapsed() < PATIENCE, "{head}");
@@ -94,7 +94,7 @@
     let mut events = calloop::EventLoop::try_new().unwrap();
     let mut ground = ground(&events);
     let (begun, mut ready, mut lines) = (Instant::now(), Ready::default(), Vec::new());
-    let mut streams = stream::Standing::new(Part::Watch, old, 60_000);
+    let mut streams = stream::Standing::new(Part::Watch, old, Pace::near(60_000), 7);
     streams.open("/there", &mut ground);
     let mut left = None;
     while !lines.contains(&"new".to_string()) {
@@ -214,12 +214,12 @@
 }
 
 impl Watching {
-    fn at(addr: SocketAddr) -> Watching {
+    fn at(addr: SocketAddr, ask: bool) -> Watching {
         let config = config::read(&told(&[], 128)).ok().unwrap();
         let events = calloop::EventLoop::try_new().unwrap();
         let mut ground = ground(&events);
         ground.now = 1_000_000;
-        let mut discovery = Discovery::new(addr);
+        let mut discovery = Discovery::new(addr, ask, 7);
         discovery.open(&mut ground);
         let upstream = Upstream::new(config.links.clone(), 8);
         let module = Balancer::new(config.settings.clone(), 1, 0);
@@ -263,7 +263,7 @@
         list(version, full, &[entry("s-0", "127.0.0.1:1".parse().unwrap(), state, 0, 41)]) + "\n"
     };
     let [first, second] = [(); 2].map(|()| Gate::new());
-    let mut w = Watching::at(first.addr());
+    let mut w = Watching::at(first.addr(), false);
     w.turn();
     let mut earlier = first.accept();
     earlier.stream();
@@ -296,7 +296,7 @@
 #[test]
 fn a_watch_that_opens_and_tells_nothing_at_all_is_opened_anew_within_four_seconds() {
     let gate = Gate::new();
-    let mut w = Watching::at(gate.addr());
+    let mut w = Watching::at(gate.addr(), false);
     w.turn();
     let mut silent = gate.accept();
     silent.stream();
@@ -316,7 +316,7 @@
         list(version, true, &[entry("s-0", "127.0.0.1:1".parse().unwrap(), state, 0, 41)]) + "\n"
     };
     let [first, never, last] = [(); 3].map(|()| Gate::new());
-    let mut w = Watching::at(first.addr());
+    let mut w = Watching::at(first.addr(), false);
     w.turn();
     let mut earlier = first.accept();
     earlier.stream();
@@ -341,3 +341,57 @@
     later.chunk(&line(48, "active"));
     w.until(48, Standing::Ready);
 }
+
+#[test]
+fn a_list_that_is_asked_for_is_waited_for_and_not_asked_for_again_without_cause() {
+    let gate = Gate::new();
+    let mut w = Watching::at(gate.addr(), true);
+    w.turn();
+    let mut watch = gate.accept();
+    let line = list(44, true, &[entry("s-0", "127.0.0.1:1".parse().unwrap(), "active", 0, 41)]) + "\n";
+    // Its turn comes late, and then it stands for as long as it shows life.
+    w.ground.now += 3_000_000;
+    (0..5).for_each(|_| w.turn());
+    assert!(gate.try_accept().is_none(), "given up while it waits for its turn");
+    watch.stream();
+    watch.chunk(&line);
+    w.until(44, Standing::Ready);
+    for _ in 0..6 {
+        w.ground.now += 2_000_000;
+        watch.chunk("\n");
+        let heard = w.ground.now;
+        while w.discovery.heard().1 != heard {
+            w.turn();
+        }
+    }
+    assert!(gate.try_accept().is_none(), "asked for again without cause");
+    // Silent for longer than between two signs of life: within the six seconds that silence is allowed.
+    let begun = w.ground.now;
+    w.opened(&gate);
+    assert!((2_500_000..5_000_000).contains(&(w.ground.now - begun)), "{}", w.ground.now - begun);
+}
+
+#[test]
+fn fronts_whose_streams_end_together_come_back_apart() {
+    // Told how long each of ten pauses lasts: no two fronts come back together at each try.
+    let comes_back = |seed: u64| {
+        let gate = Gate::new();
+        let events: calloop::EventLoop<'static, Ready> = calloop::EventLoop::try_new().unwrap();
+        let mut ground = ground(&events);
+        let mut stream = Stream::new((Part::Watch, 0), gate.addr(), Pace::near(60_000), seed);
+        let mut times = Vec::new();
+        for _ in 0..10 {
+            stream.open("/there", &mut ground);
+            // Nothing comes: it ends for silence, and then its pause runs.
+            ground.now = ground.deadlines.next().unwrap();
+            assert!(ground.deadlines.due(ground.now).is_some() && !stream.due(&mut ground));
+            ground.now = ground.deadlines.next().unwrap();
+            assert!(ground.deadlines.due(ground.now).is_some() && stream.due(&mut ground));
+            times.push(ground.now);
+        }
+        times
+    };
+    let [one, other] = [1, 2].map(comes_back);
+    assert!(one.iter().zip(&other).all(|(a, b)| a.abs_diff(*b) > 1000), "{one:?} {other:?}");
+    assert_eq!(one, comes_back(1));
+}
