Where keys go one way, hold a key to the build that is being asked for it

Cause: pick() knew of a key's build only once its answer had been read; a second req of the key, chosen in between or written late to a connection that came up after, went to an earlier build. floor() now also counts tries of the key that are out, and may_begin() asks it again. Red before: tests/rules.rs a_key_that_a_later_build_is_being_asked_for_goes_to_no_earlier_one (it calls may_begin; with floor() as it was, 'try 2 m1' goes out beside 'try 1 m2').

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -535,7 +535,7 @@
         let Some(t) = rq.tries.get(n).filter(|t| t.out && !rq.over && now < rq.due) else { return false };
         let (m, build, sent, route) = (&self.machines[t.machine], t.build, t.sent, rq.route);
         let same = m.standing == Standing::Ready && (m.build, m.started) == (build, t.started);
-        if !same || !self.may_repeat(rq, m, Some(n)) {
+        if !same || build < self.floor(rq) || !self.may_repeat(rq, m, Some(n)) {
             return false;
         }
         // Rule 5 counts a try from when it is written.
@@ -593,14 +593,21 @@
         self.arrivals.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND) / ready as f64
     }
 
+    /// Where keys go one way only: the build that has answered this req's key, or is being asked for it and may have
+    /// answered before this front hears of it. Nothing of the key goes to an earlier one.
+    fn floor(&self, rq: &Req) -> u32 {
+        let ends = |n: News| matches!(n.phase, Phase::GoingBack | Phase::Withdrawn);
+        let (Some(key), false) = (&rq.key, !self.set.one_way || self.news.is_none_or(ends)) else { return 0 };
+        let same = self.reqs.values().filter(|other| other.key.as_ref() == Some(key));
+        let asked = same.flat_map(|other| &other.tries).filter(|t| t.out).map(|t| t.build).max();
+        self.keys.get(key).copied().max(asked).unwrap_or(0)
+    }
+
     fn pick(&mut self, id: u64) -> Option<usize> {
         let (mut sides, mut allowed) = ([Vec::new(), Vec::new()], BTreeMap::new());
         let (now, rq) = (self.now, &self.reqs[&id]);
         let (route, work, left) = (rq.route, rq.work, 0.6 * rq.objective.saturating_sub(now) as f64);
-        // A key that the build on trial has answered goes no lower where keys go one way only.
-        let held = self.set.one_way
-            && self.news.is_some_and(|n| !matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
-        let floor = rq.key.as_ref().filter(|_| held).and_then(|k| self.keys.get(k)).copied().unwrap_or(0);
+        let floor = self.floor(rq);
         // Where all are set aside, one req at a time tries each as a probe would: the fault may be the front's own,
         // or lie with the probes.
         let deserted = self.deserted();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -587,3 +587,48 @@
         assert_eq!((b.now - begun) / MS, left.min(500), "{left}");
     }
 }
+
+#[test]
+fn a_key_that_a_later_build_is_being_asked_for_goes_to_no_earlier_one() {
+    let set = || Settings { one_way: true, probes: false, ..settings() };
+    let ask = |to: &mut Balancer, id, key| to.req(id, 0, Some(key), 900 * MS, 1.0);
+    // The later build's machine holds one req of the key; the earlier one's comes in then.
+    let asked = || {
+        let mut b = Bench::new(set());
+        let got = b.round(0, |to| {
+            warm(to, "m2", "z1", 2);
+            to.news(2, 1, Phase::Trial, 1.0, 0);
+            ask(to, 1, "a");
+        });
+        assert_eq!(got, ["try 1 m2"]);
+        b.round(0, |to| {
+            to.machine("m2", ("z1", 0, "k"), 2, Standing::Draining, 0);
+            warm(to, "m1", "z1", 1);
+        });
+        b
+    };
+    let mut b = asked();
+    let got = b.round(MS, |to| [(2, "a"), (3, "b")].into_iter().for_each(|(id, key)| ask(to, id, key)));
+    assert_eq!(got, ["try 3 m1"]);
+    // It did not answer: the key is free again.
+    let got = b.round(MS, |to| to.outcome(1, 0, End::Full, 2 * MS, true, None));
+    assert_eq!(got, ["try 2 m1"]);
+    // It did: not even where the build is withdrawn is that forgotten before it is told.
+    let mut b = asked();
+    b.round(MS, |to| ask(to, 2, "a"));
+    let got = b.round(MS, |to| to.outcome(1, 0, End::Done, 2 * MS, true, None));
+    assert!(got.is_empty(), "{got:?}");
+    assert_eq!(b.round(MS, |to| to.news(2, 1, Phase::GoingBack, 0.0, 0)), ["try 2 m1"]);
+    // Chosen for the earlier build first, written after the later one has answered.
+    let mut b = Bench::new(set());
+    let got = b.round(0, |to| {
+        warm(to, "m1", "z1", 1);
+        to.news(2, 1, Phase::Trial, 1.0, 0);
+        ask(to, 1, "a");
+    });
+    assert_eq!(got, ["try 1 m1"]);
+    b.module.keys.insert("a".into(), 2);
+    let mut may = None;
+    b.round(MS, |to| may = Some(to.may_begin(1, 0)));
+    assert_eq!(may, Some(false));
+}
