A late answer of an earlier build gives no key back; a lost one may have been given

Cause: outcome() overwrote a key's build with that of whichever answer came last, so that one of the earlier build, sent before, freed the key again; and it took a try whose answer was lost (reset, time-out, spoilt, cancelled) for one that gave none. The later build stays; only what never ran or was answered with an error gives none. Red before: 'Done true', try 3 m1.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -167,12 +167,16 @@
         let Some(rq) = self.reqs.get_mut(&id) else { return };
         let Some(t) = rq.tries.get_mut(n).filter(|t| t.out) else { return };
         t.ran &= !matches!(end, End::Full | End::Refused | End::NotSent);
-        let Try { machine: i, build, warm, counted, .. } = *t;
+        let Try { machine: i, build, warm, counted, ran: t_ran, .. } = *t;
         (t.out, t.counted, rq.over) = (false, true, rq.over | over);
         let (route, work) = (rq.route, rq.work);
         rq.suspect = Some(i).filter(|_| end == End::Reset && self.set.probes);
-        if let Some(key) = rq.key.clone().filter(|_| end == End::Done && self.set.one_way) {
-            self.keys.insert(key, build);
+        // Also where the answer was lost on its way: the machine may have given it. A late one of an earlier build
+        // takes nothing back.
+        let answered = t_ran && !matches!(end, End::Error | End::Unfit);
+        if let Some(key) = rq.key.clone().filter(|_| answered && self.set.one_way) {
+            let held = self.keys.entry(key).or_default();
+            *held = build.max(*held);
         }
         if !counted {
             self.judge(id, n, end, took);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -632,3 +632,47 @@
     b.round(MS, |to| may = Some(to.may_begin(1, 0)));
     assert_eq!(may, Some(false));
 }
+
+#[test]
+fn a_key_that_a_later_build_may_have_answered_stays_with_it() {
+    // How the later build's try ended, and whether an earlier build's answer of the key comes after it.
+    let table = [
+        (End::Done, false, 0),
+        (End::Done, true, 0),
+        (End::Reset, false, 0),
+        (End::TimedOut, false, 0),
+        (End::Spoilt, false, 0),
+        (End::Cancelled, false, 0),
+        (End::Error, false, 1),
+        (End::Refused, false, 1),
+    ];
+    for (end, earlier, wanted) in table {
+        let mut b = Bench::new(Settings { one_way: true, probes: false, ..settings() });
+        let ask = |to: &mut Balancer, id| to.req(id, 0, Some("a"), 900 * MS, 1.0);
+        let got = b.round(0, |to| {
+            warm(to, "m1", "z1", 1);
+            to.news(2, 1, Phase::Trial, 1.0, 0);
+            ask(to, 1);
+        });
+        assert_eq!(got, ["try 1 m1"]);
+        let got = b.round(MS, |to| {
+            to.machine("m1", ("z1", 0, "k"), 1, Standing::Draining, 0);
+            warm(to, "m2", "z1", 2);
+            ask(to, 2);
+        });
+        assert_eq!(got, ["try 2 m2"]);
+        b.round(MS, |to| {
+            to.machine("m2", ("z1", 0, "k"), 2, Standing::Draining, 0);
+            to.outcome(2, 0, end, MS, true, None);
+            to.withdrawn(2);
+        });
+        if earlier {
+            b.round(MS, |to| to.outcome(1, 0, End::Done, 3 * MS, true, None));
+        }
+        let got = b.round(MS, |to| {
+            warm(to, "m1", "z1", 1);
+            ask(to, 3);
+        });
+        assert_eq!(count(&got, "try 3 m1"), wanted, "{end:?} {earlier}: {got:?}");
+    }
+}
