--- a/src/decide.rs
+++ b/src/decide.rs
@@ -532,8 +532,9 @@
         }
     }
 
-    /// The rules once more, for a try whose connection had to be made first and only now takes the query: what
-    /// was told and what has passed since it was chosen binds it too. One that may not go now has never run.
+    /// The rules once more, for a try whose connection had to be made first and only now takes the query:
+    /// what was told and what has passed since it was chosen binds it too. One that may not go now has never
+    /// run.
     pub fn may_begin(&mut self, id: u64, n: usize) -> bool {
         let (now, Some(rq)) = (self.now, self.reqs.get(&id)) else { return false };
         let Some(t) = rq.tries.get(n).filter(|t| t.out && !rq.over && now < rq.due) else { return false };
@@ -597,8 +598,8 @@
         self.arrivals.read(now, RATE_FADE)[0] / self.spell(RATE_FADE, SECOND) / ready as f64
     }
 
-    /// Where keys go one way only: the build that has answered this req's key, or is being asked for it and may
-    /// have answered before this front hears of it. Nothing of the key goes to an earlier one.
+    /// Where keys go one way only: the build that has answered this req's key, or is being asked for it and
+    /// may have answered before this front hears of it. Nothing of the key goes to an earlier one.
     fn floor(&self, rq: &Req) -> u32 {
         let ends = |n: News| matches!(n.phase, Phase::GoingBack | Phase::Withdrawn);
         let (Some(key), false) = (&rq.key, !self.set.one_way || self.news.is_none_or(ends)) else { return 0 };
@@ -612,8 +613,8 @@
         let (now, rq) = (self.now, &self.reqs[&id]);
         let (route, work, left) = (rq.route, rq.work, 0.6 * rq.objective.saturating_sub(now) as f64);
         let floor = self.floor(rq);
-        // Where all are set aside, one req at a time tries each as a probe would: the fault may be the front's
-        // own, or lie with the probes.
+        // Where all are set aside, one req at a time tries each as a probe would: the fault may be the
+        // front's own, or lie with the probes.
         let deserted = self.deserted();
         let last = |m: &Machine| deserted && m.held < 1.0 && now >= m.risked + SECOND;
         let fits = |m: &Machine| {
