--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,10 @@
 PROXY_CONFIG ?= crates/node/tests/config.json
 run: build
 	PROXY_CONFIG=$(PROXY_CONFIG) exec target/release/tidescale
+
+# The variants in deploy/sites are played with the operators' bench, which wants the kit's files beside them.
+KIT ?= ../given/kit
+.PHONY: sites
+sites:
+	cp $(KIT)/sites/real.json $(KIT)/sites/wire.json deploy/sites/
+	cp unlock.txt deploy/sites/unlock.txt
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients' connections and the reqs that came over them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::ops::Range;
@@ -33,6 +33,8 @@
 const TAKEN: usize = 16;
 /// What is read while a req is open, and the answers that may wait for a client that asks on and on.
 const AHEAD: usize = SIZE;
+/// So many times are kept of what is read ahead.
+const MARKS: usize = 64;
 
 /// What a connection owes; in the order in which connections make room for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,13 +81,56 @@
     dropped: usize,
     /// It came after SIGTERM.
     late: bool,
+    came: Arrivals,
+}
+
+/// When the bytes of a connection came: a req's time runs from its last byte, also while it waits behind another.
+#[derive(Default)]
+struct Arrivals {
+    /// Bytes read up to then, and when; in order.
+    marks: VecDeque<(u64, u64)>,
+    read: u64,
+    taken: u64,
+}
+
+impl Arrivals {
+    fn read(&mut self, n: usize, now: u64) {
+        self.read += n as u64;
+        let full = self.marks.len() >= MARKS;
+        match self.marks.back_mut() {
+            _ if n == 0 => {}
+            // What comes byte by byte is taken to have come earlier, never later.
+            Some(last) if full || last.1 == now => last.0 = self.read,
+            _ => self.marks.push_back((self.read, now)),
+        }
+    }
+
+    /// When the last of the next `n` bytes came; these are taken.
+    fn take(&mut self, n: usize, now: u64) -> u64 {
+        self.taken += n as u64;
+        while self.marks.front().is_some_and(|(read, _)| *read < self.taken) {
+            self.marks.pop_front();
+        }
+        self.marks.front().map_or(now, |(_, at)| *at)
+    }
 }
 
 impl Client {
     fn over(link: Link, now: u64, late: bool) -> Client {
         let stage = (Stage::Opening, now);
         let (admitted, asked, busy, declined) = (false, false, None, false);
-        Client { link, stage, admitted, asked, busy, declined, leaving: false, dropped: 0, late }
+        Client {
+            link,
+            stage,
+            admitted,
+            asked,
+            busy,
+            declined,
+            leaving: false,
+            dropped: 0,
+            late,
+            came: Arrivals::default(),
+        }
     }
 
     fn now_at(&self) -> Stage {
@@ -297,8 +342,9 @@
                 }
                 break;
             }
-            let most = c.wants();
+            let (most, held) = (c.wants(), c.link.input.len());
             let read = c.link.read(most);
+            c.came.read(c.link.input.len() - held, ground.now);
             // An end can stand behind more than is read ahead.
             if matches!(read, Ok(Fill::Enough)) && c.link.has_hung_up() {
                 return self.close(key, ground, to);
@@ -459,6 +505,7 @@
                 body.clear();
                 input.copy(8..len, &mut body);
                 input.skip(len);
+                c.came.take(len, ground.now);
                 match opening {
                     Opening::Startup if !pg::names_user(&body)? => return Err(Malformed("no user")),
                     Opening::Startup => pg::put_welcome(output),
@@ -473,6 +520,7 @@
             body.clear();
             input.copy(5..len, &mut body);
             input.skip(len);
+            let came = c.came.take(len, ground.now);
             match tag {
                 b'X' => c.leaving = true,
                 b'S' => {
@@ -489,14 +537,22 @@
                     pg::put_error(output, false, pg::UNSUPPORTED, "no function calls", "");
                     pg::put_ready(output);
                 }
-                b'Q' => self.query(key, &body, ground, to)?,
+                b'Q' => self.query(key, &body, came, ground, to)?,
                 _ => return Err(Malformed("an unknown kind of message")),
             }
         }
         Ok(())
     }
 
-    fn query(&mut self, key: u64, body: &[u8], ground: &Ground, to: &mut Balancer) -> Result<(), Malformed> {
+    /// `came`: when its last byte did.
+    fn query(
+        &mut self,
+        key: u64,
+        body: &[u8],
+        came: u64,
+        ground: &Ground,
+        to: &mut Balancer,
+    ) -> Result<(), Malformed> {
         let Some(c) = self.table.get_mut(key) else { return Ok(()) };
         let out = &mut c.link.output;
         let statement = pg::query(body)?;
@@ -534,7 +590,8 @@
         let rq = Req { client: Some(key), id, once, statement: text, wait_at, tries: Vec::new() };
         if let Some(Ok(id)) = self.reqs.insert(|_| Ok::<_, ()>(rq)) {
             c.busy = Some(id);
-            to.req(id, route, Some(asked.code), asked.wait_ms * MS, 0.0);
+            let left = (asked.wait_ms * MS).saturating_sub(ground.now - came);
+            to.req(id, route, Some(asked.code), left, 0.0);
         }
         Ok(())
     }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -313,7 +313,7 @@
 
         let listener = listen()?;
         let clock = Clock::new();
-        let buffers = config.memory_mb * 1024 * 1024 / BUFFER_PART / buffers::SIZE;
+        let buffers = config.memory_mb.saturating_mul(1024 * 1024) / BUFFER_PART / buffers::SIZE;
         let streams_pool = Pool::new(STREAMS_BUFFERS);
         let clients_pool = Pool::new((buffers / 2).max(1));
         let pool = Pool::new(buffers.saturating_sub(buffers / 2 + STREAMS_BUFFERS).max(1));
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -53,6 +53,10 @@
     pub fn has_begun(&self) -> bool {
         self.next != Next::Head
     }
+    /// Of a stream: nothing has come in part.
+    pub fn is_between(&self) -> bool {
+        self.body.is_empty() && !matches!(self.next, Next::Chunk(_) | Next::ChunkEnd)
+    }
     /// Told when the connection has ended: whether this answer is whole.
     pub fn ended(&self) -> bool {
         matches!(self.next, Next::Done | Next::ToTheEnd)
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -15,6 +15,8 @@
 const LONGEST_PAUSE: u64 = 2000 * MS;
 /// An answer that begins takes no longer.
 const OPENING: u64 = 1000 * MS;
+/// What has begun goes on at once, or has stopped short: the far side may show life, and tell the rest to nobody.
+const PART: u64 = 400 * MS;
 /// A stream may show life and tell nothing of what changes: one opened anew tells what was missed.
 const AFRESH: u64 = 3000 * MS;
 /// The deadline for that, beside those of streams.
@@ -84,12 +86,10 @@
     ) {
         let Some(link) = &mut self.link else { return };
         let flushed = link.flush();
-        let (mut read, mut fault) = (Ok(Fill::Enough), Ok(()));
+        let (mut read, mut fault, mut heard) = (Ok(Fill::Enough), Ok(()), false);
         while matches!(read, Ok(Fill::Enough)) && fault.is_ok() {
             read = link.read(READ_AHEAD);
-            if !link.input.is_empty() {
-                ground.deadlines.set(self.owner, ground.now + self.silence);
-            }
+            heard |= !link.input.is_empty();
             fault = self.answer.read(&mut link.input).map_err(|e| e.0.to_string());
         }
         if self.answer.has_begun() && self.answer.status != 200 {
@@ -108,6 +108,10 @@
             });
             fault = fault.and(lines.map_err(|e| e.0.to_string()));
         }
+        if heard {
+            let whole = self.held.is_empty() && self.answer.is_between();
+            ground.deadlines.set(self.owner, ground.now + if whole { self.silence } else { PART });
+        }
         match (fault, flushed, read) {
             (Err(why), ..) => self.broken(&why, ground),
             (_, Err(e), _) | (_, _, Err(e)) => self.broken(&e.to_string(), ground),
@@ -176,6 +180,11 @@
             self.replace(self.now.addr, ground);
             return true;
         }
+        // Open for so long and still nothing told, not even that nothing changes: it is as silent as one that has
+        // stopped, and what it misses counts as told before its silence would end it.
+        if self.now.link.is_some() && self.now.answer.has_begun() {
+            self.now.broken("nothing told", ground);
+        }
         ground.deadlines.set((self.now.owner.0, ANEW), ground.now + AFRESH);
         false
     }
--- a/crates/node/tests/loopback/clients.rs
+++ b/crates/node/tests/loopback/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: what they send and how they leave.
 
 use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -295,3 +296,31 @@
     // Its last bytes may be under way: refused, which is an answer.
     assert_eq!(begun[0].answer(), ("E.".into(), b"53300".to_vec()));
 }
+
+#[test]
+fn the_time_of_a_req_runs_while_it_waits_behind_another() {
+    let gate = Gate::new();
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (platform, _) = http(|_| String::new());
+    let front = start(&told_by(&[(gate.addr(), 41)], 128, silent, platform));
+    let mut client = Client::admitted(front.addr);
+    // Both at once; the first is held until the second's time is over.
+    client.send(&[query("look", 1, 1200), query("look", 2, 300)].concat());
+    let mut machine = gate.accept();
+    machine.startup();
+    machine.let_in();
+    assert!(machine.query().is_some_and(|q| q.contains("id=1")));
+    thread::sleep(Duration::from_millis(320));
+    machine.answer(1);
+    assert_eq!(client.answer(), ("TDCZ".into(), vec![1]));
+    // Given up at once; no machine hears of it.
+    assert_eq!(client.answer(), ("EZ".into(), b"53300".to_vec()));
+    client.send(&query("look", 3, 1200));
+    let asked = machine.query().or_else(|| {
+        let mut anew = gate.accept();
+        anew.startup();
+        anew.let_in();
+        anew.query()
+    });
+    assert!(asked.is_some_and(|q| q.contains("id=3")));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -90,8 +90,12 @@
     for i in 0..told.count("classes")? {
         longest_timeout = longest_timeout.max(told.time(&format!("classes.{i}.deadline"))?);
     }
+    let connect_within = told.time("policy_limits.connect_timeout")?;
+    if connect_within == 0 {
+        return Err("policy_limits.connect_timeout: zero: no connection could come up in time".into());
+    }
     Ok(Links {
-        connect_within: told.time("policy_limits.connect_timeout")?,
+        connect_within,
         idle_for: told.time("policy_limits.conn_idle")?,
         longest_timeout,
         load_on_demand: told.word("stats.how", &["piggyback", "pull", "silent"])? == 1,
