--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod standins;
 mod table;
 mod torture;
+mod trace;
 mod verdicts;
 
 use std::path::PathBuf;
@@ -72,6 +73,13 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// One digest over every decision of seeded trials, to compare two commits.
+    Trace {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 200)]
+        runs: u64,
+    },
     /// What `torture` starts and kills.
     #[command(hide = true)]
     Saver { folder: PathBuf },
@@ -85,6 +93,7 @@
         Command::Verdicts { seed, runs, fleet, word, out } => {
             verdicts::run(seed, runs, fleet, word, out.as_deref())
         }
+        Command::Trace { seed, runs } => trace::run(seed, runs),
         Command::Saver { folder } => torture::save(&folder),
     };
     match done {
--- a/crates/lab/tests/short.rs
+++ b/crates/lab/tests/short.rs
@@ -29,3 +29,13 @@
         assert!(last.contains(" trials, ") && last.ends_with("broken") == caught, "{last}");
     }
 }
+
+#[test]
+fn traces_of_a_seed_are_the_same_twice_and_tell_another_seed_apart() {
+    let trace = |seed: &str| lab(&["trace", "--runs", "16", "--seed", seed]);
+    let (first, second, other) = (trace("5"), trace("5"), trace("6"));
+    assert!(first.0 && first.1.starts_with("trace: seed 5, 16 trials, "), "{}", first.1);
+    assert_eq!(first, second);
+    let digest = |line: &str| line.trim().rsplit(' ').next().map(str::to_string);
+    assert_ne!(digest(&first.1), digest(&other.1));
+}
--- /dev/null
+++ b/crates/world/src/digest.rs
@@ -0,0 +1,28 @@
+//! A digest over a sequence of numbers, to compare two runs for equality.
+
+/// FNV-1a with 64 bits over the little-endian bytes of each number added. Not cryptographic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Digest(u64);
+
+impl Digest {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+    /// Adds one number behind those added before.
+    pub fn add(&mut self, number: u64) {
+        for byte in number.to_le_bytes() {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(Self::PRIME);
+        }
+    }
+
+    /// The digest of all numbers added so far.
+    pub fn value(self) -> u64 {
+        self.0
+    }
+}
+
+impl Default for Digest {
+    fn default() -> Self {
+        Digest(Self::OFFSET_BASIS)
+    }
+}
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -3,5 +3,6 @@
 //! seed with another truth of the build is a paired one.
 
 pub mod chance;
+pub mod digest;
 pub mod fleet;
 pub mod trial;
