--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
 # A front without machines, for a look at its log; PROXY_CONFIG names another configuration.
-PROXY_CONFIG ?= crates/node/tests/config.json
+PROXY_CONFIG ?= crates/proxy/tests/config.json
 run: build
 	PROXY_CONFIG=$(PROXY_CONFIG) exec target/release/tidescale
 
--- a/crates/lab/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -1,4 +1,4 @@
-//! `tidescale-lab`: experiments by sub-command. Each prints one summary line last and exits non-zero where a stated
+//! `tidescale-experiments`: experiments by sub-command. Each prints one summary line last and exits non-zero where a stated
 //! bound is broken; the same seed gives the same cases.
 
 mod disk;
@@ -16,7 +16,7 @@
 
 /// Experiments on tidescale.
 #[derive(Parser)]
-#[command(name = "tidescale-lab", version)]
+#[command(name = "tidescale-experiments", version)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
--- a/crates/lab/src/restart.rs
+++ b/crates/experiments/src/restart.rs
@@ -13,8 +13,8 @@
 use oorandom::Rand64;
 use rayon::prelude::*;
 use serde_json::json;
-use tidescale_memory::facts::{EvidenceFact, Fact, ListedFact, MachineFact, Process};
-use tidescale_memory::image::{self, Image};
+use tidescale_snapshot::format::{self, Image};
+use tidescale_snapshot::records::{EvidenceFact, Fact, ListedFact, MachineFact, Process};
 
 use crate::standins::{self, Answered, Machine, Manner, Platform};
 use crate::table::{self, Column};
@@ -322,10 +322,10 @@
         })
         .collect();
     let begun = Instant::now();
-    let bytes = image::encode(&Image { sequence: 1, written: seen, facts, unknown: 0 });
+    let bytes = format::encode(&Image { sequence: 1, written: seen, facts, unknown: 0 });
     let encode_ms = begun.elapsed().as_secs_f64() * 1e3;
     let begun = Instant::now();
-    image::decode(&bytes).map_err(fault)?;
+    format::decode(&bytes).map_err(fault)?;
     let decode_ms = begun.elapsed().as_secs_f64() * 1e3;
     let entries: Vec<_> =
         (0..machines).map(|n| entry(&format!("s-{n:08x}"), addr(n), 41, "active")).collect();
--- a/crates/lab/src/torture.rs
+++ b/crates/experiments/src/torture.rs
@@ -9,9 +9,9 @@
 
 use oorandom::Rand64;
 use rayon::prelude::*;
-use tidescale_memory::disk::{Disk, Folder, NoFolder};
-use tidescale_memory::model::state;
-use tidescale_memory::store::Store;
+use tidescale_snapshot::disk::{Disk, Folder, NoFolder};
+use tidescale_snapshot::simulated_disk::state;
+use tidescale_snapshot::store::Store;
 
 /// A kill comes this long after the first save of a process at the latest.
 const MOST_LIFE: u64 = 8_000;
--- a/crates/lab/src/trace.rs
+++ b/crates/experiments/src/trace.rs
@@ -1,10 +1,10 @@
 //! One digest over every decision of many seeded trials: two commits that decide alike print the same line.
 
 use rayon::prelude::*;
-use tidescale_world::chance::Chance;
-use tidescale_world::digest::Digest;
-use tidescale_world::fleet::{Confounder, Truth};
-use tidescale_world::trial::{Case, Heeds, Limits, Size, play};
+use tidescale_simulation::chance::Chance;
+use tidescale_simulation::digest::Digest;
+use tidescale_simulation::fleet::{Confounder, Truth};
+use tidescale_simulation::trial::{Case, Heeds, Limits, Size, play};
 
 /// One trial in so many is of the larger fleet.
 const GROWN_EVERY: u64 = 10;
--- a/crates/lab/src/verdicts.rs
+++ b/crates/experiments/src/verdicts.rs
@@ -7,9 +7,9 @@
 use clap::ValueEnum;
 use rayon::prelude::*;
 use statrs::distribution::{Beta, ContinuousCDF};
-use tidescale_world::chance::Chance;
-use tidescale_world::fleet::{Confounder, Truth};
-use tidescale_world::trial::{Case, Heeds, Limits, Outcome, Size, play};
+use tidescale_simulation::chance::Chance;
+use tidescale_simulation::fleet::{Confounder, Truth};
+use tidescale_simulation::trial::{Case, Heeds, Limits, Outcome, Size, play};
 
 use crate::table::{self, Column};
 
--- a/crates/lab/tests/short.rs
+++ b/crates/experiments/tests/short.rs
@@ -3,7 +3,7 @@
 use std::process::Command;
 
 fn lab(args: &[&str]) -> (bool, String) {
-    let done = Command::new(env!("CARGO_BIN_EXE_tidescale-lab")).args(args).output().unwrap();
+    let done = Command::new(env!("CARGO_BIN_EXE_tidescale-experiments")).args(args).output().unwrap();
     (done.status.success(), String::from_utf8(done.stdout).unwrap())
 }
 
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A balancer with a clock, fed by plain calls, and a record of what it wrote.
 
-use tidescale::decide::Balancer;
-use tidescale::front::*;
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::*;
 
 pub const MS: u64 = 1_000;
 
--- a/tests/judging.rs
+++ b/crates/policy/tests/judging.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{Bench, MS, count, settings, warm};
-use tidescale::decide::{Arm, bounds, score, variances};
-use tidescale::front::*;
+use tidescale_policy::decide::{Arm, bounds, score, variances};
+use tidescale_policy::front::*;
 
 #[test]
 fn wald_bounds_at_the_design_rates() {
--- a/tests/limits/mod.rs
+++ b/crates/policy/tests/limits/mod.rs
@@ -5,8 +5,8 @@
 
 use crate::common::{MS, settings};
 use oorandom::Rand64;
-use tidescale::decide::{Balancer, SWEEP};
-use tidescale::front::*;
+use tidescale_policy::decide::{Balancer, SWEEP};
+use tidescale_policy::front::*;
 
 const MACHINES: u64 = 9;
 const SPELL: u64 = 7 * MS;
--- a/tests/recall/mod.rs
+++ b/crates/policy/tests/recall/mod.rs
@@ -1,9 +1,9 @@
 //! A balancer that remembers against one that does not, across a restart.
 
 use crate::common::{Bench, MS, settings, warm};
-use tidescale::decide::Balancer;
-use tidescale::front::*;
-use tidescale::recall::{Known, Recorder};
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::*;
+use tidescale_policy::recall::{Known, Recorder};
 
 const SECOND: u64 = 1000 * MS;
 
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -5,8 +5,8 @@
 mod recall;
 
 use common::{Bench, MS, count, settings, warm};
-use tidescale::decide::Balancer;
-use tidescale::front::*;
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::*;
 
 #[test]
 fn a_try_that_may_have_run_is_repeated_only_as_its_route_allows() {
--- a/crates/node/src/commands.rs
+++ b/crates/proxy/src/cli.rs
@@ -7,12 +7,12 @@
 use clap::{Args, Parser, Subcommand};
 use comfy_table::{Table, presets};
 use serde_json::json;
-use tidescale_memory::ageing::{self, Listed};
-use tidescale_memory::disk::Folder;
-use tidescale_memory::image::{self, Image};
-use tidescale_memory::store;
+use tidescale_snapshot::disk::Folder;
+use tidescale_snapshot::expiry::{self, Listed};
+use tidescale_snapshot::format::{self, Image};
+use tidescale_snapshot::store;
 
-use crate::{explain, keep};
+use crate::{explain, snapshot_writer};
 
 /// A front tier that watches over software updates.
 #[derive(Parser)]
@@ -70,16 +70,19 @@
     }
     let file = std::fs::File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let mut bytes = Vec::new();
-    std::io::Read::read_to_end(&mut std::io::Read::take(file, (image::MOST_BYTES + 4096) as u64), &mut bytes)
-        .map_err(|e| format!("{}: {e}", path.display()))?;
-    Ok(match image::decode(&bytes) {
+    std::io::Read::read_to_end(
+        &mut std::io::Read::take(file, (format::MOST_BYTES + 4096) as u64),
+        &mut bytes,
+    )
+    .map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(match format::decode(&bytes) {
         Ok(image) => (Some(image), Vec::new()),
         Err(unfit) => (None, vec![format!("{}: {unfit}", path.display())]),
     })
 }
 
 fn age_text(seen: u64, now: u64) -> String {
-    match ageing::age(seen, now) {
+    match expiry::age(seen, now) {
         Some(age) => humantime::format_duration(Duration::from_secs(age / 1_000_000)).to_string(),
         None => "in the future".into(),
     }
@@ -91,9 +94,10 @@
     let Some(image) = image else {
         return Err(format!("{}: no whole state", path.display()));
     };
-    let (now, listed) = (now(), keep::processes(&image));
-    let weight =
-        |f| if keep::stands(f, &listed) == Some(Listed::Other) { 0.0 } else { ageing::weight(f, now) };
+    let (now, listed) = (now(), snapshot_writer::processes(&image));
+    let weight = |f| {
+        if snapshot_writer::stands(f, &listed) == Some(Listed::Other) { 0.0 } else { expiry::weight(f, now) }
+    };
     if as_json {
         let facts: Vec<_> = image.facts.iter().map(|f| json!({"fact": f, "weight": weight(f)})).collect();
         let all = json!({"sequence": image.sequence, "written": image.written,
--- a/crates/node/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -7,12 +7,12 @@
 use std::rc::Rc;
 
 use slog::{debug, info, warn};
-use tidescale::decide::Balancer;
-use tidescale::front::{Repeat, Route};
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::{Repeat, Route};
 
 use crate::buffers::{Chain, Fill, Pool, SIZE};
-use crate::link::{Ground, Link, Part};
-use crate::pg::{self, Malformed, Opening};
+use crate::connection::{Ground, Link, Part};
+use crate::postgres::{self, Malformed, Opening};
 use crate::slots::Slots;
 
 const MS: u64 = 1000;
@@ -155,12 +155,13 @@
 
     /// There may be another message to look at.
     fn has_next(&self) -> bool {
-        self.link.has_more() || self.admitted && pg::message(&self.link.input, pg::from_client) != Ok(None)
+        self.link.has_more()
+            || self.admitted && postgres::message(&self.link.input, postgres::from_client) != Ok(None)
     }
 
     /// How much has to be held to look at the next message; of what follows an open req only the beginning.
     fn wants(&self, pool: &Pool) -> usize {
-        let head = || pg::head(&self.link.input, pg::from_client).ok().flatten();
+        let head = || postgres::head(&self.link.input, postgres::from_client).ok().flatten();
         let next = if self.admitted && self.takes() { head() } else { None };
         let ahead = if self.admitted && pool.is_ample() { FAR_AHEAD } else { AHEAD };
         next.map_or(ahead, |(_, len)| len.max(ahead))
@@ -303,7 +304,7 @@
                 debug!(ground.log, "an idle client makes room");
                 if stage == Stage::Begun {
                     // Of what it asks nothing has run.
-                    self.turn_out(key, pg::SHED, "too many connections");
+                    self.turn_out(key, postgres::SHED, "too many connections");
                     let _ = self.table.get_mut(key).map(|c| c.link.flush());
                 }
                 self.close(key, ground, to);
@@ -362,7 +363,7 @@
             }
             if let Err(Malformed(why)) = self.messages(key, ground, to) {
                 info!(ground.log, "client sent what can't be read"; "why" => why);
-                self.turn_out(key, pg::PROTOCOL, why);
+                self.turn_out(key, postgres::PROTOCOL, why);
             }
             let Some(c) = self.table.get_mut(key) else { return };
             if !(c.takes() && c.link.has_more()) || matches!(read, Ok(Fill::Starved)) {
@@ -379,7 +380,7 @@
         if let Some((.., key)) = begun.find(|(.., key)| *key != wanted_by).copied() {
             info!(ground.log, "buffers are short, an unfinished message gives way");
             // The rest of it may stand unread: it is owed an answer, and has not run.
-            self.turn_out(key, pg::SHED, "too many unfinished messages");
+            self.turn_out(key, postgres::SHED, "too many unfinished messages");
             self.finish(key, ground, to);
         }
     }
@@ -387,7 +388,7 @@
     /// Tells a client its fault; the connection ends once that is read.
     fn turn_out(&mut self, key: u64, code: &str, why: &str) {
         let Some(c) = self.table.get_mut(key) else { return };
-        pg::put_error(&mut c.link.output, true, code, why, "");
+        postgres::put_error(&mut c.link.output, true, code, why, "");
         c.link.input.skip(c.link.input.len());
         c.leaving = true;
     }
@@ -476,7 +477,7 @@
             return self.close(key, ground, to);
         }
         info!(ground.log, "client did not finish a message in time");
-        self.turn_out(key, pg::PROTOCOL, "a message without its end");
+        self.turn_out(key, postgres::PROTOCOL, "a message without its end");
         self.finish(key, ground, to);
     }
 
@@ -504,21 +505,21 @@
         while let Some(c) = self.table.get_mut(key).filter(|c| c.takes()) {
             let Link { input, output, .. } = &mut c.link;
             if !c.admitted {
-                let Some((opening, len)) = pg::opening(input)? else { return Ok(()) };
+                let Some((opening, len)) = postgres::opening(input)? else { return Ok(()) };
                 body.clear();
                 input.copy(8..len, &mut body);
                 input.skip(len);
                 c.came.take(len, ground.now);
                 match opening {
-                    Opening::Startup if !pg::names_user(&body)? => return Err(Malformed("no user")),
-                    Opening::Startup => pg::put_welcome(output),
+                    Opening::Startup if !postgres::names_user(&body)? => return Err(Malformed("no user")),
+                    Opening::Startup => postgres::put_welcome(output),
                     Opening::Encryption => output.push(b"N"),
                     Opening::Cancel => c.leaving = true,
                 }
                 c.admitted = opening == Opening::Startup;
                 continue;
             }
-            let Some((tag, len)) = pg::message(input, pg::from_client)? else { return Ok(()) };
+            let Some((tag, len)) = postgres::message(input, postgres::from_client)? else { return Ok(()) };
             c.asked = true;
             body.clear();
             input.copy(5..len, &mut body);
@@ -528,17 +529,17 @@
                 b'X' => c.leaving = true,
                 b'S' => {
                     c.declined = false;
-                    pg::put_ready(output);
+                    postgres::put_ready(output);
                 }
                 b'H' | b'd' | b'c' | b'f' => {}
                 _ if c.declined => {}
                 b'P' | b'B' | b'D' | b'E' | b'C' => {
                     c.declined = true;
-                    pg::put_error(output, false, pg::UNSUPPORTED, "simple queries only", "");
+                    postgres::put_error(output, false, postgres::UNSUPPORTED, "simple queries only", "");
                 }
                 b'F' => {
-                    pg::put_error(output, false, pg::UNSUPPORTED, "no function calls", "");
-                    pg::put_ready(output);
+                    postgres::put_error(output, false, postgres::UNSUPPORTED, "no function calls", "");
+                    postgres::put_ready(output);
                 }
                 b'Q' => self.query(key, &body, came, ground, to)?,
                 _ => return Err(Malformed("an unknown kind of message")),
@@ -558,13 +559,13 @@
     ) -> Result<(), Malformed> {
         let Some(c) = self.table.get_mut(key) else { return Ok(()) };
         let out = &mut c.link.output;
-        let statement = pg::query(body)?;
+        let statement = postgres::query(body)?;
         if statement.trim().is_empty() {
-            pg::put_empty(out);
-            pg::put_ready(out);
+            postgres::put_empty(out);
+            postgres::put_ready(out);
             return Ok(());
         }
-        let asked = pg::asked(statement).and_then(|a| {
+        let asked = postgres::asked(statement).and_then(|a| {
             let route = self.routes.iter().position(|r| r.name == a.route);
             let route = route.ok_or(Malformed("an unknown route"))?;
             if matches!(self.routes[route].repeat, Repeat::Deduped { .. }) && a.key.is_none() {
@@ -580,8 +581,8 @@
             Ok(asked) => asked,
             Err(Malformed(why)) => {
                 info!(ground.log, "client sent a statement that can't be served"; "why" => why);
-                pg::put_error(out, false, pg::SYNTAX, why, "");
-                pg::put_ready(out);
+                postgres::put_error(out, false, postgres::SYNTAX, why, "");
+                postgres::put_ready(out);
                 return Ok(());
             }
         };
@@ -631,7 +632,7 @@
         if let Some(c) = self.table.get_mut(key) {
             c.busy = None;
             write(&mut c.link.output);
-            pg::put_ready(&mut c.link.output);
+            postgres::put_ready(&mut c.link.output);
             // Errors show when the client is served next, in the turn that follows.
             let _ = c.link.flush();
             self.again.push(key);
@@ -645,16 +646,18 @@
 
     /// A machine has found fault with the req itself.
     pub fn unfit(&mut self, id: u64) {
-        self.answer(id, |out| pg::put_error(out, false, pg::SYNTAX, "a machine turned it down", ""));
+        self.answer(id, |out| {
+            postgres::put_error(out, false, postgres::SYNTAX, "a machine turned it down", "")
+        });
     }
 
     pub fn shed(&mut self, id: u64, come_back: u64) {
         let wait = if come_back >= MS { (come_back / MS).to_string() } else { String::new() };
-        self.answer(id, |out| pg::put_error(out, false, pg::SHED, "try again", &wait));
+        self.answer(id, |out| postgres::put_error(out, false, postgres::SHED, "try again", &wait));
     }
 
     pub fn error(&mut self, id: u64) {
-        self.answer(id, |out| pg::put_error(out, false, pg::ERRORED, "not completed", ""));
+        self.answer(id, |out| postgres::put_error(out, false, postgres::ERRORED, "not completed", ""));
     }
 
     /// From now on connections close between reqs; new ones still come for a while.
--- a/crates/node/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -4,11 +4,11 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use tidescale::front::Settings;
+use tidescale_policy::front::Settings;
 use tidescale_settings::{Links, Told};
 
 use crate::discovery::Listing;
-use crate::platform::News;
+use crate::rollout_status::News;
 
 #[derive(Deserialize)]
 struct Limits {
--- a/crates/node/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -4,10 +4,10 @@
 
 use serde::Deserialize;
 use slog::info;
-use tidescale::decide::Balancer;
-use tidescale::front::Standing;
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::Standing;
 
-use crate::link::{Ground, Part};
+use crate::connection::{Ground, Part};
 use crate::stream::{Pace, Standing as Streams};
 use crate::upstream::Upstream;
 
--- a/crates/node/src/front.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -9,18 +9,18 @@
 use calloop::EventLoop;
 use calloop::signals::{Event, Signal, Signals};
 use slog::{Logger, error, info, warn};
-use tidescale::decide::Balancer;
-use tidescale::front::{Finding, Inbox, Verdict, Writer};
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::{Finding, Inbox, Verdict, Writer};
 
 use crate::buffers::{self, Pool};
 use crate::clients::Clients;
 use crate::config::{self, Config};
+use crate::connection::{Ground, Owner, Part, Ready};
 use crate::deadlines::Deadlines;
 use crate::discovery::Discovery;
-use crate::keep::{self, Beside, Keeper};
-use crate::link::{Ground, Owner, Part, Ready};
 use crate::operators::Operators;
-use crate::platform::{Bulletin, Votes};
+use crate::rollout_status::{Bulletin, Votes};
+use crate::snapshot_writer::{self, Beside, Keeper};
 use crate::upstream::{Cause, Upstream};
 
 const MS: u64 = 1000;
@@ -362,7 +362,7 @@
         let log = node.ground.log.clone();
         let Some((keeper, image)) = Keeper::open(set, now, log.clone()) else { return };
         if let Some(image) = image {
-            let counted = keep::recall(&image, &node.beside(), now, &mut self.module);
+            let counted = snapshot_writer::recall(&image, &node.beside(), now, &mut self.module);
             let age_s = now.saturating_sub(image.written) / (1000 * MS);
             info!(log, "memory read"; "facts" => image.facts.len(), "counted" => counted, "age_s" => age_s);
         }
--- a/crates/node/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,20 +2,20 @@
 //! the codecs (`pg`, `http`) and tables (`slots`, `deadlines`, `buffers`) do no I/O.
 
 pub mod buffers;
+pub mod cli;
 pub mod clients;
-pub mod commands;
 pub mod config;
+pub mod connection;
 pub mod deadlines;
 pub mod discovery;
+pub mod event_loop;
 pub mod explain;
-pub mod front;
 pub mod http;
-pub mod keep;
-pub mod link;
 pub mod logging;
 pub mod operators;
-pub mod pg;
-pub mod platform;
+pub mod postgres;
+pub mod rollout_status;
 pub mod slots;
+pub mod snapshot_writer;
 pub mod stream;
 pub mod upstream;
--- a/crates/node/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,9 +6,9 @@
 
 use clap::Parser;
 use socket2::{Domain, Protocol, Socket, Type};
-use tidescale_node::commands::{self, Cli, Command, Run};
-use tidescale_node::operators::{self, Operators};
-use tidescale_node::{config, front, logging};
+use tidescale_proxy::cli::{self, Cli, Command, Run};
+use tidescale_proxy::operators::{self, Operators};
+use tidescale_proxy::{config, event_loop, logging};
 
 const BACKLOG: i32 = 1024;
 
@@ -33,7 +33,7 @@
         }
     };
     let listen = || listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen));
-    front::run(&config, &operators, path, listen, logging::start())?;
+    event_loop::run(&config, &operators, path, listen, logging::start())?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -59,8 +59,8 @@
     let done = match &cli.command {
         None => start(&Run::default()),
         Some(Command::Run(run)) => start(run),
-        Some(Command::Explain { log }) => commands::explain(log.as_deref()),
-        Some(Command::Memory(command)) => commands::memory(command),
+        Some(Command::Explain { log }) => cli::explain(log.as_deref()),
+        Some(Command::Memory(command)) => cli::memory(command),
     };
     done.unwrap_or_else(|fault| {
         eprintln!("tidescale: {}", fault.replace('\n', " "));
--- a/crates/node/src/platform.rs
+++ b/crates/proxy/src/rollout_status.rs
@@ -4,12 +4,12 @@
 
 use serde::Deserialize;
 use slog::info;
-use tidescale::decide::Balancer;
-use tidescale::front::{Answer, Phase, Verdict};
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::{Answer, Phase, Verdict};
 
 use crate::buffers::Fill;
+use crate::connection::{Ground, Link, Part};
 use crate::http;
-use crate::link::{Ground, Link, Part};
 use crate::stream::{Pace, Standing};
 
 const MS: u64 = 1000;
--- a/crates/node/src/keep.rs
+++ b/crates/proxy/src/snapshot_writer.rs
@@ -8,15 +8,15 @@
 use std::time::{Duration, Instant};
 
 use slog::{Logger, debug, info, warn};
-use tidescale::decide::Balancer;
-use tidescale::front::{Phase, Standing};
-use tidescale::recall::{Known, Recorder};
-use tidescale_memory::ageing::{self, Listed};
-use tidescale_memory::disk::Folder;
-use tidescale_memory::facts::*;
-use tidescale_memory::image::Image;
-use tidescale_memory::schedule::Schedule;
-use tidescale_memory::store::Store;
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::{Phase, Standing};
+use tidescale_policy::recall::{Known, Recorder};
+use tidescale_snapshot::disk::Folder;
+use tidescale_snapshot::expiry::{self, Listed};
+use tidescale_snapshot::format::Image;
+use tidescale_snapshot::rate_limit::Schedule;
+use tidescale_snapshot::records::*;
+use tidescale_snapshot::store::Store;
 
 use crate::operators::Memory;
 use crate::upstream::Upstream;
@@ -96,7 +96,7 @@
 
 /// Tells the module what of the image still counts; how many facts did.
 pub fn recall(image: &Image, beside: &Beside, now: u64, to: &mut Balancer) -> usize {
-    let standing = |p: &Process| ageing::listed(p, beside.process(&p.id).as_ref());
+    let standing = |p: &Process| expiry::listed(p, beside.process(&p.id).as_ref());
     // The calm before a trial is of use while that trial goes on, and no longer.
     let trial = |n: &NewsFact| {
         to.news.is_some_and(|told| told.build == n.build && told.phase == Phase::Trial) && n.phase == "trial"
@@ -104,19 +104,19 @@
     let goes_on = image.facts.iter().any(|f| matches!(f, Fact::News(n) if trial(n)));
     let mut counted = 0;
     for fact in &image.facts {
-        let weight = ageing::weight(fact, now);
+        let weight = expiry::weight(fact, now);
         let told = match fact {
-            Fact::Machine(f) => ageing::machine(f, now, standing(&f.process))
+            Fact::Machine(f) => expiry::machine(f, now, standing(&f.process))
                 .map(|m| to.recall_machine(&f.process.id, m.pace, m.aside)),
             Fact::Kind(f) => {
-                let k = ageing::kind(f, now);
+                let k = expiry::kind(f, now);
                 (weight > 0.0).then(|| to.recall_kind(&f.kind, k.load, k.pace, k.usual))
             }
             Fact::Route(f) => {
                 let name = Some(f.route.as_str()).filter(|r| !r.is_empty());
-                ageing::route(f, now).map(|usual| to.recall_route(name, usual))
+                expiry::route(f, now).map(|usual| to.recall_route(name, usual))
             }
-            Fact::Evidence(f) => ageing::evidence(f, now, standing(&f.process))
+            Fact::Evidence(f) => expiry::evidence(f, now, standing(&f.process))
                 .map(|(all, hits)| to.recall_evidence(&f.process.id, f.build, &all, &hits)),
             Fact::Condemned(f) => (weight > 0.0).then(|| to.recall_condemned(f.build, f.seen)),
             Fact::Calm(f) => (weight > 0.0 && goes_on).then(|| {
@@ -300,7 +300,7 @@
 pub fn stands(fact: &Fact, listed: &BTreeMap<&str, &Process>) -> Option<Listed> {
     match fact {
         Fact::Machine(MachineFact { process, .. }) | Fact::Evidence(EvidenceFact { process, .. }) => {
-            Some(ageing::listed(process, listed.get(process.id.as_str()).copied()))
+            Some(expiry::listed(process, listed.get(process.id.as_str()).copied()))
         }
         _ => None,
     }
--- a/crates/node/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -8,8 +8,8 @@
 use slog::info;
 
 use crate::buffers::Fill;
+use crate::connection::{Ground, Link, Owner, Part};
 use crate::http;
-use crate::link::{Ground, Link, Owner, Part};
 
 const MS: u64 = 1000;
 const FIRST_PAUSE: u64 = 100 * MS;
--- a/crates/node/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -6,20 +6,20 @@
 use std::net::SocketAddr;
 
 use slog::{debug, info};
-use tidescale::decide::Balancer;
-use tidescale::front::{End, Load};
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::{End, Load};
 use tidescale_settings::Links;
 
 use crate::buffers::{Chain, Fill};
 use crate::clients::Clients;
-use crate::link::{Ground, Link, Part};
-use crate::pg::{self, Malformed};
+use crate::connection::{Ground, Link, Part};
+use crate::postgres::{self, Malformed};
 use crate::slots::Slots;
 
 const MS: u64 = 1000;
 /// For so long after a kept connection broke under a query, what may run only once goes over new ones.
 const STALE: u64 = 10_000 * MS;
-const READ_AHEAD: usize = pg::LONGEST_ANSWER + 4096;
+const READ_AHEAD: usize = postgres::LONGEST_ANSWER + 4096;
 /// A machine may send an answer twice, some milliseconds apart: the second would be taken for the answer to a query
 /// written meanwhile, so that a connection stands quiet for so long before it is used again.
 const QUIET: u64 = 20 * MS;
@@ -88,7 +88,7 @@
 /// What a machine's error says of the try.
 pub fn error_end(code: &str) -> End {
     match code {
-        pg::SHED | pg::STARTING => End::Full,
+        postgres::SHED | postgres::STARTING => End::Full,
         // Data exceptions, syntax and access: no machine would do it.
         _ if code.starts_with("22") || code.starts_with("42") => End::Unfit,
         _ => End::Error,
@@ -286,7 +286,7 @@
         let up_by = Some(ground.now + self.links.connect_within);
         let made = self.table.insert(|key| {
             let mut link = Link::open(ground, listed.0, (Part::Machine, key))?;
-            pg::put_startup(&mut link.output);
+            postgres::put_startup(&mut link.output);
             let (machine, used) = (machine.into(), ground.now);
             Ok(Conn { link, machine, listed, up_by, work: None, used, kept: false })
         });
@@ -311,11 +311,11 @@
                 Job::Try { id, .. } => {
                     let Some(rq) = clients.req(id) else { return };
                     let wait = work.until.saturating_sub(ground.now) / MS;
-                    pg::put_statement(&mut c.link.output, &rq.statement, &rq.wait_at, wait.max(1));
+                    postgres::put_statement(&mut c.link.output, &rq.statement, &rq.wait_at, wait.max(1));
                 }
                 Job::Probe => {
                     let query = if self.links.load_on_demand { "SHOW vitals" } else { "SELECT 1" };
-                    pg::put_query(&mut c.link.output, query.as_bytes());
+                    postgres::put_query(&mut c.link.output, query.as_bytes());
                 }
             }
             work.reached = Reached::Part;
@@ -393,7 +393,7 @@
     ) -> Result<bool, Malformed> {
         let (mut body, mut rested) = (Vec::new(), false);
         while let Some(c) = self.table.get_mut(key) {
-            let Some((tag, len)) = pg::message(&c.link.input, pg::from_machine)? else { break };
+            let Some((tag, len)) = postgres::message(&c.link.input, postgres::from_machine)? else { break };
             let input = &mut c.link.input;
             let starting = c.up_by.is_some();
             body.clear();
@@ -405,13 +405,13 @@
                     return Err(Malformed("an answer out of order"));
                 }
                 match (tag, &work.job) {
-                    (b'T', _) => pg::describes_one(&body)?,
+                    (b'T', _) => postgres::describes_one(&body)?,
                     (b'D', Job::Probe) if self.links.load_on_demand => {
-                        work.load = std::str::from_utf8(pg::row(&body)?).ok().and_then(load);
+                        work.load = std::str::from_utf8(postgres::row(&body)?).ok().and_then(load);
                     }
-                    (b'D', _) => drop(pg::row(&body)?),
+                    (b'D', _) => drop(postgres::row(&body)?),
                     _ => {
-                        pg::completes_one(&body)?;
+                        postgres::completes_one(&body)?;
                         work.end = Some(End::Done);
                     }
                 }
@@ -421,10 +421,10 @@
             }
             input.skip(len);
             match tag {
-                b'R' => pg::admitted(&body)?,
+                b'R' => postgres::admitted(&body)?,
                 b'S' => {
                     // The answer beside a report is none the worse for it.
-                    let report = pg::parameter(&body).ok().filter(|(name, _)| *name == "vitals");
+                    let report = postgres::parameter(&body).ok().filter(|(name, _)| *name == "vitals");
                     let read = report.and_then(|(_, value)| load(value));
                     if report.is_some() && read.is_none() {
                         info!(ground.log, "machine's load report can't be read"; "machine" => &c.machine);
@@ -435,8 +435,8 @@
                 }
                 b'K' | b'N' => {}
                 b'E' => {
-                    let (code, message) = pg::error(&body)?;
-                    if !matches!(code.as_str(), pg::SHED | pg::STARTING | "XX000") {
+                    let (code, message) = postgres::error(&body)?;
+                    if !matches!(code.as_str(), postgres::SHED | postgres::STARTING | "XX000") {
                         info!(ground.log, "machine answered with an unknown error";
                             "machine" => &c.machine, "code" => &code, "message" => message.chars().take(200).collect::<String>());
                     }
--- a/crates/node/tests/codecs.rs
+++ b/crates/proxy/tests/codecs.rs
@@ -1,8 +1,8 @@
 //! Bytes in, meaning out, wherever they are split.
 
-use tidescale::front::{Answer, End};
-use tidescale_node::buffers::{Chain, Pool};
-use tidescale_node::{config, http, pg, platform, upstream};
+use tidescale_policy::front::{Answer, End};
+use tidescale_proxy::buffers::{Chain, Pool};
+use tidescale_proxy::{config, http, postgres, rollout_status, upstream};
 
 fn chain(bytes: &[u8]) -> Chain {
     let mut chain = Chain::new(&Pool::new(64));
@@ -22,12 +22,12 @@
 #[test]
 fn a_statement_is_passed_on_unchanged_but_for_the_wait() {
     for (statement, route) in [(SELECT, "basket"), (INSERT, "order")] {
-        let asked = pg::asked(statement).unwrap();
+        let asked = postgres::asked(statement).unwrap();
         assert_eq!((asked.route, asked.code, asked.wait_ms), (route, "7f3a", 480));
         let mut out = chain(b"");
-        pg::put_statement(&mut out, &chain(statement.as_bytes()), &asked.wait_at, 77);
+        postgres::put_statement(&mut out, &chain(statement.as_bytes()), &asked.wait_at, 77);
         let sent = bytes(&out);
-        assert_eq!(pg::query(&sent[5..]).unwrap(), statement.replace("d=480", "d=77"));
+        assert_eq!(postgres::query(&sent[5..]).unwrap(), statement.replace("d=480", "d=77"));
     }
 }
 
@@ -56,27 +56,30 @@
         "DELETE FROM facts WHERE code = '7f3a' /* id=9b1f,c=basket,d=480 */",
     ];
     for statement in table {
-        assert!(pg::asked(statement).is_err(), "{statement}");
+        assert!(postgres::asked(statement).is_err(), "{statement}");
     }
 }
 
 #[test]
 fn messages_are_known_only_when_they_are_whole() {
     let mut all = chain(b"");
-    pg::put_startup(&mut all);
+    postgres::put_startup(&mut all);
     let startup = all.len();
-    pg::put_query(&mut all, SELECT.as_bytes());
+    postgres::put_query(&mut all, SELECT.as_bytes());
     let all = bytes(&all);
     for split in 0..all.len() {
         let mut input = chain(&all[..split]);
-        let opening = pg::opening(&input).unwrap();
+        let opening = postgres::opening(&input).unwrap();
         assert_eq!(opening.is_some(), split >= startup, "{split}");
         if let Some((kind, len)) = opening {
-            assert_eq!((kind, len), (pg::Opening::Startup, startup));
+            assert_eq!((kind, len), (postgres::Opening::Startup, startup));
             input.skip(len);
-            assert_eq!(pg::message(&input, pg::from_client).unwrap(), None, "{split}");
+            assert_eq!(postgres::message(&input, postgres::from_client).unwrap(), None, "{split}");
             input.push(&all[split..]);
-            assert_eq!(pg::message(&input, pg::from_client).unwrap(), Some((b'Q', all.len() - startup)));
+            assert_eq!(
+                postgres::message(&input, postgres::from_client).unwrap(),
+                Some((b'Q', all.len() - startup))
+            );
         }
     }
 }
@@ -84,54 +87,58 @@
 #[test]
 fn impossible_messages_are_malformed() {
     for first in [&[0, 0, 0, 7, 0, 3, 0, 0][..], &[0x7f, 0, 0, 0, 0, 3, 0, 0], &[0, 0, 0, 8, 0, 2, 0, 0]] {
-        assert!(pg::opening(&chain(first)).is_err(), "{first:?}");
+        assert!(postgres::opening(&chain(first)).is_err(), "{first:?}");
     }
     for message in [&[b'Q', 0, 0, 0, 3][..], &[b'Q', 0x7f, 0, 0, 0], &[b'Q', 0xff, 0xff, 0xff, 0xff]] {
-        assert!(pg::message(&chain(message), pg::from_client).is_err(), "{message:?}");
+        assert!(postgres::message(&chain(message), postgres::from_client).is_err(), "{message:?}");
     }
     assert!(
-        pg::query(b"SELECT 1").is_err() && pg::query(b"a\0b\0").is_err() && pg::query(&[0xff, 0]).is_err()
+        postgres::query(b"SELECT 1").is_err()
+            && postgres::query(b"a\0b\0").is_err()
+            && postgres::query(&[0xff, 0]).is_err()
+    );
+    assert!(postgres::error(b"MNo code\0\0").is_err() && postgres::error(b"C5330").is_err());
+    assert!(
+        postgres::parameter(b"vitals\0inflight=1").is_err() && postgres::admitted(&[0, 0, 0, 3]).is_err()
     );
-    assert!(pg::error(b"MNo code\0\0").is_err() && pg::error(b"C5330").is_err());
-    assert!(pg::parameter(b"vitals\0inflight=1").is_err() && pg::admitted(&[0, 0, 0, 3]).is_err());
     for row in [&[][..], &[0, 2, 0, 0, 0, 1, 9], &[0, 1, 0, 0, 0, 2, 9], &[0, 1, 0xff, 0xff, 0xff, 0xff]] {
-        assert!(pg::row(row).is_err(), "{row:?}");
+        assert!(postgres::row(row).is_err(), "{row:?}");
     }
-    assert_eq!(pg::row(&[0, 1, 0, 0, 0, 2, 9, 8]), Ok(&[9, 8][..]));
+    assert_eq!(postgres::row(&[0, 1, 0, 0, 0, 2, 9, 8]), Ok(&[9, 8][..]));
 }
 
 #[test]
 fn what_can_not_be_used_is_turned_down_at_its_head() {
     type Longest = fn(u8) -> Option<usize>;
     let table: [(Longest, &[u8]); 9] = [
-        (pg::from_client, b"!"),
-        (pg::from_client, b"R"),
-        (pg::from_client, b"S\0\0\0\x05"),
-        (pg::from_client, b"P\0\x01\0\0"),
-        (pg::from_machine, b"Q"),
-        (pg::from_machine, b"D\xb2\xd0\x5e\0"),
-        (pg::from_machine, b"D\0\x10\0\x05"),
-        (pg::from_machine, b"Z\0\0\0\x06"),
-        (pg::from_machine, b"C\0\0\xff\xff"),
+        (postgres::from_client, b"!"),
+        (postgres::from_client, b"R"),
+        (postgres::from_client, b"S\0\0\0\x05"),
+        (postgres::from_client, b"P\0\x01\0\0"),
+        (postgres::from_machine, b"Q"),
+        (postgres::from_machine, b"D\xb2\xd0\x5e\0"),
+        (postgres::from_machine, b"D\0\x10\0\x05"),
+        (postgres::from_machine, b"Z\0\0\0\x06"),
+        (postgres::from_machine, b"C\0\0\xff\xff"),
     ];
     for (longest, head) in table {
-        assert!(pg::head(&chain(head), longest).is_err(), "{head:?}");
+        assert!(postgres::head(&chain(head), longest).is_err(), "{head:?}");
     }
-    assert_eq!(pg::head(&chain(b"D\0\x10\0\x04"), pg::from_machine), Ok(Some((b'D', 1_048_581))));
+    assert_eq!(postgres::head(&chain(b"D\0\x10\0\x04"), postgres::from_machine), Ok(Some((b'D', 1_048_581))));
 }
 
 #[test]
 fn the_parts_of_an_answer_have_one_form_each() {
     let mut column = b"\0\x01data\0".to_vec();
     column.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
-    assert!(pg::describes_one(&column).is_ok());
+    assert!(postgres::describes_one(&column).is_ok());
     for at in 0..column.len() {
-        assert!(pg::describes_one(&column[..at]).is_err(), "{at}");
+        assert!(postgres::describes_one(&column[..at]).is_err(), "{at}");
     }
     for (at, byte) in [(1, 2), (1, 0), (6, b'x'), (24, 7)] {
         let mut spoilt = column.clone();
         spoilt[at] = byte;
-        assert!(pg::describes_one(&spoilt).is_err(), "{at}");
+        assert!(postgres::describes_one(&spoilt).is_err(), "{at}");
     }
     for (body, good) in [
         (&b"SELECT 1\0"[..], true),
@@ -141,7 +148,7 @@
         (b"SELECT 1\0\0", false),
         (b"\xff\xfe\0", false),
     ] {
-        assert_eq!(pg::completes_one(body).is_ok(), good, "{body:?}");
+        assert_eq!(postgres::completes_one(body).is_ok(), good, "{body:?}");
     }
     for (body, wanted) in [
         (&b"user\0portal\0database\0crm\0\0"[..], Some(true)),
@@ -151,7 +158,7 @@
         (b"user\0portal\0\0more", None),
         (b"\xff\xff\xff\xff", None),
     ] {
-        assert_eq!(pg::names_user(body).ok(), wanted, "{body:?}");
+        assert_eq!(postgres::names_user(body).ok(), wanted, "{body:?}");
     }
 }
 
@@ -176,8 +183,8 @@
         ("event: flag\ndata: pod=s-1\n".into(), false, false),
     ];
     for (lines, read, told) in table {
-        let mut module = tidescale::decide::Balancer::new(settings.clone(), 1, 0);
-        assert_eq!(platform::announce(&lines, &mut module).is_ok(), read, "{lines}");
+        let mut module = tidescale_policy::decide::Balancer::new(settings.clone(), 1, 0);
+        assert_eq!(rollout_status::announce(&lines, &mut module).is_ok(), read, "{lines}");
         assert_eq!(module.news.is_some(), told, "{lines}");
     }
 }
@@ -185,10 +192,10 @@
 #[test]
 fn an_error_is_read_back_as_it_was_written() {
     let mut out = chain(b"");
-    pg::put_error(&mut out, false, pg::SHED, "try again", "250");
+    postgres::put_error(&mut out, false, postgres::SHED, "try again", "250");
     let sent = bytes(&out);
-    assert_eq!(pg::message(&out, pg::from_machine).unwrap(), Some((b'E', sent.len())));
-    assert_eq!(pg::error(&sent[5..]).unwrap(), ("53300".into(), "try again".into()));
+    assert_eq!(postgres::message(&out, postgres::from_machine).unwrap(), Some((b'E', sent.len())));
+    assert_eq!(postgres::error(&sent[5..]).unwrap(), ("53300".into(), "try again".into()));
     assert!(sent.windows(6).any(|w| w == b"\0D250\0"));
 }
 
@@ -285,7 +292,7 @@
         (200, String::new(), None),
     ];
     for (status, body, wanted) in table {
-        let got = platform::vote_answer(status, body.as_bytes());
+        let got = rollout_status::vote_answer(status, body.as_bytes());
         assert_eq!(got.as_ref().map(|(answer, _)| *answer), wanted, "{status} {body}");
         assert_eq!(got.is_some_and(|(_, news)| news.is_some()), wanted == Some(Answer::Counts));
     }
--- a/crates/node/tests/loopback/clients.rs
+++ b/crates/proxy/tests/loopback/clients.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use tidescale_node::pg;
+use tidescale_proxy::postgres;
 
 use crate::common::*;
 
@@ -17,8 +17,8 @@
         machine(move |n| if n == 0 { Act::Row(long.clone()) } else { Act::Row(vec![n as u8]) });
     let front = start(&told(&[addr], 128));
     let mut client = Client::open(front.addr);
-    let all =
-        [startup(), query("look", 1, 900), out(|o| pg::put_query(o, b"")), query("pay", 2, 800)].concat();
+    let all = [startup(), query("look", 1, 900), out(|o| postgres::put_query(o, b"")), query("pay", 2, 800)]
+        .concat();
     for byte in &all[..all.len() - 20] {
         client.send(&[*byte]);
     }
@@ -38,7 +38,7 @@
 fn malformed_clients_are_told_and_reach_no_machine() {
     let (addr, seen) = machine(|_| Act::Row(vec![1]));
     let front = start(&told(&[addr], 128));
-    let odd = |statement: &str| out(|o| pg::put_query(o, statement.as_bytes()));
+    let odd = |statement: &str| out(|o| postgres::put_query(o, statement.as_bytes()));
     // What is sent once admitted -> tags, code; a dot where the front closes.
     let table: [(Vec<u8>, &str, &str); 10] = [
         (odd("SELECT 1"), "EZ", "42601"),
@@ -282,7 +282,7 @@
         "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x{}') RETURNING data /* id=1,c=look,d=900 */",
         "0".repeat(131_072)
     );
-    let whole = out(|o| pg::put_query(o, text.as_bytes()));
+    let whole = out(|o| postgres::put_query(o, text.as_bytes()));
     let mut begun: Vec<Client> = (0..9).map(|_| Client::admitted(front.addr)).collect();
     for client in &mut begun {
         client.send(&whole[..whole.len() - 40]);
--- a/crates/node/tests/loopback/common.rs
+++ b/crates/proxy/tests/loopback/common.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use tidescale_node::buffers::{Chain, Pool};
-use tidescale_node::{config, front, pg};
+use tidescale_proxy::buffers::{Chain, Pool};
+use tidescale_proxy::{config, event_loop, postgres};
 
 pub const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -302,7 +302,7 @@
 
 pub fn query(route: &str, id: u32, wait: u64) -> Vec<u8> {
     let statement = format!("SELECT data FROM facts WHERE code = '7f3a' /* id={id:x},c={route},d={wait} */");
-    out(|o| pg::put_query(o, statement.as_bytes()))
+    out(|o| postgres::put_query(o, statement.as_bytes()))
 }
 
 impl Client {
@@ -327,8 +327,8 @@
         while let Some((tag, body)) = next(&mut self.0, &mut self.1) {
             tags.push(tag as char);
             match tag {
-                b'D' => value = pg::row(&body).unwrap().to_vec(),
-                b'E' => value = pg::error(&body).unwrap().0.into_bytes(),
+                b'D' => value = postgres::row(&body).unwrap().to_vec(),
+                b'E' => value = postgres::error(&body).unwrap().0.into_bytes(),
                 b'Z' => return (tags, value),
                 _ => {}
             }
@@ -345,20 +345,24 @@
 }
 
 pub fn startup() -> Vec<u8> {
-    out(pg::put_startup)
+    out(postgres::put_startup)
 }
 
 /// A front in this process, and what a client thread gets from it meanwhile.
 pub fn with_front<T: Send + 'static>(
     config: &str,
-    change: impl FnOnce(&mut front::Front),
+    change: impl FnOnce(&mut event_loop::Front),
     client: impl FnOnce(SocketAddr) -> T + Send + 'static,
-) -> (front::Front, T) {
+) -> (event_loop::Front, T) {
     let config = config::read(config).ok().unwrap();
     let listener = TcpListener::bind(config.listen).unwrap();
-    let mut front =
-        front::Front::new(&config, "".into(), || Ok(listener), slog::Logger::root(slog::Discard, slog::o!()))
-            .unwrap();
+    let mut front = event_loop::Front::new(
+        &config,
+        "".into(),
+        || Ok(listener),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    )
+    .unwrap();
     change(&mut front);
     let client = thread::spawn(move || client(config.listen));
     while !client.is_finished() {
--- a/crates/node/tests/loopback/list.rs
+++ b/crates/proxy/tests/loopback/list.rs
@@ -5,15 +5,15 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use tidescale::decide::Balancer;
-use tidescale::front::Standing;
-use tidescale_node::buffers::Pool;
-use tidescale_node::config;
-use tidescale_node::deadlines::Deadlines;
-use tidescale_node::discovery::Discovery;
-use tidescale_node::link::{Ground, Part, Ready};
-use tidescale_node::stream::{self, Pace, Stream};
-use tidescale_node::upstream::Upstream;
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::Standing;
+use tidescale_proxy::buffers::Pool;
+use tidescale_proxy::config;
+use tidescale_proxy::connection::{Ground, Part, Ready};
+use tidescale_proxy::deadlines::Deadlines;
+use tidescale_proxy::discovery::Discovery;
+use tidescale_proxy::stream::{self, Pace, Stream};
+use tidescale_proxy::upstream::Upstream;
 
 use crate::common::*;
 
--- a/crates/node/tests/loopback/start.rs
+++ b/crates/proxy/tests/loopback/start.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::Command;
 
-use tidescale_node::operators;
+use tidescale_proxy::operators;
 
 use crate::common::*;
 
--- a/crates/node/tests/loopback/upstream.rs
+++ b/crates/proxy/tests/loopback/upstream.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use tidescale_node::pg;
+use tidescale_proxy::postgres;
 
 use crate::common::*;
 
@@ -173,7 +173,7 @@
         late.startup();
         drop(leaves);
         // Answered by the front itself, after it has found that the other has gone.
-        stays.send(&out(|o| pg::put_query(o, b"")));
+        stays.send(&out(|o| postgres::put_query(o, b"")));
         assert_eq!(stays.answer().0, "IZ");
         late.let_in();
         stays.send(&query("look", 2, 8000));
@@ -197,7 +197,7 @@
     let front = start(&config);
     let mut client = Client::admitted(front.addr);
     let keyed = "SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=pay,d=8000,k=5c */";
-    client.send(&out(|o| pg::put_query(o, keyed.as_bytes())));
+    client.send(&out(|o| postgres::put_query(o, keyed.as_bytes())));
     let mut first = gate.accept();
     first.startup();
     first.let_in();
--- a/crates/node/tests/tables.rs
+++ b/crates/proxy/tests/tables.rs
@@ -3,13 +3,13 @@
 use std::io::{self, Read, Write};
 use std::time::{Duration, Instant};
 
-use tidescale::front::End;
-use tidescale_node::buffers::{Chain, Fill, Pool, SIZE};
-use tidescale_node::deadlines::Deadlines;
-use tidescale_node::explain;
-use tidescale_node::logging::Counts;
-use tidescale_node::slots::Slots;
-use tidescale_node::upstream::{Cause, Failure, Reached};
+use tidescale_policy::front::End;
+use tidescale_proxy::buffers::{Chain, Fill, Pool, SIZE};
+use tidescale_proxy::deadlines::Deadlines;
+use tidescale_proxy::explain;
+use tidescale_proxy::logging::Counts;
+use tidescale_proxy::slots::Slots;
+use tidescale_proxy::upstream::{Cause, Failure, Reached};
 
 #[test]
 fn a_number_of_an_earlier_generation_misses() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use tidescale::front::{Repeat, Route, Scope, Settings};
+use tidescale_policy::front::{Repeat, Route, Scope, Settings};
 
 pub type Fault = String;
 
--- a/crates/world/src/trial.rs
+++ b/crates/simulation/src/trial.rs
@@ -3,8 +3,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use tidescale::decide::Balancer;
-use tidescale::front::*;
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::*;
 
 use crate::chance::Chance;
 use crate::digest::Digest;
--- a/crates/world/tests/trials.rs
+++ b/crates/simulation/tests/trials.rs
@@ -1,8 +1,8 @@
 //! The model against itself: the same seed is the same trial, truths do what they say, words that are wrong show.
 
-use tidescale_world::chance::Chance;
-use tidescale_world::fleet::{Confounder, Truth};
-use tidescale_world::trial::{Case, Heeds, Limits, Size, play};
+use tidescale_simulation::chance::Chance;
+use tidescale_simulation::fleet::{Confounder, Truth};
+use tidescale_simulation::trial::{Case, Heeds, Limits, Size, play};
 
 fn case(seed: u64, truth: Truth) -> Case {
     Case {
@@ -28,7 +28,7 @@
     let nobody = |truth| play(Case { heeds: Heeds::Nobody, ..case(5, truth) });
     let good = nobody(Truth::Work(1.0));
     assert!(good.released.is_some() && good.back.is_none() && good.share(36) > 0.95, "{}", good.share(36));
-    let before = |o: &tidescale_world::trial::Outcome| o.earned[..8].to_vec();
+    let before = |o: &tidescale_simulation::trial::Outcome| o.earned[..8].to_vec();
     for truth in [
         Truth::Work(2.6),
         Truth::Errors { route: 0, share: 0.3 },
--- a/crates/simhost/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -5,8 +5,8 @@
 use std::io::{self, BufRead, Write as _};
 use std::rc::Rc;
 
-use tidescale::decide::Balancer;
-use tidescale::front::{Answer, End, Finding, Inbox, Load, Phase, Standing, Verdict, Writer};
+use tidescale_policy::decide::Balancer;
+use tidescale_policy::front::{Answer, End, Finding, Inbox, Load, Phase, Standing, Verdict, Writer};
 use tidescale_settings::{Fault, Told, flag, micros, number};
 
 type List = Rc<Vec<String>>;
--- a/crates/memory/src/ageing.rs
+++ b/crates/snapshot/src/expiry.rs
@@ -3,7 +3,7 @@
 //!
 //! What a recalled fact counts for a *verdict* is not decided here but in the module.
 
-use crate::facts::{EvidenceFact, Fact, KindFact, MachineFact, Process, RouteFact};
+use crate::records::{EvidenceFact, Fact, KindFact, MachineFact, Process, RouteFact};
 
 const SECOND: u64 = 1_000_000;
 /// Clocks of one machine before and after its restart differ by less.
--- a/crates/memory/src/image.rs
+++ b/crates/snapshot/src/format.rs
@@ -15,7 +15,7 @@
 
 use std::fmt;
 
-use crate::facts::Fact;
+use crate::records::Fact;
 
 pub const VERSION: u32 = 1;
 /// The whole file; what would be longer is cut by dropping the last facts.
--- a/crates/memory/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! `ageing` and `schedule` decide and do no I/O; `disk` is the one edge to files, `model` its modelled side.
 
-pub mod ageing;
 pub mod disk;
-pub mod facts;
-pub mod image;
-pub mod model;
-pub mod schedule;
+pub mod expiry;
+pub mod format;
+pub mod rate_limit;
+pub mod records;
+pub mod simulated_disk;
 pub mod store;
--- a/crates/memory/src/model.rs
+++ b/crates/snapshot/src/simulated_disk.rs
@@ -8,8 +8,8 @@
 use oorandom::Rand64;
 
 use crate::disk::Disk;
-use crate::facts::{Fact, KeyFact};
-use crate::image::{Image, Unfit};
+use crate::format::{Image, Unfit};
+use crate::records::{Fact, KeyFact};
 use crate::store::{Decode, Store};
 
 const SECTOR: usize = 512;
@@ -357,5 +357,5 @@
 
 /// A reader that looks at the header alone, as one would that trusts its checksum with no more: to be caught.
 pub fn trusting(bytes: &[u8]) -> Result<Image, Unfit> {
-    if bytes.len() < crate::image::HEADER { Err(Unfit::Torn) } else { crate::image::records(bytes) }
+    if bytes.len() < crate::format::HEADER { Err(Unfit::Torn) } else { crate::format::records(bytes) }
 }
--- a/crates/memory/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -5,8 +5,8 @@
 use std::io::{self, ErrorKind};
 
 use crate::disk::Disk;
-use crate::facts::Fact;
-use crate::image::{self, Image, Unfit};
+use crate::format::{self, Image, Unfit};
+use crate::records::Fact;
 
 const SLOTS: [&str; 2] = ["memory.0", "memory.1"];
 const NEW: &str = "memory.new";
@@ -35,7 +35,7 @@
 
 impl<D: Disk> Store<D> {
     pub fn open(disk: D) -> (Store<D>, Opened) {
-        Store::open_with(disk, image::decode)
+        Store::open_with(disk, format::decode)
     }
 
     /// With another reader, for tests that have to show what a reader is good for.
@@ -43,7 +43,7 @@
         let mut opened = Opened::default();
         let mut sequences = [0, 0];
         for (slot, name) in SLOTS.into_iter().enumerate() {
-            let read = match disk.read(name, image::MOST_BYTES + image::HEADER) {
+            let read = match disk.read(name, format::MOST_BYTES + format::HEADER) {
                 Ok(bytes) => decode(&bytes).map_err(|unfit| (unfit.word(), unfit.to_string())),
                 Err(e) if e.kind() == ErrorKind::NotFound => continue,
                 Err(e) => Err(("unreadable", e.to_string())),
@@ -72,7 +72,7 @@
     pub fn save(&mut self, written: u64, facts: Vec<Fact>) -> io::Result<usize> {
         // One that failed may be on the disk all the same: its number is not used again.
         self.sequence += 1;
-        let bytes = image::encode(&Image { sequence: self.sequence, written, facts, unknown: 0 });
+        let bytes = format::encode(&Image { sequence: self.sequence, written, facts, unknown: 0 });
         let done = self.write(&bytes).and_then(|()| {
             self.disk.rename(NEW, SLOTS[self.next])?;
             self.disk.sync_names()
@@ -144,10 +144,10 @@
 pub fn look<D: Disk>(disk: &mut D) -> Opened {
     let mut opened = Opened::default();
     for name in SLOTS {
-        match disk.read(name, image::MOST_BYTES + image::HEADER) {
+        match disk.read(name, format::MOST_BYTES + format::HEADER) {
             Err(e) if e.kind() == ErrorKind::NotFound => {}
             Err(e) => opened.notes.push(format!("{name}: {e}")),
-            Ok(bytes) => match image::decode(&bytes) {
+            Ok(bytes) => match format::decode(&bytes) {
                 Err(unfit) => opened.notes.push(format!("{name}: {unfit}")),
                 Ok(image) if opened.image.as_ref().is_none_or(|best| image.sequence > best.sequence) => {
                     opened.image = Some(image);
--- a/crates/memory/tests/common/mod.rs
+++ b/crates/snapshot/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::path::PathBuf;
 
-use tidescale_memory::facts::*;
-use tidescale_memory::image::Image;
+use tidescale_snapshot::format::Image;
+use tidescale_snapshot::records::*;
 
 pub struct Guard(PathBuf);
 
--- a/crates/memory/tests/disk.rs
+++ b/crates/snapshot/tests/disk.rs
@@ -4,13 +4,15 @@
 
 use common::{folder, image_of_all_kinds};
 use oorandom::Rand64;
-use tidescale_memory::disk::{Disk, Folder, NoFolder};
-use tidescale_memory::image::{self, HEADER, Image, Unfit, decode, encode};
-use tidescale_memory::model::{self, Pretence, Seen, state};
-use tidescale_memory::store::{self, MOST_ASIDE, Store};
+use tidescale_snapshot::disk::{Disk, Folder, NoFolder};
+use tidescale_snapshot::format::{self, HEADER, Image, Unfit, decode, encode};
+use tidescale_snapshot::simulated_disk::{self, Pretence, Seen, state};
+use tidescale_snapshot::store::{self, MOST_ASIDE, Store};
 
 fn histories(seeds: std::ops::Range<u64>, pretence: Pretence, read: store::Decode) -> Result<Seen, String> {
-    seeds.map(|seed| model::history(seed, pretence, read)).try_fold(Seen::default(), |a, b| Ok(a + b?))
+    seeds
+        .map(|seed| simulated_disk::history(seed, pretence, read))
+        .try_fold(Seen::default(), |a, b| Ok(a + b?))
 }
 
 #[test]
@@ -26,7 +28,7 @@
     for (pretence, read) in [
         (Pretence::FileSync, decode as store::Decode),
         (Pretence::NameSync, decode),
-        (Pretence::Rot, model::trusting),
+        (Pretence::Rot, simulated_disk::trusting),
     ] {
         assert!(histories(0..40, pretence, read).is_err(), "{pretence:?}");
     }
@@ -111,7 +113,7 @@
         (changed(32, &3_000_000_000u64.to_be_bytes()), "torn"),
         (changed(HEADER + 20, b"x"), "checksum"),
         (b"something else altogether".to_vec(), "foreign"),
-        (vec![b't'; image::MOST_BYTES + 4096], "long"),
+        (vec![b't'; format::MOST_BYTES + 4096], "long"),
         (resealed(changed(40, &[9, 9, 9, 9])), "record"),
     ];
     for (bytes, word) in table {
@@ -179,7 +181,7 @@
 fn a_state_beyond_the_bound_is_cut_and_still_whole() {
     let many: Vec<_> = (0..40_000).flat_map(|n| state(n % 7)).collect();
     let bytes = encode(&Image { sequence: 1, written: 1, facts: many.clone(), unknown: 0 });
-    assert!(bytes.len() <= image::MOST_BYTES);
+    assert!(bytes.len() <= format::MOST_BYTES);
     let image = decode(&bytes).unwrap();
     assert!(image.facts.len() < many.len() && many.starts_with(&image.facts));
     assert_eq!(decode(&[]), Err(Unfit::Empty));
--- a/crates/memory/tests/ageing.rs
+++ b/crates/snapshot/tests/expiry.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{machine_fact, process};
-use tidescale_memory::ageing::{self, Listed, PACE_ANSWERS, USUAL_ANSWERS, age, life, listed, weight};
-use tidescale_memory::facts::*;
-use tidescale_memory::schedule::Schedule;
+use tidescale_snapshot::expiry::{self, Listed, PACE_ANSWERS, USUAL_ANSWERS, age, life, listed, weight};
+use tidescale_snapshot::rate_limit::Schedule;
+use tidescale_snapshot::records::*;
 
 const SECOND: u64 = 1_000_000;
 const DAY: u64 = 24 * 3600 * SECOND;
@@ -65,7 +65,7 @@
     for (now, wanted) in table {
         let standing = listed(&seen, now.as_ref());
         assert_eq!(standing, wanted);
-        let told = ageing::machine(&machine_fact(NOW, [8.0, 4.0], true), NOW, standing);
+        let told = expiry::machine(&machine_fact(NOW, [8.0, 4.0], true), NOW, standing);
         assert_eq!(told.is_some(), wanted == Listed::Same);
     }
 }
@@ -81,30 +81,30 @@
     ];
     for (answers, passed, wanted, aside) in table {
         let fact = machine_fact(NOW - passed * SECOND, [5.0 * answers, answers], true);
-        let told = ageing::machine(&fact, NOW, Listed::Same).unwrap();
+        let told = expiry::machine(&fact, NOW, Listed::Same).unwrap();
         let [sum, n] = told.pace.unwrap();
         assert!((n - wanted).abs() < 0.01 && (sum / n - 5.0).abs() < 1e-9, "{answers} {passed}: {n}");
         assert_eq!(told.aside, aside, "{passed}");
     }
-    assert_eq!(ageing::machine(&machine_fact(NOW - 80 * SECOND, [8.0, 4.0], true), NOW, Listed::Same), None);
+    assert_eq!(expiry::machine(&machine_fact(NOW - 80 * SECOND, [8.0, 4.0], true), NOW, Listed::Same), None);
 }
 
 #[test]
 fn what_makes_no_sense_tells_nothing() {
     for pace in [[f64::NAN, 4.0], [f64::INFINITY, 4.0], [-1.0, 4.0], [1.0, 0.0], [1.0, -2.0]] {
-        let told = ageing::machine(&machine_fact(NOW, pace, false), NOW, Listed::Same).unwrap();
+        let told = expiry::machine(&machine_fact(NOW, pace, false), NOW, Listed::Same).unwrap();
         assert_eq!(told.pace, None, "{pace:?}");
     }
     let evidence = |all: Vec<f64>, hits: Vec<f64>| {
         let fact = EvidenceFact { seen: NOW, process: process("m1", 7, 5), build: 7, all, hits };
-        ageing::evidence(&fact, NOW, Listed::Same)
+        expiry::evidence(&fact, NOW, Listed::Same)
     };
     assert!(evidence(vec![4.0], vec![1.0]).is_some());
     for (all, hits) in [(vec![4.0], vec![9.0]), (vec![f64::NAN], vec![0.0]), (vec![4.0], vec![])] {
         assert!(evidence(all, hits).is_none());
     }
     let route = RouteFact { seen: NOW, route: "look".into(), usual: [9e6, 1e4, 1e4] };
-    assert_eq!(ageing::route(&route, NOW).unwrap()[2], USUAL_ANSWERS);
+    assert_eq!(expiry::route(&route, NOW).unwrap()[2], USUAL_ANSWERS);
 }
 
 #[test]
@@ -115,10 +115,10 @@
     let mut kept = seen.clone();
     for n in 1..=10 {
         let now = NOW + n * SECOND;
-        let (all, hits) = ageing::evidence(&kept, now, Listed::Same).unwrap();
+        let (all, hits) = expiry::evidence(&kept, now, Listed::Same).unwrap();
         kept = EvidenceFact { seen: now, all, hits, ..kept };
     }
-    let (once, _) = ageing::evidence(&seen, NOW + 10 * SECOND, Listed::Same).unwrap();
+    let (once, _) = expiry::evidence(&seen, NOW + 10 * SECOND, Listed::Same).unwrap();
     assert!((kept.all[0] - once[0]).abs() < 1e-6, "{} {}", kept.all[0], once[0]);
 }
 
