--- a/crates/experiments/src/disk.rs
+++ b/crates/experiments/src/disk.rs
@@ -19,18 +19,36 @@
     }
     let table: [(&str, Pretence, Decode); 3] = [
         ("a file sync left out", Pretence::FileSync, format::decode),
-        ("a sync of names left out", Pretence::NameSync, format::decode),
-        ("a checksum over the header alone", Pretence::Rot, simulated_disk::trusting),
+        (
+            "a sync of names left out",
+            Pretence::NameSync,
+            format::decode,
+        ),
+        (
+            "a checksum over the header alone",
+            Pretence::Rot,
+            simulated_disk::trusting,
+        ),
     ];
     for (name, pretence, decode) in table {
         let first = (0..CAUGHT_WITHIN)
             .find(|i| simulated_disk::history(seed.wrapping_add(*i), pretence, decode).is_err());
         match first {
             Some(i) => println!("{name}: caught in history {}", i + 1),
-            None => return Err(format!("{name} is not caught within {CAUGHT_WITHIN} histories")),
+            None => {
+                return Err(format!(
+                    "{name} is not caught within {CAUGHT_WITHIN} histories"
+                ));
+            }
         }
     }
-    let Seen { crashes, saves, failed_saves, newer, set_aside } = seen;
+    let Seen {
+        crashes,
+        saves,
+        failed_saves,
+        newer,
+        set_aside,
+    } = seen;
     Ok(format!(
         "disk: {histories} histories twice, {crashes} losses of power, {saves} saves and {failed_saves} failed, \
          {newer} times a state newer than the last reported, {set_aside} files set aside, none torn or mixed"
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -88,11 +88,26 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Disk { histories, seed } => disk::run(histories, seed),
-        Command::Torture { kills, seed, lanes, dir } => torture::run(kills, seed, lanes, dir),
-        Command::Restart { runs, seed, out, front, lanes } => restart::run(runs, seed, &out, front, lanes),
-        Command::Verdicts { seed, runs, fleet, word, out } => {
-            verdicts::run(seed, runs, fleet, word, out.as_deref())
-        }
+        Command::Torture {
+            kills,
+            seed,
+            lanes,
+            dir,
+        } => torture::run(kills, seed, lanes, dir),
+        Command::Restart {
+            runs,
+            seed,
+            out,
+            front,
+            lanes,
+        } => restart::run(runs, seed, &out, front, lanes),
+        Command::Verdicts {
+            seed,
+            runs,
+            fleet,
+            word,
+            out,
+        } => verdicts::run(seed, runs, fleet, word, out.as_deref()),
         Command::Trace { seed, runs } => trace::run(seed, runs),
         Command::Saver { folder } => torture::save(&folder),
     };
--- a/crates/experiments/src/restart.rs
+++ b/crates/experiments/src/restart.rs
@@ -89,13 +89,18 @@
 ) -> Result<(Front, Duration), String> {
     let begun = Instant::now();
     let mut command = Command::new(program);
-    command.arg("run").env("PROXY_CONFIG", config).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+        .arg("run")
+        .env("PROXY_CONFIG", config)
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped());
     if let Some(path) = operators {
         command.arg("--operators").arg(path);
     }
     let mut front = Front(command.spawn().map_err(fault)?);
     while TcpStream::connect(addr).is_err() {
-        if begun.elapsed() > Duration::from_secs(20) || front.0.try_wait().map_err(fault)?.is_some() {
+        if begun.elapsed() > Duration::from_secs(20) || front.0.try_wait().map_err(fault)?.is_some()
+        {
             return Err("a front does not come up".into());
         }
         thread::sleep(Duration::from_millis(1));
@@ -122,7 +127,11 @@
     trial: bool,
     seed: u64,
 ) -> serde_json::Value {
-    let (version, status, cap) = if trial { (42, "trial", 0.5) } else { (41, "released", 1.0) };
+    let (version, status, cap) = if trial {
+        (42, "trial", 0.5)
+    } else {
+        (41, "released", 1.0)
+    };
     json!({"name": "n0", "listen": listen.to_string(), "discovery": discovery.to_string(),
         "seed": format!("{seed:x}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "pipeline": {"address": platform.to_string(), "news":
@@ -148,7 +157,9 @@
 /// An address of this play's own, free a moment ago.
 fn own_address(play: u64) -> Result<SocketAddr, String> {
     let ip = Ipv4Addr::new(127, 9, (play / 250) as u8, 1 + (play % 250) as u8);
-    TcpListener::bind((ip, 0)).and_then(|l| l.local_addr()).map_err(fault)
+    TcpListener::bind((ip, 0))
+        .and_then(|l| l.local_addr())
+        .map_err(fault)
 }
 
 fn play(
@@ -185,14 +196,21 @@
     }
     let listing = json!({"version": 7, "full": true, "servers": entries});
     let discovery = standins::discovery(listing.to_string()).map_err(fault)?;
-    let (build, status, cap) = if bad { (42, "trial", 0.5) } else { (41, "released", 1.0) };
+    let (build, status, cap) = if bad {
+        (42, "trial", 0.5)
+    } else {
+        (41, "released", 1.0)
+    };
     let platform = Platform::start(build, 1, status, cap).map_err(fault)?;
     let listen = own_address(number)?;
     let (config_path, operators) = (dir.join("config.json"), dir.join("operators.toml"));
     let text = config(listen, discovery, platform.addr, &listing, bad, seed).to_string();
     fs::write(&config_path, text).map_err(fault)?;
     let folder = dir.join("memory");
-    let set = format!("[memory]\nfolder = \"{}\"\nevery = \"500 ms\"\n", folder.display());
+    let set = format!(
+        "[memory]\nfolder = \"{}\"\nevery = \"500 ms\"\n",
+        folder.display()
+    );
     fs::write(&operators, set).map_err(fault)?;
     let operators = remembers.then_some(operators.as_path());
 
@@ -218,7 +236,12 @@
         manner(1).silent.store(false, Relaxed);
     }
     let reqs = |m: &Manner| m.reqs.load(Relaxed) as f64;
-    let count = || machines.iter().map(|m| reqs(&m.manner)).collect::<Vec<f64>>();
+    let count = || {
+        machines
+            .iter()
+            .map(|m| reqs(&m.manner))
+            .collect::<Vec<f64>>()
+    };
     let at_kill = count();
     platform.rejects.lock().map_err(fault)?.clear();
     let (mut front, took) = up(program, &config_path, operators, listen)?;
@@ -239,7 +262,10 @@
     let share = |seconds: u64| {
         let end = since + Duration::from_secs(seconds);
         let all = answered.iter().filter(|(at, _)| *at >= since && *at < end);
-        let good = all.clone().filter(|(_, took)| took.is_some_and(|t| t <= OBJECTIVE)).count();
+        let good = all
+            .clone()
+            .filter(|(_, took)| took.is_some_and(|t| t <= OBJECTIVE))
+            .count();
         good as f64 / all.count().max(1) as f64
     };
     let tries = |n: usize| end[n] - at_kill[n];
@@ -255,8 +281,13 @@
         silent: none(!bad, tries(1)),
         draining: none(!bad, tries(2)),
         on_trial: none(bad, tries(0) + tries(1) + tries(2)),
-        found_ms: found.map_or(f64::NAN, |at| at.saturating_duration_since(since).as_secs_f64() * 1e3),
-        share_of_healed: none(!bad, late[0] / (late.iter().sum::<f64>() / serving).max(1.0)),
+        found_ms: found.map_or(f64::NAN, |at| {
+            at.saturating_duration_since(since).as_secs_f64() * 1e3
+        }),
+        share_of_healed: none(
+            !bad,
+            late[0] / (late.iter().sum::<f64>() / serving).max(1.0),
+        ),
         up_ms: took.as_secs_f64() * 1e3,
     })
 }
@@ -277,26 +308,40 @@
 fn stopped(mut front: Front) -> Result<String, String> {
     let log = drain(&mut front);
     thread::sleep(Duration::from_secs(3));
-    Command::new("kill").args(["-TERM", &front.0.id().to_string()]).status().map_err(fault)?;
+    Command::new("kill")
+        .args(["-TERM", &front.0.id().to_string()])
+        .status()
+        .map_err(fault)?;
     front.0.wait().map_err(fault)?;
     log.join().map_err(|_| "no log".into())
 }
 
 /// A number that the log tells under this name.
 fn told(log: &str, name: &str) -> Result<f64, String> {
-    let digits = log.split(name).nth(1).and_then(|t| t.split(|c: char| !c.is_ascii_digit()).next());
-    digits.and_then(|t| t.parse().ok()).ok_or_else(|| format!("the front does not tell {name}"))
+    let digits = log
+        .split(name)
+        .nth(1)
+        .and_then(|t| t.split(|c: char| !c.is_ascii_digit()).next());
+    digits
+        .and_then(|t| t.parse().ok())
+        .ok_or_else(|| format!("the front does not tell {name}"))
 }
 
 fn size(number: u64, machines: usize, program: &Path, dir: &Path) -> Result<Size, String> {
     let dir = dir.join(format!("size-{machines}"));
     fs::create_dir_all(&dir).map_err(fault)?;
-    let seen = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
+    let seen = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_micros() as u64);
     let addr = |n: usize| SocketAddr::from(([127, 10, (n / 250) as u8, (1 + n % 250) as u8], 5432));
     let facts: Vec<Fact> = (0..machines)
         .flat_map(|n| {
-            let process =
-                Process { id: format!("s-{n:08x}"), addr: addr(n).to_string(), build: 41, started: 0 };
+            let process = Process {
+                id: format!("s-{n:08x}"),
+                addr: addr(n).to_string(),
+                build: 41,
+                started: 0,
+            };
             let (zone, kind, state) = ("z1".to_string(), "k".to_string(), "active".to_string());
             let (all, hits) = (vec![4.0, 3.0, 5.0, 2.0], vec![0.1, 0.0, 0.2, 0.3]);
             [
@@ -317,27 +362,51 @@
                     load: (2.0, seen),
                     aside: false,
                 }),
-                Fact::Evidence(EvidenceFact { seen, process, build: 41, all, hits }),
+                Fact::Evidence(EvidenceFact {
+                    seen,
+                    process,
+                    build: 41,
+                    all,
+                    hits,
+                }),
             ]
         })
         .collect();
     let begun = Instant::now();
-    let bytes = format::encode(&Image { sequence: 1, written: seen, facts, unknown: 0 });
+    let bytes = format::encode(&Image {
+        sequence: 1,
+        written: seen,
+        facts,
+        unknown: 0,
+    });
     let encode_ms = begun.elapsed().as_secs_f64() * 1e3;
     let begun = Instant::now();
     format::decode(&bytes).map_err(fault)?;
     let decode_ms = begun.elapsed().as_secs_f64() * 1e3;
-    let entries: Vec<_> =
-        (0..machines).map(|n| entry(&format!("s-{n:08x}"), addr(n), 41, "active")).collect();
+    let entries: Vec<_> = (0..machines)
+        .map(|n| entry(&format!("s-{n:08x}"), addr(n), 41, "active"))
+        .collect();
     let listing = json!({"version": 7, "full": true, "servers": entries});
-    let closed = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(fault)?;
+    let closed = TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .map_err(fault)?;
     let listen = own_address(number)?;
-    let (config_path, operators, folder) =
-        (dir.join("config.json"), dir.join("operators.toml"), dir.join("memory"));
-    fs::write(&config_path, config(listen, closed, closed, &listing, false, 1).to_string()).map_err(fault)?;
+    let (config_path, operators, folder) = (
+        dir.join("config.json"),
+        dir.join("operators.toml"),
+        dir.join("memory"),
+    );
+    fs::write(
+        &config_path,
+        config(listen, closed, closed, &listing, false, 1).to_string(),
+    )
+    .map_err(fault)?;
     fs::write(
         &operators,
-        format!("[memory]\nfolder = \"{}\"\nevery = \"100 ms\"\nstop_within = \"2 s\"\n", folder.display()),
+        format!(
+            "[memory]\nfolder = \"{}\"\nevery = \"100 ms\"\nstop_within = \"2 s\"\n",
+            folder.display()
+        ),
     )
     .map_err(fault)?;
     let (without, up_without) = up(program, &config_path, None, listen)?;
@@ -347,7 +416,10 @@
     let (front, up_with) = up(program, &config_path, Some(&operators), listen)?;
     let with = stopped(front)?;
     let longest_slice_us = told(&with, "longest_slice_us: ")?;
-    let longest_turn_us = [told(&with, "longest_turn_us: ")?, told(&without, "longest_turn_us: ")?];
+    let longest_turn_us = [
+        told(&with, "longest_turn_us: ")?,
+        told(&without, "longest_turn_us: ")?,
+    ];
     let _ = fs::remove_dir_all(&dir);
     let ms = |d: Duration| d.as_secs_f64() * 1e3;
     Ok(Size {
@@ -368,10 +440,20 @@
 fn median(mut of: Vec<f64>) -> f64 {
     of.retain(|x| x.is_finite());
     of.sort_unstable_by(f64::total_cmp);
-    if of.is_empty() { f64::NAN } else { of[of.len() / 2] }
+    if of.is_empty() {
+        f64::NAN
+    } else {
+        of[of.len() / 2]
+    }
 }
 
-pub fn run(runs: u64, seed: u64, out: &Path, front: Option<PathBuf>, lanes: usize) -> Result<String, String> {
+pub fn run(
+    runs: u64,
+    seed: u64,
+    out: &Path,
+    front: Option<PathBuf>,
+    lanes: usize,
+) -> Result<String, String> {
     let beside = || std::env::current_exe().map(|p| p.with_file_name("tidescale"));
     let program = front.map_or_else(beside, Ok).map_err(fault)?;
     fs::create_dir_all(out).map_err(fault)?;
@@ -382,27 +464,40 @@
             plays.extend([(case, seed + n, false), (case, seed + n, true)]);
         }
     }
-    let pool = rayon::ThreadPoolBuilder::new().num_threads(lanes).build().map_err(fault)?;
+    let pool = rayon::ThreadPoolBuilder::new()
+        .num_threads(lanes)
+        .build()
+        .map_err(fault)?;
     let one = |(n, (case, seed, remembers)): (usize, &(Case, u64, bool))| {
         play(n as u64, *case, *remembers, *seed, &program, &dir)
     };
-    let rows: Result<Vec<Row>, String> = pool.install(|| plays.par_iter().enumerate().map(one).collect());
+    let rows: Result<Vec<Row>, String> =
+        pool.install(|| plays.par_iter().enumerate().map(one).collect());
     let rows = rows?;
     let mut sizes = Vec::new();
     for (n, machines) in [10, 400, 5000].into_iter().enumerate() {
-        sizes.push(size(plays.len() as u64 + n as u64, machines, &program, &dir)?);
+        sizes.push(size(
+            plays.len() as u64 + n as u64,
+            machines,
+            &program,
+            &dir,
+        )?);
     }
     let _ = fs::remove_dir_all(&dir);
     tell(&rows, &sizes, out)
 }
 
 fn tell(rows: &[Row], sizes: &[Size], out: &Path) -> Result<String, String> {
-    let numbers =
-        |name: &'static str, of: &dyn Fn(&Row) -> f64| Column::Numbers(name, rows.iter().map(of).collect());
+    let numbers = |name: &'static str, of: &dyn Fn(&Row) -> f64| {
+        Column::Numbers(name, rows.iter().map(of).collect())
+    };
     table::write(
         &out.join("rows.parquet"),
         &[
-            Column::Words("case_name", rows.iter().map(|r| r.case.name().into()).collect()),
+            Column::Words(
+                "case_name",
+                rows.iter().map(|r| r.case.name().into()).collect(),
+            ),
             numbers("seed", &|r| r.seed as f64),
             numbers("remembers", &|r| f64::from(r.remembers)),
             numbers("within_1s", &|r| r.within[0]),
@@ -418,7 +513,12 @@
         ],
     )?;
     let of = |case: Case, remembers: bool, figure: &dyn Fn(&Row) -> f64| {
-        median(rows.iter().filter(|r| r.case == case && r.remembers == remembers).map(figure).collect())
+        median(
+            rows.iter()
+                .filter(|r| r.case == case && r.remembers == remembers)
+                .map(figure)
+                .collect(),
+        )
     };
     let figures: [(&str, Figure); 10] = [
         ("within objective, 1 s", &|r| r.within[0]),
@@ -429,7 +529,9 @@
         ("tries at the draining one", &|r| r.draining),
         ("tries at the build on trial", &|r| r.on_trial),
         ("ms until voted back", &|r| r.found_ms),
-        ("part of the once slow machine, last 5 s", &|r| r.share_of_healed),
+        ("part of the once slow machine, last 5 s", &|r| {
+            r.share_of_healed
+        }),
         ("ms until it serves", &|r| r.up_ms),
     ];
     let mut text = String::from("| medians | ");
@@ -475,8 +577,21 @@
             .map(|(case, n)| of(case, remembers, &|r: &Row| r.within[n]))
             .collect::<Vec<f64>>()
     };
-    let groups = ["trouble 1 s", "3 s", "10 s", "healed 1 s", "3 s", "10 s", "bad build 1 s", "3 s", "10 s"];
-    let both = [("without memory", series(false)), ("with memory", series(true))];
+    let groups = [
+        "trouble 1 s",
+        "3 s",
+        "10 s",
+        "healed 1 s",
+        "3 s",
+        "10 s",
+        "bad build 1 s",
+        "3 s",
+        "10 s",
+    ];
+    let both = [
+        ("without memory", series(false)),
+        ("with memory", series(true)),
+    ];
     table::bars(
         &out.join("within.svg"),
         "Reqs within their objective after a restart",
@@ -497,13 +612,21 @@
     // Bounds: rule 3 in every play, and a memory that helps where there is trouble and costs little where it is over.
     let drained = rows.iter().filter(|r| r.draining > 0.0).count();
     if drained > 0 {
-        return Err(format!("restart: {drained} plays sent tries to a draining machine"));
+        return Err(format!(
+            "restart: {drained} plays sent tries to a draining machine"
+        ));
     }
-    for (case, look, least) in [(Case::Trouble, 0, 0.0), (Case::Healed, 2, -0.03), (Case::BadBuild, 2, -0.03)]
-    {
+    for (case, look, least) in [
+        (Case::Trouble, 0, 0.0),
+        (Case::Healed, 2, -0.03),
+        (Case::BadBuild, 2, -0.03),
+    ] {
         let [with, without] = [true, false].map(|r| of(case, r, &|row: &Row| row.within[look]));
         if with < without + least {
-            return Err(format!("restart: {}: {with:.3} with memory, {without:.3} without", case.name()));
+            return Err(format!(
+                "restart: {}: {with:.3} with memory, {without:.3} without",
+                case.name()
+            ));
         }
     }
     let first = |r| of(Case::Trouble, r, &|row: &Row| row.within[0]);
--- a/crates/experiments/src/standins.rs
+++ b/crates/experiments/src/standins.rs
@@ -66,19 +66,34 @@
             return Ok(());
         }
         let probe = body.starts_with(b"SELECT 1");
-        let number = if probe { 0 } else { manner.reqs.fetch_add(1, Relaxed) };
+        let number = if probe {
+            0
+        } else {
+            manner.reqs.fetch_add(1, Relaxed)
+        };
         if manner.silent.load(Relaxed) {
             thread::sleep(Duration::from_secs(60));
             return Ok(());
         }
         // Between three quarters and five quarters of its delay, by the number of the req.
         let delay = manner.delay_ms.load(Relaxed) * 1000;
-        let took = if probe { 300 } else { delay * 3 / 4 + delay / 2 * (number * 7 % 16) / 16 };
+        let took = if probe {
+            300
+        } else {
+            delay * 3 / 4 + delay / 2 * (number * 7 % 16) / 16
+        };
         thread::sleep(Duration::from_micros(took));
         let answer = if !probe && number * 37 % 100 < manner.errors.load(Relaxed) {
             message(b'E', b"SERROR\0CXX000\0Mno\0\0")
         } else {
-            let field = [&b"data\0"[..], &[0; 6], &17u32.to_be_bytes(), &[0xff; 6], &[0, 1]].concat();
+            let field = [
+                &b"data\0"[..],
+                &[0; 6],
+                &17u32.to_be_bytes(),
+                &[0xff; 6],
+                &[0, 1],
+            ]
+            .concat();
             let described = message(b'T', &[&[0, 1][..], &field].concat());
             let row = message(b'D', &[0, 1, 0, 0, 0, 1, 5]);
             [described, row, message(b'C', b"SELECT 1\0")].concat()
@@ -127,7 +142,10 @@
 /// One list for good, as a watch tells it.
 pub fn discovery(listing: String) -> io::Result<SocketAddr> {
     let line = chunk(&format!("{listing}\n"));
-    http(move |_| (format!("{STREAM}application/json\r\n\r\n{line}"), true), "\n")
+    http(
+        move |_| (format!("{STREAM}application/json\r\n\r\n{line}"), true),
+        "\n",
+    )
 }
 
 /// The newest build's state, and when votes to send it back came.
@@ -142,8 +160,9 @@
         let seen = rejects.clone();
         let answer = move |asked: &str| {
             if asked.starts_with("GET") {
-                let data =
-                    format!("version={build}&step={step}&status={status}&maxWeight={cap}&observedAgoMs=4000");
+                let data = format!(
+                    "version={build}&step={step}&status={status}&maxWeight={cap}&observedAgoMs=4000"
+                );
                 let event = chunk(&format!("event: stage\ndata: {data}\n\n"));
                 return (format!("{STREAM}text/event-stream\r\n\r\n{event}"), true);
             }
@@ -154,11 +173,21 @@
                 "<version>{build}</version><step>{step}</step><status>{status}</status>\
                  <maxWeight>{cap}</maxWeight><observedAgoMs>4000</observedAgoMs>"
             );
-            let body =
-                format!("<?xml version=\"1.0\"?><Response><groups><item>{item}</item></groups></Response>");
-            (format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()), false)
+            let body = format!(
+                "<?xml version=\"1.0\"?><Response><groups><item>{item}</item></groups></Response>"
+            );
+            (
+                format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                    body.len()
+                ),
+                false,
+            )
         };
-        Ok(Platform { addr: http(answer, ":\n")?, rejects })
+        Ok(Platform {
+            addr: http(answer, ":\n")?,
+            rejects,
+        })
     }
 }
 
@@ -166,7 +195,12 @@
 pub type Answered = (Instant, Option<Duration>);
 
 /// A client that asks every `every` until told to stop.
-pub fn client(front: SocketAddr, number: u64, every: Duration, stop: Arc<AtomicBool>) -> Vec<Answered> {
+pub fn client(
+    front: SocketAddr,
+    number: u64,
+    every: Duration,
+    stop: Arc<AtomicBool>,
+) -> Vec<Answered> {
     let (mut all, mut stream, mut next) = (Vec::new(), None, Instant::now());
     let mut asked = 0u64;
     while !stop.load(Relaxed) {
@@ -179,7 +213,10 @@
         if answered.is_err() {
             stream = None;
         }
-        all.push((begun, answered.ok().filter(|good| *good).map(|_| begun.elapsed())));
+        all.push((
+            begun,
+            answered.ok().filter(|good| *good).map(|_| begun.elapsed()),
+        ));
     }
     all
 }
@@ -193,13 +230,19 @@
             let mut s = TcpStream::connect_timeout(&front, Duration::from_millis(500))?;
             s.set_nodelay(true)?;
             s.set_read_timeout(Some(Duration::from_millis(1500)))?;
-            let body = [&196_608u32.to_be_bytes()[..], b"user\0portal\0database\0crm\0\0"].concat();
+            let body = [
+                &196_608u32.to_be_bytes()[..],
+                b"user\0portal\0database\0crm\0\0",
+            ]
+            .concat();
             s.write_all(&[&(body.len() as u32 + 4).to_be_bytes()[..], &body].concat())?;
             while read_message(&mut s, false)?.0 != b'Z' {}
             s
         }
     };
-    let text = format!("SELECT data FROM facts WHERE code = '{id:016x}' /* id={id:016x},c=look,d=1200 */\0");
+    let text = format!(
+        "SELECT data FROM facts WHERE code = '{id:016x}' /* id={id:016x},c=look,d=1200 */\0"
+    );
     let mut good = None;
     let mut exchange = || -> io::Result<bool> {
         s.write_all(&message(b'Q', text.as_bytes()))?;
--- a/crates/experiments/src/table.rs
+++ b/crates/experiments/src/table.rs
@@ -24,20 +24,29 @@
         Column::Words(name, _) => format!("required binary {name} (UTF8);"),
         Column::Numbers(name, _) => format!("required double {name};"),
     };
-    let schema = format!("message rows {{ {} }}", columns.iter().map(field).collect::<String>());
+    let schema = format!(
+        "message rows {{ {} }}",
+        columns.iter().map(field).collect::<String>()
+    );
     let schema = parse_message_type(&schema).map_err(|e| fault(&e))?;
     let file = File::create(path).map_err(|e| fault(&e))?;
     let properties = Arc::new(WriterProperties::builder().build());
-    let mut writer = SerializedFileWriter::new(file, Arc::new(schema), properties).map_err(|e| fault(&e))?;
+    let mut writer =
+        SerializedFileWriter::new(file, Arc::new(schema), properties).map_err(|e| fault(&e))?;
     let mut group = writer.next_row_group().map_err(|e| fault(&e))?;
     for column in columns {
-        let mut to = group.next_column().map_err(|e| fault(&e))?.ok_or("a column too many")?;
+        let mut to = group
+            .next_column()
+            .map_err(|e| fault(&e))?
+            .ok_or("a column too many")?;
         let written = match column {
             Column::Words(_, words) => {
                 let words: Vec<ByteArray> = words.iter().map(|w| w.as_str().into()).collect();
                 to.typed::<ByteArrayType>().write_batch(&words, None, None)
             }
-            Column::Numbers(_, numbers) => to.typed::<DoubleType>().write_batch(numbers, None, None),
+            Column::Numbers(_, numbers) => {
+                to.typed::<DoubleType>().write_batch(numbers, None, None)
+            }
         };
         written.map_err(|e| fault(&e))?;
         to.close().map_err(|e| fault(&e))?;
@@ -66,7 +75,10 @@
             .build_cartesian_2d(0.0..groups.len() as f64, 0.0..most)?;
         let label = |x: &f64| {
             let whole = (x - 0.5).fract().abs() < 1e-6;
-            groups.get(*x as usize).filter(|_| whole).map_or(String::new(), |g| g.to_string())
+            groups
+                .get(*x as usize)
+                .filter(|_| whole)
+                .map_or(String::new(), |g| g.to_string())
         };
         chart
             .configure_mesh()
@@ -79,15 +91,24 @@
             let colour = Palette99::pick(n).to_rgba();
             let bar = |(g, v): (usize, &f64)| {
                 let left = g as f64 + 0.1 + width * n as f64;
-                Rectangle::new([(left, 0.0), (left + 0.94 * width, v.min(most))], colour.filled())
+                Rectangle::new(
+                    [(left, 0.0), (left + 0.94 * width, v.min(most))],
+                    colour.filled(),
+                )
             };
             let whole = values.iter().enumerate().filter(|(_, v)| v.is_finite());
             chart
                 .draw_series(whole.map(bar))?
                 .label(*name)
-                .legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 10, y + 5)], colour.filled()));
+                .legend(move |(x, y)| {
+                    Rectangle::new([(x, y - 5), (x + 10, y + 5)], colour.filled())
+                });
         }
-        chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+        chart
+            .configure_series_labels()
+            .background_style(WHITE)
+            .border_style(BLACK)
+            .draw()?;
         root.present()?;
         Ok(())
     };
--- a/crates/experiments/src/torture.rs
+++ b/crates/experiments/src/torture.rs
@@ -23,7 +23,9 @@
     loop {
         match Folder::hold(folder) {
             Ok(folder) => return Ok(folder),
-            Err(NoFolder::Held) if begun.elapsed() < LETS_GO => std::thread::sleep(Duration::from_millis(1)),
+            Err(NoFolder::Held) if begun.elapsed() < LETS_GO => {
+                std::thread::sleep(Duration::from_millis(1))
+            }
             Err(why) => return Err(why.to_string()),
         }
     }
@@ -37,7 +39,9 @@
     loop {
         number += 1;
         writeln!(out, "begun {number}").map_err(|e| e.to_string())?;
-        store.save(number, state(number)).map_err(|e| e.to_string())?;
+        store
+            .save(number, state(number))
+            .map_err(|e| e.to_string())?;
         writeln!(out, "saved {number}").map_err(|e| e.to_string())?;
     }
 }
@@ -62,10 +66,16 @@
             .spawn()
             .map_err(|e| e.to_string())?;
         let mut lines = BufReader::new(child.stdout.take().ok_or("no output")?).lines();
-        let first = lines.next().and_then(Result::ok).ok_or("a process does not come up")?;
+        let first = lines
+            .next()
+            .and_then(Result::ok)
+            .ok_or("a process does not come up")?;
         lane.slowest_start = lane.slowest_start.max(begun_at.elapsed());
         std::thread::sleep(Duration::from_micros(rng.rand_u64() % MOST_LIFE));
-        child.kill().and_then(|()| child.wait().map(drop)).map_err(|e| e.to_string())?;
+        child
+            .kill()
+            .and_then(|()| child.wait().map(drop))
+            .map_err(|e| e.to_string())?;
         let (mut begun, mut saved) = (last, last);
         for line in std::iter::once(first).chain(lines.map_while(Result::ok)) {
             match line.split_once(' ') {
@@ -80,9 +90,14 @@
         }
         let found = opened.image.as_ref().map_or(0, |image| image.written);
         if !(saved..=begun).contains(&found) {
-            return Err(format!("state {found}, where {saved} was saved and {begun} begun"));
+            return Err(format!(
+                "state {found}, where {saved} was saved and {begun} begun"
+            ));
         }
-        if opened.image.is_some_and(|image| image.facts != state(found)) {
+        if opened
+            .image
+            .is_some_and(|image| image.facts != state(found))
+        {
             return Err(format!("state {found} is torn or mixed"));
         }
         let names = store.into_disk().names().map_err(|e| e.to_string())?;
@@ -99,16 +114,27 @@
 
 pub fn run(kills: u64, seed: u64, lanes: u64, dir: Option<PathBuf>) -> Result<String, String> {
     let lanes = lanes.max(1);
-    let dir =
-        dir.unwrap_or_else(std::env::temp_dir).join(format!("tidescale-torture-{}", std::process::id()));
+    let dir = dir
+        .unwrap_or_else(std::env::temp_dir)
+        .join(format!("tidescale-torture-{}", std::process::id()));
     fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let share = |n: u64| kills / lanes + u64::from(n < kills % lanes);
-    let one = |n: u64| lane(&dir.join(n.to_string()), share(n), seed.wrapping_mul(1 << 20).wrapping_add(n));
+    let one = |n: u64| {
+        lane(
+            &dir.join(n.to_string()),
+            share(n),
+            seed.wrapping_mul(1 << 20).wrapping_add(n),
+        )
+    };
     let done: Result<Vec<Lane>, String> = (0..lanes).into_par_iter().map(one).collect();
     let _ = fs::remove_dir_all(&dir);
     let done = done?;
     let sum = |of: fn(&Lane) -> u64| done.iter().map(of).sum::<u64>();
-    let slowest = done.iter().map(|l| l.slowest_start).max().unwrap_or_default();
+    let slowest = done
+        .iter()
+        .map(|l| l.slowest_start)
+        .max()
+        .unwrap_or_default();
     Ok(format!(
         "torture: {} kills in {lanes} folders, {} of them during a save, {} saves, slowest start {} ms, no torn file \
          and none left over",
--- a/crates/experiments/src/trace.rs
+++ b/crates/experiments/src/trace.rs
@@ -17,9 +17,21 @@
     let confounders = Confounder::ALL.len() as u64;
     Case {
         seed: seed.wrapping_add(index),
-        size: if index % GROWN_EVERY == GROWN_EVERY - 1 { Size::GROWN } else { Size::SMALL },
-        limits: if index / confounders % 2 == 0 { Limits::Standard } else { Limits::Strict },
-        truth: if chance.of(0.5) { Truth::good(&mut chance) } else { Truth::bad(&mut chance) },
+        size: if index % GROWN_EVERY == GROWN_EVERY - 1 {
+            Size::GROWN
+        } else {
+            Size::SMALL
+        },
+        limits: if (index / confounders).is_multiple_of(2) {
+            Limits::Standard
+        } else {
+            Limits::Strict
+        },
+        truth: if chance.of(0.5) {
+            Truth::good(&mut chance)
+        } else {
+            Truth::bad(&mut chance)
+        },
         confounder: Confounder::ALL[(index % confounders) as usize],
         heeds: Heeds::Votes,
     }
@@ -30,9 +42,17 @@
     if runs == 0 {
         return Err("trace: no runs were asked for".into());
     }
-    let outcomes: Vec<_> = (0..runs).into_par_iter().map(|index| play(case(seed, index))).collect();
+    let outcomes: Vec<_> = (0..runs)
+        .into_par_iter()
+        .map(|index| play(case(seed, index)))
+        .collect();
     let mut digest = Digest::default();
-    outcomes.iter().for_each(|outcome| digest.add(outcome.digest.value()));
+    outcomes
+        .iter()
+        .for_each(|outcome| digest.add(outcome.digest.value()));
     let rounds: u64 = outcomes.iter().map(|outcome| outcome.rounds).sum();
-    Ok(format!("trace: seed {seed}, {runs} trials, {rounds} rounds, digest {:016x}", digest.value()))
+    Ok(format!(
+        "trace: seed {seed}, {runs} trials, {rounds} rounds, digest {:016x}",
+        digest.value()
+    ))
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,9 +1,14 @@
-//! tidescale: routes reqs while the servers' software is replaced, and votes on the build on trial.
+//! The policy of a tidescale instance: it routes requests while the software behind it is being replaced, judges the
+//! build under evaluation from its own attempts, and votes to hold it or to roll it back. It does no I/O.
 //!
-//! [`decide`] holds every decision, [`front`] the interface to whatever carries the protocol, [`recall`] what is
-//! told of and to a memory that outlives the process.
+//! A host implements the two traits in [`host`] and drives a [`Balancer`]; [`settings`] and [`types`] are the values
+//! that cross this border. [`snapshot`] is what survives a restart.
 
 pub mod decide;
-pub mod front;
-pub mod recall;
+pub mod host;
+pub mod settings;
+pub mod snapshot;
 mod state;
+pub mod types;
+
+pub use state::{Balancer, EndpointStatus, Rollout};
--- /dev/null
+++ b/crates/policy/src/settings.rs
@@ -0,0 +1,106 @@
+//! The told settings that the policy reads, decoded and checked by its host.
+
+use std::time::Duration;
+
+/// Whether a repeated request can do harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Idempotency {
+    /// Any number of executions has the effect of one.
+    Idempotent,
+    /// Endpoints of one scope drop repeats of a key, for a window from the first attempt that may have executed.
+    IdempotencyKey {
+        /// Which endpoints share what they know of a key.
+        scope: KeyScope,
+        /// How long they know it.
+        window: Duration,
+    },
+    /// Must not be executed twice.
+    NotIdempotent,
+}
+
+/// Which endpoints share what they know of an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyScope {
+    /// All endpoints.
+    Fleet,
+    /// Endpoints of one zone.
+    Zone,
+    /// Endpoints of one cell.
+    Cell,
+}
+
+/// One kind of request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name in requests and reports.
+    pub name: String,
+    /// An answer counts in full only if it comes within this time.
+    pub latency_objective: Duration,
+    /// What an answer is worth, against other routes.
+    pub priority_weight: f64,
+    /// Whether it may be repeated.
+    pub idempotency: Idempotency,
+}
+
+/// All told settings that the policy reads.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Number of this instance, from 0.
+    pub instance_index: u32,
+    /// Number of instances.
+    pub instance_count: u32,
+    /// This instance's zone.
+    pub zone: String,
+    /// The kinds of requests, by index.
+    pub routes: Vec<Route>,
+    /// The endpoint list has to be asked for.
+    pub poll_endpoints: bool,
+    /// An instance that has not asked for the list for this long counts as told of every change.
+    pub max_poll_interval: Duration,
+    /// Price of an answer from another zone, as a share of what it is worth.
+    pub cross_zone_price: f64,
+    /// Health checks are allowed.
+    pub health_checks: bool,
+    /// Attempts may be cancelled.
+    pub cancel_attempts: bool,
+    /// Two attempts of one request may be in flight at once.
+    pub hedging: bool,
+    /// Attempts for each request.
+    pub max_attempts: usize,
+    /// The longest retry time that a client may be told; zero where none reaches it.
+    pub max_retry_after: Duration,
+    /// How long after a change was told the state before it may still be acted on.
+    pub grace_period: Duration,
+    /// Share of its capacity that an endpoint has right after its start.
+    pub warm_up_start: f64,
+    /// Time from an endpoint's start until it has its full capacity.
+    pub warm_up_time: Duration,
+    /// A warming endpoint fails at this multiple of what it can bear, …
+    pub overload_multiple: f64,
+    /// … within this time.
+    pub overload_window: Duration,
+    /// Traffic cap of each stage of a rollout.
+    pub stage_caps: Vec<f64>,
+    /// Attempts at a build under evaluation that are allowed beside the cap.
+    pub exposure_allowance: f64,
+    /// Attempts and requests are counted over this window.
+    pub exposure_window: Duration,
+    /// They are counted for each route by itself.
+    pub exposure_by_route: bool,
+    /// So many first stages take idempotent requests only.
+    pub guarded_stages: u32,
+    /// A key that a later build has answered must not go to an earlier one.
+    pub monotonic_key_builds: bool,
+    /// Stages advance by themselves unless held.
+    pub automatic_stages: bool,
+    /// The shortest time at a stage.
+    pub min_stage_time: Duration,
+    /// Instances that have to vote to roll a build back.
+    pub rollback_votes: u32,
+    /// Votes a second that the platform takes from all instances together.
+    pub votes_per_second: f64,
+    /// How long a vote counts.
+    pub vote_lifetime: Duration,
+    /// How long the platform's answer to a vote is waited for.
+    pub vote_timeout: Duration,
+}
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -4,7 +4,8 @@
 
 use oorandom::Rand64;
 
-use crate::front::{Load, Phase, Settings, Standing, Verdict};
+use crate::settings::Settings;
+use crate::types::{EndpointState, LoadReport, RolloutPhase, Timestamp, Vote, whole_micros};
 
 /// Sums that decay together; brought up to date when read.
 #[derive(Clone, Copy)]
@@ -168,7 +169,7 @@
     pub kind: usize,
     pub cell: u64,
     pub build: u32,
-    pub standing: Standing,
+    pub standing: EndpointState,
     pub started: u64,
     /// Own tries out, and what it last reported to hold, and when.
     pub held: f64,
@@ -251,16 +252,30 @@
 }
 
 #[derive(Clone, Copy)]
-pub struct News {
+/// Where the newest build stands.
+pub struct Rollout {
     pub build: u32,
     pub stage: u32,
-    pub phase: Phase,
-    pub cap: f64,
+    pub phase: RolloutPhase,
+    /// Share of the requests that may be attempted at it.
+    pub traffic_cap: f64,
     pub since: u64,
 }
 
+/// What an instance knows of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointStatus {
+    /// As the endpoint list has it.
+    pub state: EndpointState,
+    /// This instance's attempts in flight there.
+    pub in_flight: f64,
+    /// Requests in flight that it last reported.
+    pub reported_load: f64,
+}
+
 pub struct Balancer {
-    pub set: Settings,
+    /// The told settings.
+    pub settings: Settings,
     pub now: u64,
     pub stalled: bool,
     pub born: u64,
@@ -271,7 +286,8 @@
     pub names: BTreeMap<String, usize>,
     pub kinds: Vec<Kind>,
     pub reqs: BTreeMap<u64, Req>,
-    pub news: Option<News>,
+    /// Where the newest build stands, once the platform has told.
+    pub rollout: Option<Rollout>,
     /// A trial was seen since this front's start.
     pub stirred: bool,
     /// Reqs, of no build, and tries.
@@ -298,8 +314,8 @@
     pub leaning: bool,
     pub looked: u64,
     /// The vote that stands, and the one that is out, with the time of its cast.
-    pub stands: (u32, u32, Verdict, u64),
-    pub cast: Option<(u32, u32, Verdict, u64)>,
+    pub stands: (u32, u32, Vote, u64),
+    pub cast: Option<(u32, u32, Vote, u64)>,
     /// By route, then of all, before a trial: time to answer, work, answers.
     pub usual: Vec<Fading<3>>,
     /// Tries out, and room for them in all.
@@ -318,7 +334,9 @@
 }
 
 impl Balancer {
-    pub fn new(set: Settings, seed: u64, now: u64) -> Self {
+    /// An instance that starts now and knows nothing yet.
+    pub fn new(settings: Settings, seed: u64, now: Timestamp) -> Self {
+        let now = now.as_micros();
         Balancer {
             now,
             stalled: false,
@@ -329,7 +347,7 @@
             names: BTreeMap::new(),
             kinds: Vec::new(),
             reqs: BTreeMap::new(),
-            news: None,
+            rollout: None,
             stirred: false,
             accepted: Past::default(),
             exposed: Past::default(),
@@ -348,40 +366,53 @@
             lifted: None,
             leaning: false,
             looked: now,
-            stands: (0, 0, Verdict::None, now),
+            stands: (0, 0, Vote::Abstain, now),
             cast: None,
-            usual: vec![Fading::default(); set.routes.len() + 1],
+            usual: vec![Fading::default(); settings.routes.len() + 1],
             held: 0.0,
             room: Room { tries: f64::INFINITY, ..Room::default() },
             zones: Default::default(),
             best: 0.0,
             arrivals: Fading::default(),
             sends: Fading::default(),
-            ask_at: if set.ask_list { now } else { u64::MAX },
+            ask_at: if settings.poll_endpoints { now } else { u64::MAX },
             swept: 0,
             wake_at: now,
-            set,
+            settings,
         }
     }
 
-    /// A whole list names all that are there.
-    pub fn list(&mut self, whole: bool) {
-        self.machines.iter_mut().filter(|_| whole).for_each(|m| m.standing = Standing::Gone);
+    /// State and load of an endpoint, if it is known.
+    pub fn endpoint_status(&self, name: &str) -> Option<EndpointStatus> {
+        let endpoint = &self.machines[self.find(name)?];
+        Some(EndpointStatus {
+            state: endpoint.standing,
+            in_flight: endpoint.held,
+            reported_load: endpoint.load.0,
+        })
+    }
+
+    /// A complete endpoint list begins: what it does not name has gone.
+    pub fn on_complete_endpoint_list(&mut self) {
+        self.machines.iter_mut().for_each(|m| m.standing = EndpointState::Removed);
     }
 
     /// This front ends then: what is open must have its answer before, whatever time its client gives.
-    pub fn closing(&mut self, by: u64) {
+    pub fn begin_shutdown(&mut self, deadline: Timestamp) {
+        let by = deadline.as_micros();
         self.closes = by;
         self.reqs.values_mut().for_each(|rq| (rq.due, rq.objective) = (rq.due.min(by), rq.objective.min(by)));
     }
 
-    pub fn begun(&mut self, id: u64, n: usize) {
+    /// The answer to an attempt has begun to stream to the client.
+    pub fn on_response_started(&mut self, id: u64, n: usize) {
         if let Some(t) = self.reqs.get_mut(&id).and_then(|rq| rq.tries.get_mut(n)) {
             (t.begun, t.stuck) = (true, false);
         }
     }
 
-    pub fn withdrawn(&mut self, id: u64) {
+    /// The client waits for no answer any more.
+    pub fn on_client_disconnected(&mut self, id: u64) {
         if let Some(rq) = self.reqs.get_mut(&id) {
             rq.over = true;
             self.forget(id);
@@ -397,7 +428,7 @@
             }
             tallies.retain(|_, t| t.all.iter().chain(&t.hits).any(|n| *n >= 0.5));
         }
-        let here = self.machines.iter().filter(|m| m.standing != Standing::Gone);
+        let here = self.machines.iter().filter(|m| m.standing != EndpointState::Removed);
         if let Some(oldest) = here.map(|m| m.build).min() {
             self.keys.retain(|_, build| *build > oldest);
         }
@@ -406,7 +437,7 @@
             let by = |rq: &Req| rq.suspect == Some(i) || rq.tries.iter().any(|t| t.machine == i);
             evidence.keys().chain(self.recalled.keys()).any(|(_, of)| *of == i) || reqs.values().any(by)
         };
-        let over = |m: &Machine| m.standing == Standing::Gone && !m.probe_out && m.held <= 0.0;
+        let over = |m: &Machine| m.standing == EndpointState::Removed && !m.probe_out && m.held <= 0.0;
         self.names.retain(|_, i| !over(&self.machines[*i]) || spoken_of(*i));
     }
 
@@ -446,20 +477,20 @@
 
     /// Machines in service of this build or later ones, and of earlier ones.
     pub(crate) fn serving(&self, newest: u32) -> [usize; 2] {
-        let ready = self.machines.iter().filter(|m| m.standing == Standing::Ready && !m.aside);
+        let ready = self.machines.iter().filter(|m| m.standing == EndpointState::Ready && !m.aside);
         let new = ready.clone().filter(|m| m.build >= newest).count();
         [new, ready.count() - new]
     }
 
     /// Machines are in service, and all of them are set aside.
     pub(crate) fn deserted(&self) -> bool {
-        let mut ready = self.machines.iter().filter(|m| m.standing == Standing::Ready).peekable();
+        let mut ready = self.machines.iter().filter(|m| m.standing == EndpointState::Ready).peekable();
         ready.peek().is_some() && ready.all(|m| m.aside)
     }
 
     /// A machine's own report, for it and for its kind.
-    pub(crate) fn note_load(&mut self, i: usize, load: Option<Load>, fade: f64) {
-        let Some(x) = load.and_then(|l| l.inflight.or(l.queue)) else { return };
+    pub(crate) fn note_load(&mut self, i: usize, load: Option<LoadReport>, fade: f64) {
+        let Some(x) = load.and_then(|l| l.in_flight.or(l.queued)) else { return };
         let (now, m) = (self.now, &mut self.machines[i]);
         m.load = (x, now);
         self.kinds[m.kind].load.add([x, 1.0], now, fade);
@@ -467,8 +498,12 @@
 
     /// The part of its capacity that a machine has for certain.
     pub(crate) fn warmth(&self, started: u64) -> f64 {
-        let age = self.now.saturating_sub(started) as f64 / self.set.cold_for as f64;
-        if started == 0 { 1.0 } else { (self.set.cold_from + (1.0 - self.set.cold_from) * age).min(1.0) }
+        let age = self.now.saturating_sub(started) as f64 / whole_micros(self.settings.warm_up_time) as f64;
+        if started == 0 {
+            1.0
+        } else {
+            (self.settings.warm_up_start + (1.0 - self.settings.warm_up_start) * age).min(1.0)
+        }
     }
 
     /// Seconds that a fading count stands for, of a front that has run at least this long.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,46 +1,53 @@
 //! A balancer with a clock, fed by plain calls, and a record of what it wrote.
 
-use tidescale_policy::decide::Balancer;
-use tidescale_policy::front::*;
+use std::time::Duration;
+
+use tidescale_policy::Balancer;
+use tidescale_policy::host::{DecisionSink, EventSource};
+use tidescale_policy::settings::{Idempotency, KeyScope, Route, Settings};
+use tidescale_policy::types::{
+    AttemptOutcome, AttemptResult, Ballot, EndpointEntry, EndpointState, IncomingRequest, LoadReport,
+    RollbackVerdict, RolloutPhase, RolloutStatus, Timestamp,
+};
 
 pub const MS: u64 = 1_000;
 
-/// What was written, a line each: `try 7 m1`, `shed 7`, `error 7`, `vote 2 0 Back`, ...
+/// What was decided, a line each: `try 7 m1`, `shed 7`, `error 7`, `vote 2 0 RollBack`, ...
 #[derive(Default)]
 pub struct Record(pub Vec<String>);
 
-impl Writer for Record {
-    fn upstream_try(&mut self, rq: u64, machine: &str, _until: u64) {
-        self.0.push(format!("try {rq} {machine}"));
+impl DecisionSink for Record {
+    fn start_attempt(&mut self, request: u64, endpoint: &str, _deadline: Timestamp) {
+        self.0.push(format!("try {request} {endpoint}"));
     }
-    fn cancel_try(&mut self, rq: u64, n: usize) {
-        self.0.push(format!("cancel {rq} {n}"));
+    fn cancel_attempt(&mut self, request: u64, attempt_index: usize) {
+        self.0.push(format!("cancel {request} {attempt_index}"));
     }
-    fn shed(&mut self, rq: u64, _come_back: u64) {
-        self.0.push(format!("shed {rq}"));
+    fn reject_request(&mut self, request: u64, _retry_after: Duration) {
+        self.0.push(format!("shed {request}"));
     }
-    fn error(&mut self, rq: u64) {
-        self.0.push(format!("error {rq}"));
+    fn fail_request(&mut self, request: u64) {
+        self.0.push(format!("error {request}"));
     }
-    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
-        self.0.push(format!("vote {build} {stage} {verdict:?}"));
+    fn cast_vote(&mut self, Ballot { build, stage, vote }: Ballot) {
+        self.0.push(format!("vote {build} {stage} {vote:?}"));
     }
-    fn probe(&mut self, machine: &str, _until: u64) {
-        self.0.push(format!("probe {machine}"));
+    fn start_health_check(&mut self, endpoint: &str, _deadline: Timestamp) {
+        self.0.push(format!("probe {endpoint}"));
     }
-    fn watch_list(&mut self) {
+    fn poll_endpoints(&mut self) {
         self.0.push("watch".into());
     }
-    fn wake(&mut self, _after: u64) {}
-    fn found(&mut self, _finding: &Finding) {}
+    fn schedule_wake_up(&mut self, _after: Duration) {}
+    fn report_rollback_verdict(&mut self, _verdict: &RollbackVerdict) {}
 }
 
 struct Calls<F>(Option<F>);
 
-impl<F: FnOnce(&mut Balancer)> Inbox for Calls<F> {
-    fn replay(&mut self, to: &mut Balancer) {
+impl<F: FnOnce(&mut Balancer)> EventSource for Calls<F> {
+    fn deliver(&mut self, policy: &mut Balancer) {
         if let Some(calls) = self.0.take() {
-            calls(to);
+            calls(policy);
         }
     }
 }
@@ -51,62 +58,136 @@
 }
 
 pub fn settings() -> Settings {
-    let route = |name: &str, repeat| Route { name: name.into(), objective: 500 * MS, earnings: 1.0, repeat };
+    let route = |name: &str, idempotency| Route {
+        name: name.into(),
+        latency_objective: Duration::from_millis(500),
+        priority_weight: 1.0,
+        idempotency,
+    };
+    let window = Duration::from_millis(300);
     Settings {
-        me: 0,
-        fronts: 1,
+        instance_index: 0,
+        instance_count: 1,
         zone: "z1".into(),
         routes: vec![
-            route("look", Repeat::Retriable),
-            route("hold", Repeat::Deduped { scope: Scope::Zone, window: 300 * MS }),
-            route("pay", Repeat::NonRetriable),
+            route("look", Idempotency::Idempotent),
+            route("hold", Idempotency::IdempotencyKey { scope: KeyScope::Zone, window }),
+            route("pay", Idempotency::NotIdempotent),
         ],
-        ask_list: false,
-        must_ask_in: 10_000 * MS,
+        poll_endpoints: false,
+        max_poll_interval: Duration::from_secs(10),
         cross_zone_price: 0.0,
-        probes: true,
-        cancel: true,
-        second_copies: true,
-        max_tries: 3,
-        max_come_back: 0,
-        grace: 500 * MS,
-        cold_from: 0.3,
-        cold_for: 4000 * MS,
-        fall_multiple: 2.0,
-        fall_for: 1500 * MS,
+        health_checks: true,
+        cancel_attempts: true,
+        hedging: true,
+        max_attempts: 3,
+        max_retry_after: Duration::ZERO,
+        grace_period: Duration::from_millis(500),
+        warm_up_start: 0.3,
+        warm_up_time: Duration::from_secs(4),
+        overload_multiple: 2.0,
+        overload_window: Duration::from_millis(1500),
         stage_caps: vec![0.1, 0.5, 1.0],
-        free: 2.0,
-        exposure_window: 4000 * MS,
-        by_route: false,
+        exposure_allowance: 2.0,
+        exposure_window: Duration::from_secs(4),
+        exposure_by_route: false,
         guarded_stages: 1,
-        one_way: false,
-        timed: true,
-        min_dwell: 1000 * MS,
-        back_votes: 1,
-        votes_per_s: 100.0,
-        vote_life: 5000 * MS,
-        vote_wait: 1000 * MS,
+        monotonic_key_builds: false,
+        automatic_stages: true,
+        min_stage_time: Duration::from_secs(1),
+        rollback_votes: 1,
+        votes_per_second: 100.0,
+        vote_lifetime: Duration::from_secs(5),
+        vote_timeout: Duration::from_secs(1),
     }
 }
 
 impl Bench {
     pub fn new(set: Settings) -> Self {
-        Bench { now: 100_000 * MS, module: Balancer::new(set, 1, 100_000 * MS) }
+        Bench { now: 100_000 * MS, module: Balancer::new(set, 1, Timestamp::from_micros(100_000 * MS)) }
     }
     /// One round after `pass` microseconds, with these calls as its news.
     pub fn round(&mut self, pass: u64, calls: impl FnOnce(&mut Balancer)) -> Vec<String> {
         self.now += pass;
         let mut out = Record::default();
-        self.module.round(self.now, &mut Calls(Some(calls)), &mut out);
+        let now = Timestamp::from_micros(self.now);
+        self.module.step(now, &mut Calls(Some(calls)), &mut out);
         out.0
     }
 }
 
 /// A ready machine that has run for long.
 pub fn warm(to: &mut Balancer, name: &str, zone: &str, build: u32) {
-    to.machine(name, (zone, 0, "k"), build, Standing::Ready, 0);
+    endpoint(to, name, (zone, 0, "k"), build, EndpointState::Ready, 0);
 }
 
 pub fn count(lines: &[String], start: &str) -> usize {
     lines.iter().filter(|l| l.starts_with(start)).count()
 }
+
+/// One entry of the list: a name, its zone, cell and hardware class, and the rest; started at 0 means long ago.
+pub fn endpoint(
+    policy: &mut Balancer,
+    name: &str,
+    (zone, cell, hardware_class): (&str, u64, &str),
+    build: u32,
+    state: EndpointState,
+    started: u64,
+) {
+    let started_at = (started > 0).then(|| Timestamp::from_micros(started));
+    policy.on_endpoint(EndpointEntry { name, zone, cell, hardware_class, build, state, started_at });
+}
+
+/// The begin of a list; a complete one names all that are there.
+pub fn endpoint_list(policy: &mut Balancer, complete: bool) {
+    if complete {
+        policy.on_complete_endpoint_list();
+    }
+}
+
+/// A request whose client waits for so many microseconds; a cost of 0 tells nothing.
+pub fn request(
+    policy: &mut Balancer,
+    id: u64,
+    route: usize,
+    idempotency_key: Option<&str>,
+    micros_remaining: u64,
+    cost: f64,
+) {
+    let time_remaining = Duration::from_micros(micros_remaining);
+    let cost_hint = (cost > 0.0).then_some(cost);
+    policy.on_request(id, IncomingRequest { route, idempotency_key, time_remaining, cost_hint });
+}
+
+/// The end of an attempt after so many microseconds.
+pub fn outcome(
+    policy: &mut Balancer,
+    id: u64,
+    attempt_index: usize,
+    outcome: AttemptOutcome,
+    micros: u64,
+    request_finished: bool,
+    load: Option<LoadReport>,
+) {
+    let duration = Duration::from_micros(micros);
+    let result = AttemptResult { outcome, duration, request_finished, load };
+    policy.on_attempt_result(id, attempt_index, result);
+}
+
+/// Where a build stands, since so many microseconds.
+pub fn rollout_status(
+    policy: &mut Balancer,
+    build: u32,
+    stage: u32,
+    phase: RolloutPhase,
+    traffic_cap: f64,
+    micros: u64,
+) {
+    let age = Duration::from_micros(micros);
+    policy.on_rollout_status(RolloutStatus { build, stage, phase, traffic_cap, age });
+}
+
+/// A complaint of an answer given so many microseconds ago.
+pub fn flagged(policy: &mut Balancer, name: &str, micros: u64) {
+    policy.on_answer_flagged(name, Duration::from_micros(micros));
+}
--- a/crates/policy/tests/judging.rs
+++ b/crates/policy/tests/judging.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::{Bench, MS, count, settings, warm};
+use common::{Bench, MS, count, endpoint_list, outcome, request, rollout_status, settings, warm};
 use tidescale_policy::decide::{Arm, bounds, score, variances};
-use tidescale_policy::front::*;
+use tidescale_policy::settings::Settings;
+use tidescale_policy::types::{AttemptOutcome, RolloutPhase, VoteResult};
 
 #[test]
 fn wald_bounds_at_the_design_rates() {
@@ -50,11 +51,11 @@
     let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
     let mut all = b.round(0, |to| {
         [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
-        to.news(2, 0, Phase::Trial, 0.5, 0);
+        rollout_status(to, 2, 0, RolloutPhase::Canary, 0.5, 0);
     });
     let mut on_new = 0;
     for id in 0..seconds * 50 {
-        let got = b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
+        let got = b.round(10 * MS, |to| request(to, id, 0, None, 900 * MS, 1.0));
         let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
         all.extend(got);
         let mut bad = false;
@@ -62,11 +63,11 @@
             on_new += 1;
             bad = on_new % 10 < failing;
         }
-        let end = if bad { End::Error } else { End::Done };
+        let end = if bad { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded };
         all.extend(b.round(10 * MS, |to| {
-            to.outcome(id, 0, end, 10 * MS, !bad, None);
+            outcome(to, id, 0, end, 10 * MS, !bad, None);
             if bad {
-                to.withdrawn(id);
+                to.on_client_disconnected(id);
             }
         }));
     }
@@ -76,61 +77,71 @@
 
 #[test]
 fn a_failing_build_is_sent_back_and_a_good_one_is_not() {
-    assert!(count(&votes(4, 6), "vote 2 0 Back") > 0);
-    assert_eq!(count(&votes(0, 6), "vote 2 0 Back"), 0);
+    assert!(count(&votes(4, 6), "vote 2 0 RollBack") > 0);
+    assert_eq!(count(&votes(0, 6), "vote 2 0 RollBack"), 0);
 }
 
 #[test]
 fn a_vote_is_cast_again_after_an_answer_that_does_not_count() {
-    for (answer, again) in [(Answer::Counts, 0), (Answer::Busy, 1), (Answer::Unknown, 1), (Answer::Error, 1)]
+    for (answer, again) in
+        [(VoteResult::Accepted, 0), (VoteResult::Busy, 1), (VoteResult::Unknown, 1), (VoteResult::Failed, 1)]
     {
         let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
         b.round(0, |to| {
             [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
-            to.news(2, 0, Phase::Trial, 1.0, 0);
+            rollout_status(to, 2, 0, RolloutPhase::Canary, 1.0, 0);
         });
         let mut cast = 0;
         for id in 0..500 {
-            let got = b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0));
+            let got = b.round(10 * MS, |to| request(to, id, 0, None, 900 * MS, 1.0));
             let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
-            let end = if new { End::Error } else { End::Done };
-            cast += count(&got, "vote 2 0 Back");
-            let got = b.round(10 * MS, |to| to.outcome(id, 0, end, 10 * MS, true, None));
-            cast += count(&got, "vote 2 0 Back");
+            let end = if new { AttemptOutcome::Failed } else { AttemptOutcome::Succeeded };
+            cast += count(&got, "vote 2 0 RollBack");
+            let got = b.round(10 * MS, |to| outcome(to, id, 0, end, 10 * MS, true, None));
+            cast += count(&got, "vote 2 0 RollBack");
             if cast > 0 {
                 break;
             }
         }
         assert_eq!(cast, 1);
-        b.round(10 * MS, |to| to.answered(answer));
+        b.round(10 * MS, |to| to.on_vote_result(answer));
         let got: Vec<_> = (0..4).flat_map(|_| b.round(250 * MS, |_| {})).collect();
-        assert_eq!(count(&got, "vote 2 0 Back"), again, "{answer:?}: {got:?}");
+        assert_eq!(count(&got, "vote 2 0 RollBack"), again, "{answer:?}: {got:?}");
     }
 }
 
 #[test]
 fn a_process_that_dies_is_one_failure() {
-    for (end, back) in [(End::Reset, false), (End::Error, true)] {
+    for (end, back) in [(AttemptOutcome::ConnectionReset, false), (AttemptOutcome::Failed, true)] {
         let mut b = Bench::new(Settings { stage_caps: vec![1.0], guarded_stages: 0, ..settings() });
         b.round(0, |to| {
             [("o1", 1), ("n1", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
-            to.news(2, 0, Phase::Trial, 1.0, 0);
+            rollout_status(to, 2, 0, RolloutPhase::Canary, 1.0, 0);
         });
         let mut ids = 0..;
         let mut all = Vec::new();
         // Calm rounds, then one in which all that the new machine holds ends at once.
         for round in 0..60 {
             let some: Vec<u64> = ids.by_ref().take(8).collect();
-            let sent = b.round(10 * MS, |to| some.iter().for_each(|id| to.req(*id, 0, None, 900 * MS, 1.0)));
+            let sent =
+                b.round(10 * MS, |to| some.iter().for_each(|id| request(to, *id, 0, None, 900 * MS, 1.0)));
             all.extend(b.round(10 * MS, |to| {
                 for id in some {
                     let hit = round >= 57 && sent.contains(&format!("try {id} n1"));
-                    to.outcome(id, 0, if hit { end } else { End::Done }, 10 * MS, true, None);
+                    outcome(
+                        to,
+                        id,
+                        0,
+                        if hit { end } else { AttemptOutcome::Succeeded },
+                        10 * MS,
+                        true,
+                        None,
+                    );
                 }
             }));
         }
         all.extend(b.round(250 * MS, |_| {}));
-        assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{end:?}");
+        assert_eq!(count(&all, "vote 2 0 RollBack") > 0, back, "{end:?}");
     }
 }
 
@@ -140,7 +151,7 @@
         let mut b = Bench::new(Settings { stage_caps: vec![0.1, 1.0], ..settings() });
         b.round(0, |to| {
             ["o1", "o2", "o3"].into_iter().for_each(|m| warm(to, m, "z1", 1));
-            to.news(1, 1, Phase::Released, 1.0, 0);
+            rollout_status(to, 1, 1, RolloutPhase::Released, 1.0, 0);
         });
         let mut all = Vec::new();
         for id in 0..300 {
@@ -148,13 +159,15 @@
             if id == 150 {
                 b.round(0, |to| {
                     warm(to, "n1", "z1", 2);
-                    to.news(2, 0, Phase::Trial, 0.1, 0);
+                    rollout_status(to, 2, 0, RolloutPhase::Canary, 0.1, 0);
                 });
             }
-            all.extend(b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0)));
-            all.extend(b.round(took * MS, |to| to.outcome(id, 0, End::Done, took * MS, true, None)));
+            all.extend(b.round(10 * MS, |to| request(to, id, 0, None, 900 * MS, 1.0)));
+            all.extend(
+                b.round(took * MS, |to| outcome(to, id, 0, AttemptOutcome::Succeeded, took * MS, true, None)),
+            );
         }
-        assert_eq!(count(&all, "vote 2 0 Back") > 0, back);
+        assert_eq!(count(&all, "vote 2 0 RollBack") > 0, back);
     }
 }
 
@@ -177,24 +190,28 @@
 
 #[test]
 fn errors_with_none_beside_them_need_to_be_many() {
-    for (hits, end, back) in [(6, End::Error, false), (12, End::Error, true), (12, End::Spoilt, false)] {
+    for (hits, end, back) in [
+        (6, AttemptOutcome::Failed, false),
+        (12, AttemptOutcome::Failed, true),
+        (12, AttemptOutcome::Malformed, false),
+    ] {
         let mut b = Bench::new(Settings { stage_caps: vec![1.0], guarded_stages: 0, ..settings() });
         b.round(0, |to| warm(to, "o1", "z1", 1));
         let mut all = Vec::new();
         for id in 0..66 {
             if id == 50 {
                 b.round(0, |to| {
-                    to.list(true);
+                    endpoint_list(to, true);
                     (0..16).for_each(|m| warm(to, &format!("n{m}"), "z1", 2));
-                    to.news(2, 0, Phase::Trial, 1.0, 0);
+                    rollout_status(to, 2, 0, RolloutPhase::Canary, 1.0, 0);
                 });
             }
-            let end = if id >= 66 - hits { end } else { End::Done };
-            all.extend(b.round(20 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0)));
-            all.extend(b.round(20 * MS, |to| to.outcome(id, 0, end, 20 * MS, true, None)));
+            let end = if id >= 66 - hits { end } else { AttemptOutcome::Succeeded };
+            all.extend(b.round(20 * MS, |to| request(to, id, 0, None, 900 * MS, 1.0)));
+            all.extend(b.round(20 * MS, |to| outcome(to, id, 0, end, 20 * MS, true, None)));
         }
         all.extend(b.round(250 * MS, |_| {}));
-        assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{hits} {end:?}");
+        assert_eq!(count(&all, "vote 2 0 RollBack") > 0, back, "{hits} {end:?}");
     }
 }
 
@@ -203,16 +220,18 @@
     let mut b = Bench::new(Settings { stage_caps: vec![0.5], guarded_stages: 0, ..settings() });
     let mut all = b.round(0, |to| {
         [("o1", 1), ("o2", 1), ("n1", 2), ("n2", 2)].into_iter().for_each(|(m, v)| warm(to, m, "z1", v));
-        to.news(2, 0, Phase::Trial, 0.5, 0);
+        rollout_status(to, 2, 0, RolloutPhase::Canary, 0.5, 0);
     });
     for id in 0..200 {
-        let got = b.round(10 * MS, |to| to.req(id, 0, None, 3000 * MS, 1.0));
+        let got = b.round(10 * MS, |to| request(to, id, 0, None, 3000 * MS, 1.0));
         if got.iter().any(|l| l.starts_with("try") && l.contains(" o")) {
-            all.extend(b.round(10 * MS, |to| to.outcome(id, 0, End::Done, 10 * MS, true, None)));
+            all.extend(
+                b.round(10 * MS, |to| outcome(to, id, 0, AttemptOutcome::Succeeded, 10 * MS, true, None)),
+            );
         }
         all.extend(got);
     }
-    assert!(count(&all, "probe n") > 0 && count(&all, "vote 2 0 Back") > 0);
+    assert!(count(&all, "probe n") > 0 && count(&all, "vote 2 0 RollBack") > 0);
 }
 
 #[test]
@@ -220,12 +239,14 @@
     let mut b = Bench::new(settings());
     let mut all = b.round(0, |to| {
         ["m1", "m2", "m3"].into_iter().for_each(|m| warm(to, m, "z1", 1));
-        to.news(1, 2, Phase::Released, 1.0, 0);
+        rollout_status(to, 1, 2, RolloutPhase::Released, 1.0, 0);
     });
     for id in 0..120 {
         let took = if id < 10 { 10 } else { 60 };
-        all.extend(b.round(10 * MS, |to| to.req(id, 0, None, 900 * MS, 1.0)));
-        all.extend(b.round(took * MS, |to| to.outcome(id, 0, End::Done, took * MS, true, None)));
+        all.extend(b.round(10 * MS, |to| request(to, id, 0, None, 900 * MS, 1.0)));
+        all.extend(
+            b.round(took * MS, |to| outcome(to, id, 0, AttemptOutcome::Succeeded, took * MS, true, None)),
+        );
     }
     assert_eq!(count(&all, "vote"), 0);
 }
@@ -241,16 +262,18 @@
             if id == 9 {
                 b.round(0, |to| {
                     ["n1", "n2"].into_iter().for_each(|m| warm(to, m, "z1", 2));
-                    to.news(2, 0, Phase::Trial, 0.5, 0);
+                    rollout_status(to, 2, 0, RolloutPhase::Canary, 0.5, 0);
                 });
             }
-            let got = b.round(10 * MS, |to| to.req(id, (id % 3) as usize, None, 900 * MS, 0.0));
+            let got = b.round(10 * MS, |to| request(to, id, (id % 3) as usize, None, 900 * MS, 0.0));
             let new = got.iter().any(|l| l.starts_with("try") && l.contains(" n"));
             let took = if new { took } else { 20 };
             all.extend(got);
-            all.extend(b.round(took * MS, |to| to.outcome(id, 0, End::Done, took * MS, true, None)));
+            all.extend(
+                b.round(took * MS, |to| outcome(to, id, 0, AttemptOutcome::Succeeded, took * MS, true, None)),
+            );
         }
-        assert_eq!(count(&all, "vote 2 0 Back") > 0, back, "{took}");
+        assert_eq!(count(&all, "vote 2 0 RollBack") > 0, back, "{took}");
     }
 }
 
@@ -263,30 +286,31 @@
     let mut serve = |b: &mut Bench, took: u64, seconds: u64| {
         for _ in 0..seconds * 20 {
             next += 1;
-            b.round(50 * MS - took, |to| to.req(next, 0, None, 900 * MS, 1.0));
-            b.round(took, |to| to.outcome(next, 0, End::Done, took, true, None));
+            b.round(50 * MS - took, |to| request(to, next, 0, None, 900 * MS, 1.0));
+            b.round(took, |to| outcome(to, next, 0, AttemptOutcome::Succeeded, took, true, None));
         }
         let [took, work, _] = b.module.usual[0].sums;
         took / work / MS as f64
     };
-    let told = |b: &mut Bench, build, phase| drop(b.round(0, |to| to.news(build, 1, phase, 1.0, 0)));
-    told(&mut b, 1, Phase::Released);
+    let told =
+        |b: &mut Bench, build, phase| drop(b.round(0, |to| rollout_status(to, build, 1, phase, 1.0, 0)));
+    told(&mut b, 1, RolloutPhase::Released);
     let usual = serve(&mut b, 10 * MS, 8);
-    told(&mut b, 2, Phase::Trial);
+    told(&mut b, 2, RolloutPhase::Canary);
     serve(&mut b, 40 * MS, 2);
-    told(&mut b, 2, Phase::GoingBack);
+    told(&mut b, 2, RolloutPhase::RollingBack);
     serve(&mut b, 40 * MS, 3);
-    told(&mut b, 2, Phase::Withdrawn);
+    told(&mut b, 2, RolloutPhase::Withdrawn);
     let later = serve(&mut b, 40 * MS, 3);
     assert!((later - usual).abs() < 0.01, "{usual} {later}");
     // Some time after, it is learned again; and what the trial saw is not held to be calm.
     serve(&mut b, 10 * MS, 5);
-    told(&mut b, 3, Phase::Trial);
+    told(&mut b, 3, RolloutPhase::Canary);
     let calm = b.module.calm;
     assert!(calm.outcomes > 10.0 && calm.share() < 0.05, "{calm:?}");
     // A trial that comes with no quiet time before it is held against the same.
-    told(&mut b, 3, Phase::GoingBack);
+    told(&mut b, 3, RolloutPhase::RollingBack);
     serve(&mut b, 40 * MS, 3);
-    told(&mut b, 4, Phase::Trial);
+    told(&mut b, 4, RolloutPhase::Canary);
     assert_eq!(b.module.calm, calm);
 }
--- a/crates/policy/tests/limits/mod.rs
+++ b/crates/policy/tests/limits/mod.rs
@@ -2,11 +2,18 @@
 //! combination of the limits. The checker keeps books of its own and hears only what a host would see.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use crate::common::{MS, settings};
+use crate::common::{MS, endpoint, flagged, outcome, request, rollout_status, settings};
 use oorandom::Rand64;
-use tidescale_policy::decide::{Balancer, SWEEP};
-use tidescale_policy::front::*;
+use tidescale_policy::Balancer;
+use tidescale_policy::decide::SWEEP;
+use tidescale_policy::host::{DecisionSink, EventSource};
+use tidescale_policy::settings::{Idempotency, KeyScope, Settings};
+use tidescale_policy::types::{
+    AttemptOutcome, Ballot, EndpointState, RollbackVerdict, RolloutPhase, Timestamp, Vote, VoteResult,
+    whole_micros,
+};
 
 const MACHINES: u64 = 9;
 const SPELL: u64 = 7 * MS;
@@ -18,7 +25,7 @@
     zone: &'static str,
     cell: u64,
     build: u32,
-    standing: Standing,
+    standing: EndpointState,
     started: u64,
     /// When it was last told as ready no longer.
     left: u64,
@@ -28,7 +35,7 @@
     machine: u64,
     sent: u64,
     answers: u64,
-    end: Option<End>,
+    end: Option<AttemptOutcome>,
     cell: u64,
     zone: &'static str,
     started: u64,
@@ -49,7 +56,7 @@
     rng: Rand64,
     seats: Vec<Seat>,
     reqs: BTreeMap<u64, Asked>,
-    news: (u32, u32, Phase, f64),
+    news: (u32, u32, RolloutPhase, f64),
     /// The cap as it binds: a lower one after the grace, counted from then on.
     binds: (f64, u64),
     lower: Option<u64>,
@@ -71,7 +78,7 @@
             zone: zones[(i % 2) as usize],
             cell: rng.rand_u64() % 3,
             build: 1,
-            standing: Standing::Ready,
+            standing: EndpointState::Ready,
             started: 0,
             left: 0,
         };
@@ -81,7 +88,7 @@
             rng,
             seats,
             reqs: BTreeMap::new(),
-            news: (1, 2, Phase::Released, 1.0),
+            news: (1, 2, RolloutPhase::Released, 1.0),
             binds: (1.0, 0),
             lower: None,
             taken: Vec::new(),
@@ -107,12 +114,12 @@
     }
 
     fn on_trial(&self, build: u32) -> bool {
-        build > self.news.0 || (build == self.news.0 && self.news.2 != Phase::Released)
+        build > self.news.0 || (build == self.news.0 && self.news.2 != RolloutPhase::Released)
     }
 
     fn tell(&self, to: &mut Balancer, i: usize) {
         let s = &self.seats[i];
-        to.machine(&format!("m{i}"), (s.zone, s.cell, "k"), s.build, s.standing, s.started);
+        endpoint(to, &format!("m{i}"), (s.zone, s.cell, "k"), s.build, s.standing, s.started);
     }
 
     /// A new stage or build, a build going back or taken out; the caps rise and fall.
@@ -121,38 +128,40 @@
         let caps = self.set.stage_caps.clone();
         let last = caps.len() as u32 - 1;
         self.news = match phase {
-            Phase::Released | Phase::Withdrawn => (build + 1, 0, Phase::Trial, caps[0]),
-            Phase::Trial if self.chance(0.2) => (build, stage, Phase::GoingBack, 0.0),
-            Phase::Trial if self.chance(0.2) => (build, 0, Phase::Trial, caps[0]),
-            Phase::Trial if stage < last => (build, stage + 1, Phase::Trial, caps[stage as usize + 1]),
-            Phase::Trial => (build, last, Phase::Released, 1.0),
-            Phase::GoingBack => (build, stage, Phase::Withdrawn, 0.0),
+            RolloutPhase::Released | RolloutPhase::Withdrawn => (build + 1, 0, RolloutPhase::Canary, caps[0]),
+            RolloutPhase::Canary if self.chance(0.2) => (build, stage, RolloutPhase::RollingBack, 0.0),
+            RolloutPhase::Canary if self.chance(0.2) => (build, 0, RolloutPhase::Canary, caps[0]),
+            RolloutPhase::Canary if stage < last => {
+                (build, stage + 1, RolloutPhase::Canary, caps[stage as usize + 1])
+            }
+            RolloutPhase::Canary => (build, last, RolloutPhase::Released, 1.0),
+            RolloutPhase::RollingBack => (build, stage, RolloutPhase::Withdrawn, 0.0),
         };
         let cap = self.news.3;
         if cap < self.binds.0 && build == self.news.0 {
-            self.lower.get_or_insert(self.now + self.set.grace);
+            self.lower.get_or_insert(self.now + whole_micros(self.set.grace_period));
         } else {
             (self.binds, self.lower) = ((cap, 0), None);
         }
-        to.news(self.news.0, self.news.1, self.news.2, cap, 0);
+        rollout_status(to, self.news.0, self.news.1, self.news.2, cap, 0);
     }
 
     /// A machine drains, goes, comes back as another process, or another build takes its place.
     fn shuffle(&mut self, to: &mut Balancer) {
         let i = (self.rng.rand_u64() % MACHINES) as usize;
-        let ready = self.seats.iter().filter(|s| s.standing == Standing::Ready).count();
+        let ready = self.seats.iter().filter(|s| s.standing == EndpointState::Ready).count();
         let fate = self.rng.rand_u64() % 4;
         let (now, newest) = (self.now, self.news.0 + u32::from(self.rng.rand_u64().is_multiple_of(8)));
         let zone = if self.chance(0.2) { "z1" } else { self.seats[i].zone };
         let s = &mut self.seats[i];
         match fate {
-            0 if ready > 2 && s.standing == Standing::Ready => {
-                (s.standing, s.left) = (Standing::Draining, now)
+            0 if ready > 2 && s.standing == EndpointState::Ready => {
+                (s.standing, s.left) = (EndpointState::Draining, now)
             }
-            1 if ready > 2 && s.standing == Standing::Draining => s.standing = Standing::Gone,
-            _ if s.standing != Standing::Ready => {
+            1 if ready > 2 && s.standing == EndpointState::Draining => s.standing = EndpointState::Removed,
+            _ if s.standing != EndpointState::Ready => {
                 s.build = if fate == 2 { newest } else { newest.max(2) - 1 };
-                (s.standing, s.started, s.zone) = (Standing::Ready, now - 300 * MS, zone);
+                (s.standing, s.started, s.zone) = (EndpointState::Ready, now - 300 * MS, zone);
             }
             _ => {}
         }
@@ -173,25 +182,25 @@
                 let bad = self.seats[t.machine as usize].build.is_multiple_of(2);
                 let drawn = self.rng.rand_u64() % 100;
                 let end = match drawn {
-                    _ if gone => End::Reset,
-                    _ if late => End::TimedOut,
-                    0..3 => End::Error,
-                    70..90 if bad => End::Error,
-                    3..5 => End::Reset,
-                    5..7 => End::Spoilt,
-                    7..10 => End::Full,
-                    10..12 => End::Refused,
-                    12 => End::NotSent,
-                    _ => End::Done,
+                    _ if gone => AttemptOutcome::ConnectionReset,
+                    _ if late => AttemptOutcome::TimedOut,
+                    0..3 => AttemptOutcome::Failed,
+                    70..90 if bad => AttemptOutcome::Failed,
+                    3..5 => AttemptOutcome::ConnectionReset,
+                    5..7 => AttemptOutcome::Malformed,
+                    7..10 => AttemptOutcome::Overloaded,
+                    10..12 => AttemptOutcome::Refused,
+                    12 => AttemptOutcome::NotSent,
+                    _ => AttemptOutcome::Succeeded,
                 };
                 t.end = Some(end);
-                if end == End::Done {
+                if end == AttemptOutcome::Succeeded {
                     rq.over = true;
                     if let Some(key) = &rq.key {
                         self.keys.insert(key.clone(), self.seats[t.machine as usize].build);
                     }
                 }
-                to.outcome(id, n, end, now - t.sent, rq.over, None);
+                outcome(to, id, n, end, now - t.sent, rq.over, None);
             }
         }
         self.reqs.retain(|_, rq| !rq.over || rq.tries.iter().any(|t| t.end.is_none()));
@@ -206,7 +215,7 @@
             let route = (drawn % routes) as usize;
             let key = self.chance(0.5).then(|| format!("k{}", self.rng.rand_u64() % 20));
             let left = 50 * MS + self.rng.rand_u64() % (900 * MS);
-            to.req(id, route, key.as_deref(), left, 0.0);
+            request(to, id, route, key.as_deref(), left, 0.0);
             self.taken.push((self.now, route));
             self.reqs.insert(id, Asked { route, key, due: self.now + left, over: false, tries: Vec::new() });
         }
@@ -220,19 +229,19 @@
         self.exposed.push((self.now, route, build));
         let told = build == self.news.0;
         let stage = if told { self.news.1 } else { 0 };
-        let retriable = self.set.routes[route].repeat == Repeat::Retriable;
+        let retriable = self.set.routes[route].idempotency == Idempotency::Idempotent;
         self.demand(
             retriable || stage >= self.set.guarded_stages,
             "rule 5",
             format!("a guarded stage met by {id}"),
         );
         let (cap, counted_from) = if told { self.binds } else { (self.set.stage_caps[0], 0) };
-        let from = counted_from.max(self.now.saturating_sub(self.set.exposure_window));
-        let counts = |r: usize| !self.set.by_route || r == route;
+        let from = counted_from.max(self.now.saturating_sub(whole_micros(self.set.exposure_window)));
+        let counts = |r: usize| !self.set.exposure_by_route || r == route;
         let tries = self.exposed.iter().filter(|(at, r, b)| *at >= from && counts(*r) && *b == build).count();
         let taken = self.taken.iter().filter(|(at, r)| *at >= from && counts(*r)).count();
         // Where a cap has fallen, what went out within the grace is not held against it.
-        let within = tries as f64 <= self.set.free + cap * taken as f64;
+        let within = tries as f64 <= self.set.exposure_allowance + cap * taken as f64;
         self.demand(
             within,
             "rule 5",
@@ -243,32 +252,34 @@
     /// Rule 2 for one more try of this req at this machine, or for shedding it where there is none.
     fn effect(&mut self, id: u64, to: Option<usize>) {
         let rq = &self.reqs[&id];
-        let never = |e: &Option<End>| matches!(e, Some(End::Full | End::Refused | End::NotSent));
+        let never = |e: &Option<AttemptOutcome>| {
+            matches!(e, Some(AttemptOutcome::Overloaded | AttemptOutcome::Refused | AttemptOutcome::NotSent))
+        };
         let mut ran = rq.tries.iter().filter(|t| !never(&t.end));
         let now = self.now;
-        let kept = match (self.set.routes[rq.route].repeat, to.map(|i| &self.seats[i])) {
-            (Repeat::Retriable, _) => true,
-            (Repeat::NonRetriable, _) => ran.next().is_none(),
-            (Repeat::Deduped { scope: Scope::All, .. }, None) => true,
-            (Repeat::Deduped { .. }, None) => ran.next().is_none(),
-            (Repeat::Deduped { scope, window }, Some(m)) => ran.all(|t| {
+        let kept = match (self.set.routes[rq.route].idempotency, to.map(|i| &self.seats[i])) {
+            (Idempotency::Idempotent, _) => true,
+            (Idempotency::NotIdempotent, _) => ran.next().is_none(),
+            (Idempotency::IdempotencyKey { scope: KeyScope::Fleet, .. }, None) => true,
+            (Idempotency::IdempotencyKey { .. }, None) => ran.next().is_none(),
+            (Idempotency::IdempotencyKey { scope, window }, Some(m)) => ran.all(|t| {
                 let inside = match scope {
-                    Scope::All => true,
-                    Scope::Zone => t.zone == m.zone,
-                    Scope::Cell => t.cell == m.cell,
+                    KeyScope::Fleet => true,
+                    KeyScope::Zone => t.zone == m.zone,
+                    KeyScope::Cell => t.cell == m.cell,
                 };
-                inside && now < t.sent + window
+                inside && now < t.sent + whole_micros(window)
             }),
         };
         self.demand(kept, "rule 2", format!("{id} to {to:?}"));
     }
 }
 
-impl Inbox for Outside {
-    fn replay(&mut self, to: &mut Balancer) {
+impl EventSource for Outside {
+    fn deliver(&mut self, to: &mut Balancer) {
         if self.now == 100_000 * MS {
             (0..self.seats.len()).for_each(|i| self.tell(to, i));
-            to.news(1, 2, Phase::Released, 1.0, 60_000 * MS);
+            rollout_status(to, 1, 2, RolloutPhase::Released, 1.0, 60_000 * MS);
         }
         if self.lower.is_some_and(|at| self.now >= at) {
             (self.binds, self.lower) = ((self.news.3, self.now), None);
@@ -283,34 +294,35 @@
         }
         if self.asked_list && self.chance(0.02) {
             self.asked_list = false;
-            to.list_failed();
+            to.on_endpoint_list_failed();
         }
         self.outcomes(to);
         for (_, i) in self.probes.extract_if(.., |(at, _)| *at <= self.now).collect::<Vec<_>>() {
-            let end = if self.chance(0.7) { End::Done } else { End::Refused };
-            to.probed(&format!("m{i}"), end, None);
+            let end = if self.chance(0.7) { AttemptOutcome::Succeeded } else { AttemptOutcome::Refused };
+            to.on_health_check(&format!("m{i}"), end, None);
         }
         if self.vote && self.chance(0.3) {
             self.vote = false;
-            to.answered(if self.chance(0.7) { Answer::Counts } else { Answer::Unknown });
+            to.on_vote_result(if self.chance(0.7) { VoteResult::Accepted } else { VoteResult::Unknown });
         }
         if self.chance(0.01) {
             let i = self.rng.rand_u64() % MACHINES;
-            to.flagged(&format!("m{i}"), 100 * MS);
+            flagged(to, &format!("m{i}"), 100 * MS);
         }
         if self.chance(0.01)
             && let Some((&id, rq)) = self.reqs.iter_mut().next_back()
         {
             rq.over = true;
-            to.withdrawn(id);
+            to.on_client_disconnected(id);
         }
         self.new_reqs(to);
     }
 }
 
 /// The outside as the writer: each decision is held against the books.
-impl Writer for Outside {
-    fn upstream_try(&mut self, id: u64, machine: &str, until: u64) {
+impl DecisionSink for Outside {
+    fn start_attempt(&mut self, id: u64, machine: &str, until: Timestamp) {
+        let until = until.as_micros();
         let i: usize = machine[1..].parse().unwrap();
         let over = self.reqs.get(&id).is_none_or(|rq| rq.over);
         self.demand(!over, "rule 1", format!("{id} sent after its end"));
@@ -321,30 +333,34 @@
             let rq = &self.reqs[&id];
             (rq.route, rq.tries.len(), rq.due)
         };
-        self.demand(tries < self.set.max_tries, "limits", format!("a further try, {tries}, of {id}"));
+        self.demand(tries < self.set.max_attempts, "limits", format!("a further try, {tries}, of {id}"));
         self.demand(until <= due, "limits", format!("{id}: waits too long"));
         self.effect(id, Some(i));
-        let alone = self.set.second_copies || self.reqs[&id].tries.iter().all(|t| t.end.is_some());
+        let alone = self.set.hedging || self.reqs[&id].tries.iter().all(|t| t.end.is_some());
         self.demand(alone, "rule 2", format!("a second copy of {id}"));
         let s = self.seats[i].clone();
-        let open = s.standing == Standing::Ready || self.now <= s.left + self.set.grace;
+        let open =
+            s.standing == EndpointState::Ready || self.now <= s.left + whole_micros(self.set.grace_period);
         self.demand(open, "rule 3", format!("{id} to {:?} {machine}", s.standing));
         self.exposure(id, route, s.build);
         let key = self.reqs[&id].key.clone();
         let bound = key.and_then(|k| self.keys.get(&k).copied()).filter(|b| self.on_trial(*b)).unwrap_or(0);
-        let free = !self.set.one_way
-            || matches!(self.news.2, Phase::GoingBack | Phase::Withdrawn)
+        let free = !self.set.monotonic_key_builds
+            || matches!(self.news.2, RolloutPhase::RollingBack | RolloutPhase::Withdrawn)
             || s.build >= bound;
         self.demand(free, "rule 5", format!("the key of {id} back from build {bound}"));
         let age = self.now.saturating_sub(s.started);
-        if s.started > 0 && age < self.set.cold_for {
+        if s.started > 0 && age < whole_micros(self.set.warm_up_time) {
             self.cold.push((self.now, i as u64));
-            let from = self.now.saturating_sub(self.set.fall_for);
+            let from = self.now.saturating_sub(whole_micros(self.set.overload_window));
             let sent =
                 self.cold.iter().filter(|(at, of)| *at > from.max(s.started) && *of == i as u64).count();
-            let warm =
-                self.set.cold_from + (1.0 - self.set.cold_from) * age as f64 / self.set.cold_for as f64;
-            let most = self.set.fall_multiple * BEARS * warm * self.set.fall_for as f64 / 1e6 + 3.0;
+            let warm = self.set.warm_up_start
+                + (1.0 - self.set.warm_up_start) * age as f64 / whole_micros(self.set.warm_up_time) as f64;
+            let most =
+                self.set.overload_multiple * BEARS * warm * whole_micros(self.set.overload_window) as f64
+                    / 1e6
+                    + 3.0;
             self.demand(
                 sent as f64 <= most,
                 "rule 4",
@@ -364,59 +380,60 @@
         };
         self.reqs.get_mut(&id).unwrap().tries.push(sent);
     }
-    fn cancel_try(&mut self, id: u64, n: usize) {
-        self.demand(self.set.cancel, "limits", format!("a cancel of {id} {n}"));
+    fn cancel_attempt(&mut self, id: u64, n: usize) {
+        self.demand(self.set.cancel_attempts, "limits", format!("a cancel of {id} {n}"));
     }
-    fn shed(&mut self, id: u64, come_back: u64) {
-        self.demand(come_back <= self.set.max_come_back, "limits", format!("a time to come back for {id}"));
+    fn reject_request(&mut self, id: u64, come_back: Duration) {
+        self.demand(come_back <= self.set.max_retry_after, "limits", format!("a time to come back for {id}"));
         self.effect(id, None);
-        self.error(id);
+        self.fail_request(id);
     }
-    fn error(&mut self, id: u64) {
+    fn fail_request(&mut self, id: u64) {
         let over = self.reqs.get(&id).is_none_or(|rq| rq.over);
         self.demand(!over, "rule 1", format!("{id} answered twice"));
         self.reqs.get_mut(&id).into_iter().for_each(|rq| rq.over = true);
     }
-    fn vote(&mut self, build: u32, _stage: u32, verdict: Verdict) {
+    fn cast_vote(&mut self, Ballot { build, vote: verdict, .. }: Ballot) {
         let allowed = match verdict {
-            Verdict::On => !self.set.timed,
-            Verdict::Hold => self.set.timed,
-            Verdict::Back | Verdict::None => true,
+            Vote::Advance => !self.set.automatic_stages,
+            Vote::Hold => self.set.automatic_stages,
+            Vote::RollBack | Vote::Abstain => true,
         };
         self.demand(allowed && build == self.news.0, "limits", format!("a vote {verdict:?} on {build}"));
         self.demand(!self.vote, "limits", "a vote before the answer to the last");
         self.vote = true;
     }
-    fn probe(&mut self, machine: &str, until: u64) {
-        self.demand(self.set.probes, "limits", format!("a probe of {machine}"));
+    fn start_health_check(&mut self, machine: &str, until: Timestamp) {
+        let until = until.as_micros();
+        self.demand(self.set.health_checks, "limits", format!("a probe of {machine}"));
         let at = if self.chance(0.8) { self.now + 20 * MS } else { until };
         self.probes.push((at, machine[1..].parse().unwrap()));
     }
-    fn watch_list(&mut self) {
-        self.demand(self.set.ask_list, "limits", "the list is asked for");
+    fn poll_endpoints(&mut self) {
+        self.demand(self.set.poll_endpoints, "limits", "the list is asked for");
         self.asked_list = true;
     }
-    fn wake(&mut self, _after: u64) {}
-    fn found(&mut self, _finding: &Finding) {}
+    fn schedule_wake_up(&mut self, _after: Duration) {}
+    fn report_rollback_verdict(&mut self, _verdict: &RollbackVerdict) {}
 }
 
 /// The outside once as what came in, once as where decisions go.
 struct Half<'a>(&'a std::cell::RefCell<Outside>);
 
-impl Inbox for Half<'_> {
-    fn replay(&mut self, to: &mut Balancer) {
-        self.0.borrow_mut().replay(to);
+impl EventSource for Half<'_> {
+    fn deliver(&mut self, to: &mut Balancer) {
+        self.0.borrow_mut().deliver(to);
     }
 }
 
 /// Drives a module that was told `told`, held against `set`; the first rule that broke.
 fn play(told: &Settings, set: &Settings, seed: u64, rounds: usize) -> Option<String> {
     let outside = std::cell::RefCell::new(Outside::new(set.clone(), seed));
-    let mut module = Balancer::new(told.clone(), seed, 100_000 * MS);
+    let mut module = Balancer::new(told.clone(), seed, Timestamp::from_micros(100_000 * MS));
     for _ in 0..rounds {
         let now = outside.borrow().now;
         let mut decided = Vec::new();
-        module.round(now, &mut Half(&outside), &mut Later(&mut decided));
+        module.step(Timestamp::from_micros(now), &mut Half(&outside), &mut Later(&mut decided));
         let mut o = outside.borrow_mut();
         decided.into_iter().for_each(|write| write(&mut o));
         let overdue = o.reqs.iter().find(|(_, rq)| !rq.over && now > rq.due + SWEEP + SPELL);
@@ -435,32 +452,32 @@
 /// Decisions in order, for the outside can't be lent out while it replays.
 struct Later<'a>(&'a mut Vec<Write>);
 
-impl Writer for Later<'_> {
-    fn upstream_try(&mut self, rq: u64, machine: &str, until: u64) {
+impl DecisionSink for Later<'_> {
+    fn start_attempt(&mut self, rq: u64, machine: &str, until: Timestamp) {
         let machine = machine.to_string();
-        self.0.push(Box::new(move |o| o.upstream_try(rq, &machine, until)));
+        self.0.push(Box::new(move |o| o.start_attempt(rq, &machine, until)));
     }
-    fn cancel_try(&mut self, rq: u64, n: usize) {
-        self.0.push(Box::new(move |o| o.cancel_try(rq, n)));
+    fn cancel_attempt(&mut self, rq: u64, n: usize) {
+        self.0.push(Box::new(move |o| o.cancel_attempt(rq, n)));
     }
-    fn shed(&mut self, rq: u64, come_back: u64) {
-        self.0.push(Box::new(move |o| o.shed(rq, come_back)));
+    fn reject_request(&mut self, rq: u64, come_back: Duration) {
+        self.0.push(Box::new(move |o| o.reject_request(rq, come_back)));
     }
-    fn error(&mut self, rq: u64) {
-        self.0.push(Box::new(move |o| o.error(rq)));
+    fn fail_request(&mut self, rq: u64) {
+        self.0.push(Box::new(move |o| o.fail_request(rq)));
     }
-    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
-        self.0.push(Box::new(move |o| o.vote(build, stage, verdict)));
+    fn cast_vote(&mut self, ballot: Ballot) {
+        self.0.push(Box::new(move |o| o.cast_vote(ballot)));
     }
-    fn probe(&mut self, machine: &str, until: u64) {
+    fn start_health_check(&mut self, machine: &str, until: Timestamp) {
         let machine = machine.to_string();
-        self.0.push(Box::new(move |o| o.probe(&machine, until)));
+        self.0.push(Box::new(move |o| o.start_health_check(&machine, until)));
     }
-    fn watch_list(&mut self) {
-        self.0.push(Box::new(|o| o.watch_list()));
+    fn poll_endpoints(&mut self) {
+        self.0.push(Box::new(|o| o.poll_endpoints()));
     }
-    fn wake(&mut self, _after: u64) {}
-    fn found(&mut self, _finding: &Finding) {}
+    fn schedule_wake_up(&mut self, _after: Duration) {}
+    fn report_rollback_verdict(&mut self, _verdict: &RollbackVerdict) {}
 }
 
 const FLAGS: usize = 9;
@@ -468,16 +485,16 @@
 fn combination(bits: usize) -> Settings {
     let on = |n: usize| bits >> n & 1 == 1;
     Settings {
-        second_copies: on(0),
-        cancel: on(1),
-        probes: on(2),
-        max_come_back: if on(3) { 1000 * MS } else { 0 },
-        one_way: on(4),
-        by_route: on(5),
+        hedging: on(0),
+        cancel_attempts: on(1),
+        health_checks: on(2),
+        max_retry_after: if on(3) { Duration::from_secs(1) } else { Duration::ZERO },
+        monotonic_key_builds: on(4),
+        exposure_by_route: on(5),
         guarded_stages: u32::from(on(6)),
-        timed: on(7),
-        ask_list: on(8),
-        min_dwell: 50 * MS,
+        automatic_stages: on(7),
+        poll_endpoints: on(8),
+        min_stage_time: Duration::from_millis(50),
         ..settings()
     }
 }
@@ -503,17 +520,17 @@
     // What the module is not told, and the rule or limit that has to show it.
     type Truth = fn(&mut Settings);
     let table: [(&str, Truth); 11] = [
-        ("rule 2: a second copy", |s| s.second_copies = false),
-        ("limits: a cancel", |s| s.cancel = false),
-        ("limits: a probe", |s| s.probes = false),
-        ("limits: a time to come back", |s| s.max_come_back = 0),
-        ("limits: a vote", |s| s.timed = true),
-        ("limits: the list", |s| s.ask_list = false),
-        ("limits: a further try", |s| s.max_tries = 1),
+        ("rule 2: a second copy", |s| s.hedging = false),
+        ("limits: a cancel", |s| s.cancel_attempts = false),
+        ("limits: a probe", |s| s.health_checks = false),
+        ("limits: a time to come back", |s| s.max_retry_after = Duration::ZERO),
+        ("limits: a vote", |s| s.automatic_stages = true),
+        ("limits: the list", |s| s.poll_endpoints = false),
+        ("limits: a further try", |s| s.max_attempts = 1),
         ("rule 5: a guarded stage", |s| s.guarded_stages = 3),
-        ("rule 5: exposure", |s| s.by_route = true),
-        ("rule 2", |s| s.routes[0].repeat = Repeat::NonRetriable),
-        ("rule 4", |s| s.fall_multiple = 0.1),
+        ("rule 5: exposure", |s| s.exposure_by_route = true),
+        ("rule 2", |s| s.routes[0].idempotency = Idempotency::NotIdempotent),
+        ("rule 4", |s| s.overload_multiple = 0.1),
     ];
     for (wanted, truth) in table {
         let told = combination(0b100001111);
--- a/crates/proxy/src/buffers.rs
+++ b/crates/proxy/src/buffers.rs
@@ -20,7 +20,11 @@
 
 impl Pool {
     pub fn new(most: usize) -> Pool {
-        Pool(Rc::new(RefCell::new(Shelf { free: Vec::new(), out: 0, most })))
+        Pool(Rc::new(RefCell::new(Shelf {
+            free: Vec::new(),
+            out: 0,
+            most,
+        })))
     }
     /// Reading must stop; what has been read may still be answered, or nothing would ever come back.
     pub fn is_empty(&self) -> bool {
@@ -35,8 +39,16 @@
     fn take(&self) -> Buffer {
         let mut shelf = self.0.borrow_mut();
         shelf.out += 1;
-        let bytes = shelf.free.pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
-        Buffer { bytes, start: 0, end: 0, pool: self.clone() }
+        let bytes = shelf
+            .free
+            .pop()
+            .unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        Buffer {
+            bytes,
+            start: 0,
+            end: 0,
+            pool: self.clone(),
+        }
     }
 }
 
@@ -85,7 +97,11 @@
 
 impl Chain {
     pub fn new(pool: &Pool) -> Chain {
-        Chain { parts: VecDeque::new(), len: 0, pool: pool.clone() }
+        Chain {
+            parts: VecDeque::new(),
+            len: 0,
+            pool: pool.clone(),
+        }
     }
     pub fn len(&self) -> usize {
         self.len
@@ -167,7 +183,11 @@
                     if idle {
                         self.parts.pop_back();
                     }
-                    return if e.kind() == ErrorKind::WouldBlock { Ok(Fill::Drained) } else { Err(e) };
+                    return if e.kind() == ErrorKind::WouldBlock {
+                        Ok(Fill::Drained)
+                    } else {
+                        Err(e)
+                    };
                 }
             }
         }
@@ -177,7 +197,11 @@
     /// Writes as much as is taken.
     pub fn drain(&mut self, to: &mut impl Write) -> io::Result<()> {
         while !self.is_empty() {
-            let slices: Vec<IoSlice> = self.slices(0..self.len).take(16).map(IoSlice::new).collect();
+            let slices: Vec<IoSlice> = self
+                .slices(0..self.len)
+                .take(16)
+                .map(IoSlice::new)
+                .collect();
             match to.write_vectored(&slices) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => self.skip(n),
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -59,7 +59,9 @@
 }
 
 fn now() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_micros() as u64)
 }
 
 /// The newest whole state at a file or in a folder, and what is not whole.
@@ -96,23 +98,41 @@
     };
     let (now, listed) = (now(), snapshot_writer::processes(&image));
     let weight = |f| {
-        if snapshot_writer::stands(f, &listed) == Some(Listed::Other) { 0.0 } else { expiry::weight(f, now) }
+        if snapshot_writer::stands(f, &listed) == Some(Listed::Other) {
+            0.0
+        } else {
+            expiry::weight(f, now)
+        }
     };
     if as_json {
-        let facts: Vec<_> = image.facts.iter().map(|f| json!({"fact": f, "weight": weight(f)})).collect();
+        let facts: Vec<_> = image
+            .facts
+            .iter()
+            .map(|f| json!({"fact": f, "weight": weight(f)}))
+            .collect();
         let all = json!({"sequence": image.sequence, "written": image.written,
             "unknown_records": image.unknown, "facts": facts});
         println!("{all}");
     } else {
         let mut table = Table::new();
-        table.load_style(presets::NOTHING).set_header(["fact", "of", "age", "weight"]);
+        table
+            .load_style(presets::NOTHING)
+            .set_header(["fact", "of", "age", "weight"]);
         for f in &image.facts {
             let (kind, of) = f.subject();
-            table.add_row([kind.into(), of, age_text(f.seen(), now), format!("{:.2}", weight(f))]);
+            table.add_row([
+                kind.into(),
+                of,
+                age_text(f.seen(), now),
+                format!("{:.2}", weight(f)),
+            ]);
         }
         println!("{table}");
         let (number, written) = (image.sequence, age_text(image.written, now));
-        println!("state {number}, written {written} ago, {} facts", image.facts.len());
+        println!(
+            "state {number}, written {written} ago, {} facts",
+            image.facts.len()
+        );
     }
     Ok(notes.is_empty())
 }
@@ -121,7 +141,11 @@
     let (image, notes) = look(path)?;
     notes.iter().for_each(|note| println!("{note}"));
     match &image {
-        Some(image) => println!("state {} is whole, {} facts", image.sequence, image.facts.len()),
+        Some(image) => println!(
+            "state {} is whole, {} facts",
+            image.sequence,
+            image.facts.len()
+        ),
         None => println!("no whole state"),
     }
     Ok(image.is_some() && notes.is_empty())
@@ -143,7 +167,8 @@
         Some(path) => std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?,
         None => {
             let mut text = Vec::new();
-            std::io::Read::read_to_end(&mut std::io::stdin(), &mut text).map_err(|e| e.to_string())?;
+            std::io::Read::read_to_end(&mut std::io::stdin(), &mut text)
+                .map_err(|e| e.to_string())?;
             text
         }
     };
@@ -165,5 +190,9 @@
         Memory::Check { path } => check(path),
         Memory::Clear { path } => clear(path),
     }?;
-    Ok(if whole { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
 }
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -11,34 +11,57 @@
 use slog::Logger;
 use socket2::{Domain, Protocol, Socket, Type};
 
+use tidescale_policy::types::Timestamp;
+
 use crate::buffers::{Chain, Fill, Pool};
 use crate::deadlines::Deadlines;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Part {
-    Module,
-    Exit,
+pub enum Component {
+    /// The policy's own wake-up.
+    Policy,
+    /// The end of the process.
+    Shutdown,
+    /// The socket that clients connect to.
     Listener,
+    /// Clients' connections.
     Client,
-    Machine,
-    Watch,
-    Bulletin,
+    /// Connections to endpoints.
+    Endpoint,
+    /// The stream of the endpoint list.
+    EndpointList,
+    /// The stream of the newest build's rollout status.
+    RolloutStatus,
+    /// The connection that votes go over.
     Votes,
 }
 
 /// Whose socket or deadline it is: a part of the node, and a slot of its table where it has one.
-pub type Owner = (Part, u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Owner {
+    /// The component.
+    pub component: Component,
+    /// A slot of its table, where it has one.
+    pub slot: u64,
+}
+
+impl Owner {
+    /// A component's slot.
+    pub const fn new(component: Component, slot: u64) -> Owner {
+        Owner { component, slot }
+    }
+}
 
 /// What the loop found ready in a turn.
 #[derive(Default)]
-pub struct Ready {
+pub struct TurnEvents {
     pub sockets: Vec<(Owner, Readiness)>,
     pub stop: bool,
     pub reload: bool,
 }
 
-pub struct Ground {
-    pub handle: LoopHandle<'static, Ready>,
+pub struct IoContext {
+    pub handle: LoopHandle<'static, TurnEvents>,
     /// What machines send, and all that is sent on.
     pub pool: Pool,
     /// What clients send: however much that is, machines' answers are still read.
@@ -47,64 +70,82 @@
     pub streams_pool: Pool,
     pub deadlines: Deadlines<Owner>,
     pub log: Logger,
-    pub now: u64,
+    pub now: Timestamp,
 }
 
-impl Ground {
+impl IoContext {
     pub fn register(
         &self,
         socket: Rc<impl std::os::fd::AsFd + 'static>,
         owner: Owner,
     ) -> io::Result<RegistrationToken> {
         let source = Generic::new(socket, Interest::BOTH, Mode::Edge);
-        let inserted = self.handle.insert_source(source, move |readiness, _, ready| {
-            ready.sockets.push((owner, readiness));
-            Ok(PostAction::Continue)
-        });
+        let inserted = self
+            .handle
+            .insert_source(source, move |readiness, _, ready| {
+                ready.sockets.push((owner, readiness));
+                Ok(PostAction::Continue)
+            });
         inserted.map_err(|e| io::Error::other(e.error))
     }
 }
 
-pub struct Link {
+pub struct Connection {
     socket: Rc<TcpStream>,
     token: RegistrationToken,
-    handle: LoopHandle<'static, Ready>,
+    handle: LoopHandle<'static, TurnEvents>,
     pub input: Chain,
     pub output: Chain,
     /// The loop tells of a socket once; what was not read then is still there.
     readable: bool,
 }
 
-impl Drop for Link {
+impl Drop for Connection {
     fn drop(&mut self) {
         self.handle.remove(self.token);
     }
 }
 
-impl Link {
-    pub fn open(ground: &Ground, to: SocketAddr, owner: Owner) -> io::Result<Link> {
-        let pool = if owner.0 == Part::Machine { &ground.pool } else { &ground.streams_pool };
+impl Connection {
+    pub fn open(context: &IoContext, to: SocketAddr, owner: Owner) -> io::Result<Connection> {
+        let pool = if owner.component == Component::Endpoint {
+            &context.pool
+        } else {
+            &context.streams_pool
+        };
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
             Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
-            _ => Link::over(ground, socket.into(), owner, pool),
+            _ => Connection::over(context, socket.into(), owner, pool),
         }
     }
 
     /// What comes in takes its buffers from this pool.
-    pub fn over(ground: &Ground, socket: TcpStream, owner: Owner, pool: &Pool) -> io::Result<Link> {
+    pub fn over(
+        context: &IoContext,
+        socket: TcpStream,
+        owner: Owner,
+        pool: &Pool,
+    ) -> io::Result<Connection> {
         socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
         let socket = Rc::new(socket);
-        let token = ground.register(socket.clone(), owner)?;
-        let (input, output) = (Chain::new(pool), Chain::new(&ground.pool));
+        let token = context.register(socket.clone(), owner)?;
+        let (input, output) = (Chain::new(pool), Chain::new(&context.pool));
         // A client that has just come may have sent all it wants to ask.
-        let readable = owner.0 == Part::Client;
-        Ok(Link { socket, token, handle: ground.handle.clone(), input, output, readable })
+        let readable = owner.component == Component::Client;
+        Ok(Connection {
+            socket,
+            token,
+            handle: context.handle.clone(),
+            input,
+            output,
+            readable,
+        })
     }
 
-    pub fn found(&mut self, readiness: Readiness) {
+    pub fn on_ready(&mut self, readiness: Readiness) {
         self.readable |= readiness.readable || readiness.error;
     }
 
--- a/crates/proxy/src/deadlines.rs
+++ b/crates/proxy/src/deadlines.rs
@@ -2,20 +2,25 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use tidescale_policy::types::Timestamp;
+
 pub struct Deadlines<W> {
-    by_time: BTreeSet<(u64, W)>,
-    by_owner: BTreeMap<W, u64>,
+    by_time: BTreeSet<(Timestamp, W)>,
+    by_owner: BTreeMap<W, Timestamp>,
 }
 
 impl<W> Default for Deadlines<W> {
     fn default() -> Self {
-        Deadlines { by_time: BTreeSet::new(), by_owner: BTreeMap::new() }
+        Deadlines {
+            by_time: BTreeSet::new(),
+            by_owner: BTreeMap::new(),
+        }
     }
 }
 
 impl<W: Copy + Ord> Deadlines<W> {
     /// Takes the place of the owner's earlier one.
-    pub fn set(&mut self, owner: W, at: u64) {
+    pub fn set(&mut self, owner: W, at: Timestamp) {
         self.clear(owner);
         self.by_time.insert((at, owner));
         self.by_owner.insert(owner, at);
@@ -25,11 +30,11 @@
             self.by_time.remove(&(at, owner));
         }
     }
-    pub fn next(&self) -> Option<u64> {
+    pub fn next_at(&self) -> Option<Timestamp> {
         self.by_time.first().map(|(at, _)| *at)
     }
     /// Takes out the first that is due.
-    pub fn due(&mut self, now: u64) -> Option<W> {
+    pub fn pop_due(&mut self, now: Timestamp) -> Option<W> {
         let (at, owner) = *self.by_time.first()?;
         if at > now {
             return None;
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,27 +1,36 @@
 //! The list of machines, as a watch that always stands.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use slog::info;
-use tidescale_policy::decide::Balancer;
-use tidescale_policy::front::Standing;
+use tidescale_policy::Balancer;
+use tidescale_policy::types::{EndpointEntry, EndpointState, Timestamp};
 
-use crate::connection::{Ground, Part};
-use crate::stream::{Pace, Standing as Streams};
-use crate::upstream::Upstream;
+use crate::connection::{Component, IoContext};
+use crate::stream::{Pace, PersistentStream};
+use crate::upstream::{ProcessIdentity, Upstream};
 
-const MS: u64 = 1000;
 /// Three of the empty lines that come while nothing changes.
-const SILENCE: u64 = 6000 * MS;
+const SILENCE: Duration = Duration::from_millis(6000);
 /// One service for all fronts takes few calls a second, and lets them wait in turn: whoever gives up early has had the
 /// work done in vain, and asks for it again. What it misses counts as told 6 s after a watch has fallen silent.
-const ASKED: Pace = Pace { silence: 3500 * MS, opening: 4000 * MS, longest: 2000 * MS, afresh: None };
+const ASKED: Pace = Pace {
+    silence: Duration::from_millis(3500),
+    opening: Duration::from_millis(4000),
+    longest: Duration::from_millis(2000),
+    afresh: None,
+};
 /// An agent on this front's own machine answers at once and for nothing. After a time of silence what it has got counts
 /// as told at once: an opening and a pause together stay under the grace that rules give.
-const PUSHED: Pace = Pace { opening: 500 * MS, longest: 200 * MS, ..Pace::near(SILENCE) };
+const PUSHED: Pace = Pace {
+    opening: Duration::from_millis(500),
+    longest: Duration::from_millis(200),
+    ..Pace::near(SILENCE)
+};
 /// What discovery has to tell arrives within this, by whichever way.
-const SETTLED: u64 = 6000 * MS;
+const SETTLED: Duration = Duration::from_millis(6000);
 const LONGEST_LIST: usize = 4 * 1024 * 1024;
 
 #[derive(Deserialize)]
@@ -53,61 +62,85 @@
 
 impl Listing {
     /// Tells the module, and where the machines are.
-    fn tell(&self, ground: &mut Ground, upstream: &mut Upstream, to: &mut Balancer) {
-        to.list(self.full);
+    fn tell(&self, context: &mut IoContext, upstream: &mut Upstream, policy: &mut Balancer) {
         if self.full {
-            for name in upstream.names() {
+            policy.on_complete_endpoint_list();
+            for name in upstream.endpoint_names() {
                 if !self.servers.iter().any(|e| e.id == name) {
-                    upstream.place(&name, None, false, ground);
+                    upstream.update_endpoint(&name, None, false, context);
                 }
             }
         }
         for e in &self.servers {
             let standing = match e.state {
-                State::Active => Standing::Ready,
-                State::Leaving => Standing::Draining,
-                State::Left => Standing::Gone,
+                State::Active => EndpointState::Ready,
+                State::Leaving => EndpointState::Draining,
+                State::Left => EndpointState::Removed,
             };
             let started = (e.started_ms.max(0.0) * 1000.0) as u64;
+            let started_at = (started > 0).then(|| Timestamp::from_micros(started));
             // One that drains may still be probed.
-            let listed = Some((e.addr, e.image_id, started)).filter(|_| e.state != State::Left);
-            upstream.place(&e.id, listed, e.state == State::Active, ground);
-            to.machine(&e.id, (&e.zone, e.cell, &e.kind), e.image_id, standing, started);
+            let identity = ProcessIdentity {
+                address: e.addr,
+                build: e.image_id,
+                started_at,
+            };
+            let listed = Some(identity).filter(|_| e.state != State::Left);
+            upstream.update_endpoint(&e.id, listed, e.state == State::Active, context);
+            policy.on_endpoint(EndpointEntry {
+                name: &e.id,
+                zone: &e.zone,
+                cell: e.cell,
+                hardware_class: &e.kind,
+                build: e.image_id,
+                state: standing,
+                started_at,
+            });
         }
     }
 }
 
 pub struct Discovery {
-    streams: Streams,
+    streams: PersistentStream,
     version: u64,
     /// When the list was last heard to be true, and when it last changed.
-    heard: u64,
-    newer: u64,
+    heard: Timestamp,
+    newer: Timestamp,
 }
 
 impl Discovery {
     /// `ask`: the list has to be asked for, of one service for all fronts.
     pub fn new(addr: SocketAddr, ask: bool, seed: u64) -> Discovery {
         let pace = if ask { ASKED } else { PUSHED };
-        let streams = Streams::new(Part::Watch, addr, pace, seed);
-        Discovery { streams, version: 0, heard: 0, newer: 0 }
+        let streams = PersistentStream::new(Component::EndpointList, addr, pace, seed);
+        Discovery {
+            streams,
+            version: 0,
+            heard: Timestamp::ZERO,
+            newer: Timestamp::ZERO,
+        }
     }
 
     /// The list as this front last had it serves until the watch answers.
-    pub fn known(
+    pub fn apply_known_list(
         &mut self,
         known: &Listing,
-        ground: &mut Ground,
+        context: &mut IoContext,
         upstream: &mut Upstream,
-        to: &mut Balancer,
+        policy: &mut Balancer,
     ) {
         self.version = known.version;
-        known.tell(ground, upstream, to);
+        known.tell(context, upstream, policy);
+    }
+
+    /// The list's version.
+    pub fn list_version(&self) -> u64 {
+        self.version
     }
 
-    /// The list's version, and when it was last heard from discovery.
-    pub fn heard(&self) -> (u64, u64) {
-        (self.version, self.heard)
+    /// When discovery last confirmed the list; the origin of time if it never has.
+    pub fn list_confirmed_at(&self) -> Timestamp {
+        self.heard
     }
 
     fn path(&self) -> String {
@@ -115,28 +148,33 @@
     }
 
     /// Opens the watch where it last stood.
-    pub fn open(&mut self, ground: &mut Ground) {
-        self.streams.open(&self.path(), ground);
+    pub fn open(&mut self, context: &mut IoContext) {
+        self.streams.open(&self.path(), context);
     }
 
-    pub fn move_to(&mut self, addr: SocketAddr, ground: &mut Ground) -> bool {
-        self.streams.move_to(addr, &self.path(), ground)
+    pub fn change_address(&mut self, addr: SocketAddr, context: &mut IoContext) -> bool {
+        self.streams.change_address(addr, &self.path(), context)
     }
 
-    pub fn due(&mut self, number: u64, ground: &mut Ground) {
-        if self.streams.due(number, ground) {
-            self.open(ground);
+    pub fn on_deadline(&mut self, number: u64, context: &mut IoContext) {
+        if self.streams.on_deadline(number, context) {
+            self.open(context);
         }
     }
 
-    pub fn found(&mut self, number: u64, readiness: calloop::Readiness) {
-        self.streams.found(number, readiness);
+    pub fn on_ready(&mut self, number: u64, readiness: calloop::Readiness) {
+        self.streams.on_ready(number, readiness);
     }
 
-    pub fn serve(&mut self, ground: &mut Ground, upstream: &mut Upstream, to: &mut Balancer) {
+    pub fn serve(
+        &mut self,
+        context: &mut IoContext,
+        upstream: &mut Upstream,
+        policy: &mut Balancer,
+    ) {
         let (version, heard, newer) = (&mut self.version, &mut self.heard, &mut self.newer);
-        self.streams.serve(ground, |line, held, ground| {
-            *heard = ground.now;
+        self.streams.serve(context, |line, held, context| {
+            *heard = context.now;
             if line.trim().is_empty() {
                 // The sign of life stands between lists: what was begun before it has no end.
                 return if held.is_empty() { Ok(()) } else { Err("a list without its end".into()) };
@@ -151,16 +189,16 @@
             // Two streams stand side by side for a while, and what one of them tells may be behind the other. Only
             // a whole list is believed that stays behind: then discovery counts anew.
             let behind = listing.version < *version;
-            if behind && (!listing.full || ground.now < *newer + SETTLED) {
-                info!(ground.log, "passed over a list that is behind"; "version" => listing.version,
+            if behind && (!listing.full || context.now < *newer + SETTLED) {
+                info!(context.log, "passed over a list that is behind"; "version" => listing.version,
                     "known" => *version);
                 return Ok(());
             }
             if listing.version != *version {
-                *newer = ground.now;
+                *newer = context.now;
             }
             *version = listing.version;
-            listing.tell(ground, upstream, to);
+            listing.tell(context, upstream, policy);
             Ok(())
         });
     }
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -9,21 +9,21 @@
 use calloop::EventLoop;
 use calloop::signals::{Event, Signal, Signals};
 use slog::{Logger, error, info, warn};
-use tidescale_policy::decide::Balancer;
-use tidescale_policy::front::{Finding, Inbox, Verdict, Writer};
+use tidescale_policy::Balancer;
+use tidescale_policy::host::{DecisionSink, EventSource};
+use tidescale_policy::types::{Ballot, RollbackVerdict, Timestamp};
 
 use crate::buffers::{self, Pool};
 use crate::clients::Clients;
 use crate::config::{self, Config};
-use crate::connection::{Ground, Owner, Part, Ready};
+use crate::connection::{Component, IoContext, Owner, TurnEvents};
 use crate::deadlines::Deadlines;
 use crate::discovery::Discovery;
 use crate::operators::Operators;
-use crate::rollout_status::{Bulletin, Votes};
-use crate::snapshot_writer::{self, Beside, Keeper};
-use crate::upstream::{Cause, Upstream};
+use crate::rollout_status::{RolloutStatusStream, Votes};
+use crate::snapshot_writer::{self, EndpointDirectory, SnapshotWriter};
+use crate::upstream::Upstream;
 
-const MS: u64 = 1000;
 /// Descriptors of the process itself: standard streams, the loop's own, the listener, and some in hand.
 const RESERVE: usize = 32;
 /// The watch, the bulletin, the votes, and one of each that is just being replaced.
@@ -38,41 +38,46 @@
 /// Of these for what discovery and the platform send; of the rest half for clients, half for machines.
 const STREAMS_BUFFERS: usize = 64;
 /// For so long after SIGTERM clients may still come, and what they ask is still owed.
-const CLIENTS_COME: u64 = 700 * MS;
+const CLIENTS_COME: Duration = Duration::from_millis(700);
 /// SIGKILL waits for the longest timeout, but no longer than this and the time in which clients come.
-const LONGEST_WAIT: u64 = 3000 * MS;
+const LONGEST_WAIT: Duration = Duration::from_millis(3000);
 /// Answers must be out before SIGKILL.
-const MARGIN: u64 = 300 * MS;
+const MARGIN: Duration = Duration::from_millis(300);
 /// A turn that comes so much later than it was due is told in the log.
-const LATE: u64 = 50 * MS;
+const LATE: Duration = Duration::from_millis(50);
 
 /// Unix time at the start, and what has passed since by a clock that never jumps; whole microseconds.
 struct Clock {
     start: Instant,
-    unix: u64,
+    origin: Timestamp,
 }
 
 impl Clock {
     fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
-        Clock { start: Instant::now(), unix }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            start: Instant::now(),
+            origin: Timestamp::ZERO + unix,
+        }
     }
-    fn now(&self) -> u64 {
-        self.unix + self.start.elapsed().as_micros() as u64
+    fn now(&self) -> Timestamp {
+        self.origin + self.start.elapsed()
     }
 }
 
 struct Node {
-    ground: Ground,
+    context: IoContext,
     clients: Clients,
     upstream: Upstream,
     discovery: Discovery,
-    bulletin: Bulletin,
+    rollout_status: RolloutStatusStream,
     votes: Votes,
-    longest: u64,
+    longest: Duration,
     config: PathBuf,
     /// Told to stop: from when on it may end, and when it has to.
-    stopping: Option<(u64, u64)>,
+    stopping: Option<(Timestamp, Timestamp)>,
     /// Nothing was owed when this was last looked at.
     quiet: bool,
 }
@@ -80,106 +85,142 @@
 /// What the loop found in a turn.
 struct Found<'a> {
     node: &'a RefCell<Node>,
-    ready: &'a mut Ready,
+    ready: &'a mut TurnEvents,
     first: Option<&'a Config>,
 }
 
-impl Inbox for Found<'_> {
-    fn replay(&mut self, to: &mut Balancer) {
+impl EventSource for Found<'_> {
+    fn deliver(&mut self, policy: &mut Balancer) {
         let node = &mut *self.node.borrow_mut();
         if let Some(config) = self.first {
-            node.discovery.known(&config.known, &mut node.ground, &mut node.upstream, to);
+            node.discovery.apply_known_list(
+                &config.known,
+                &mut node.context,
+                &mut node.upstream,
+                policy,
+            );
             if let Some(news) = &config.news {
-                news.tell(to);
+                news.tell(policy);
             }
-            node.discovery.open(&mut node.ground);
-            node.bulletin.open(&mut node.ground);
+            node.discovery.open(&mut node.context);
+            node.rollout_status.open(&mut node.context);
         }
         if std::mem::take(&mut self.ready.stop) && node.stopping.is_none() {
-            node.stop(to);
+            node.stop(policy);
         }
         if std::mem::take(&mut self.ready.reload) {
             node.reload();
         }
-        node.upstream.tell_ended(&mut node.clients, to);
-        node.votes.tell_failed(to);
+        node.upstream
+            .notify_ended_attempts(&mut node.clients, policy);
+        node.votes.notify_failed_vote(policy);
         let mut owners: Vec<Owner> = Vec::new();
         for (owner, readiness) in self.ready.sockets.drain(..) {
-            match owner.0 {
-                Part::Listener => node.clients.knocked(),
-                Part::Client => node.clients.found(owner.1, readiness),
-                Part::Machine => node.upstream.found(owner.1, readiness),
-                Part::Watch => node.discovery.found(owner.1, readiness),
-                Part::Bulletin => node.bulletin.found(owner.1, readiness),
-                Part::Votes => node.votes.found(readiness),
-                Part::Module | Part::Exit => {}
+            match owner.component {
+                Component::Listener => node.clients.on_accept_ready(),
+                Component::Client => node.clients.on_ready(owner.slot, readiness),
+                Component::Endpoint => node.upstream.on_ready(owner.slot, readiness),
+                Component::EndpointList => node.discovery.on_ready(owner.slot, readiness),
+                Component::RolloutStatus => node.rollout_status.on_ready(owner.slot, readiness),
+                Component::Votes => node.votes.on_ready(readiness),
+                Component::Policy | Component::Shutdown => {}
             }
-            if matches!(owner.0, Part::Machine | Part::Votes) {
+            if matches!(owner.component, Component::Endpoint | Component::Votes) {
                 owners.push(owner);
             }
         }
         // These may have gone without buffers in an earlier turn.
-        owners.extend([Part::Watch, Part::Bulletin].map(|part| (part, 0)));
-        owners.extend(node.upstream.take_again().into_iter().map(|key| (Part::Machine, key)));
+        owners.extend(
+            [Component::EndpointList, Component::RolloutStatus]
+                .map(|component| Owner::new(component, 0)),
+        );
+        owners.extend(
+            node.upstream
+                .take_pending()
+                .into_iter()
+                .map(|key| Owner::new(Component::Endpoint, key)),
+        );
         // What the list and the news say comes first: it binds what is decided on the rest.
         owners.sort_unstable_by_key(|o| std::cmp::Reverse(*o));
         owners.dedup();
         for owner in owners {
-            node.guard(owner, to, |node, to| node.serve(owner, to));
+            node.guard(owner, policy, |node, policy| node.serve(owner, policy));
         }
-        while let Some(owner) = node.ground.deadlines.due(node.ground.now) {
-            node.guard(owner, to, |node, to| node.due(owner, to));
+        while let Some(owner) = node.context.deadlines.pop_due(node.context.now) {
+            node.guard(owner, policy, |node, policy| node.due(owner, policy));
         }
-        node.clients.accept(&mut node.ground, to);
-        for key in node.clients.take_again() {
-            node.guard((Part::Client, key), to, |node, to| node.clients.serve(key, &mut node.ground, to));
+        node.clients.accept(&mut node.context, policy);
+        for key in node.clients.take_pending() {
+            node.guard(
+                Owner::new(Component::Client, key),
+                policy,
+                |node, policy| node.clients.serve(key, &mut node.context, policy),
+            );
         }
     }
 }
 
 impl Node {
     /// A panic ends the connection that it came from, and nothing else.
-    fn guard(&mut self, owner: Owner, to: &mut Balancer, job: impl FnOnce(&mut Node, &mut Balancer)) {
-        if catch_unwind(AssertUnwindSafe(|| job(self, to))).is_err() {
-            error!(self.ground.log, "panic while serving a connection"; "part" => ?owner.0);
-            let again = catch_unwind(AssertUnwindSafe(|| match owner.0 {
-                Part::Client => self.clients.abandon(owner.1, &mut self.ground, to),
-                Part::Machine => {
-                    let cause = Cause::Malformed("panic");
-                    self.upstream.fail(owner.1, cause, &mut self.ground, &mut self.clients, to);
+    fn guard(
+        &mut self,
+        owner: Owner,
+        policy: &mut Balancer,
+        job: impl FnOnce(&mut Node, &mut Balancer),
+    ) {
+        if catch_unwind(AssertUnwindSafe(|| job(self, policy))).is_err() {
+            error!(self.context.log, "panic while serving a connection"; "part" => ?owner.component);
+            let again = catch_unwind(AssertUnwindSafe(|| match owner.component {
+                Component::Client => {
+                    self.clients
+                        .close_after_panic(owner.slot, &mut self.context, policy)
+                }
+                Component::Endpoint => {
+                    self.upstream.close_after_panic(
+                        owner.slot,
+                        &mut self.context,
+                        &mut self.clients,
+                        policy,
+                    );
                 }
-                Part::Watch => self.discovery.open(&mut self.ground),
-                Part::Bulletin => self.bulletin.open(&mut self.ground),
-                Part::Votes => self.votes.due(&mut self.ground, to),
-                Part::Module | Part::Exit | Part::Listener => {}
+                Component::EndpointList => self.discovery.open(&mut self.context),
+                Component::RolloutStatus => self.rollout_status.open(&mut self.context),
+                Component::Votes => self.votes.on_deadline(&mut self.context, policy),
+                Component::Policy | Component::Shutdown | Component::Listener => {}
             }));
             if again.is_err() {
-                error!(self.ground.log, "panic while closing a connection"; "part" => ?owner.0);
+                error!(self.context.log, "panic while closing a connection"; "part" => ?owner.component);
             }
         }
     }
 
-    fn serve(&mut self, owner: Owner, to: &mut Balancer) {
-        let ground = &mut self.ground;
-        match owner.0 {
-            Part::Machine => self.upstream.serve(owner.1, ground, &mut self.clients, to),
-            Part::Watch => self.discovery.serve(ground, &mut self.upstream, to),
-            Part::Bulletin => self.bulletin.serve(ground, to),
-            Part::Votes => self.votes.serve(ground, to),
-            Part::Module | Part::Exit | Part::Listener | Part::Client => {}
+    fn serve(&mut self, owner: Owner, policy: &mut Balancer) {
+        let context = &mut self.context;
+        match owner.component {
+            Component::Endpoint => {
+                self.upstream
+                    .serve(owner.slot, context, &mut self.clients, policy)
+            }
+            Component::EndpointList => self.discovery.serve(context, &mut self.upstream, policy),
+            Component::RolloutStatus => self.rollout_status.serve(context, policy),
+            Component::Votes => self.votes.serve(context, policy),
+            Component::Policy | Component::Shutdown | Component::Listener | Component::Client => {}
         }
     }
 
-    fn due(&mut self, owner: Owner, to: &mut Balancer) {
-        let ground = &mut self.ground;
-        match owner.0 {
-            Part::Machine => self.upstream.due(owner.1, ground, &mut self.clients, to),
-            Part::Watch => self.discovery.due(owner.1, ground),
-            Part::Bulletin => self.bulletin.due(owner.1, ground),
-            Part::Votes => self.votes.due(ground, to),
-            Part::Client => self.clients.due(owner.1, ground, to),
+    fn due(&mut self, owner: Owner, policy: &mut Balancer) {
+        let context = &mut self.context;
+        match owner.component {
+            Component::Endpoint => {
+                self.upstream
+                    .on_deadline(owner.slot, context, &mut self.clients, policy)
+            }
+            Component::EndpointList => self.discovery.on_deadline(owner.slot, context),
+            Component::RolloutStatus => self.rollout_status.on_deadline(owner.slot, context),
+            Component::Votes => self.votes.on_deadline(context, policy),
+            Component::Client => self.clients.on_deadline(owner.slot, context, policy),
             // The round itself is what is due.
-            Part::Module | Part::Exit | Part::Listener => {}
+            Component::Policy | Component::Shutdown | Component::Listener => {}
         }
     }
 
@@ -190,106 +231,138 @@
             Ok(config) => config,
             Err(why) => {
                 let why = why.replace('\n', " ");
-                warn!(self.ground.log, "cannot use the new configuration, the earlier one stays"; "why" => why);
+                warn!(self.context.log, "cannot use the new configuration, the earlier one stays"; "why" => why);
                 return;
             }
         };
-        let discovery = self.discovery.move_to(config.discovery, &mut self.ground);
-        let platform = self.bulletin.move_to(config.platform, &mut self.ground);
-        self.votes.move_to(config.platform, &mut self.ground);
-        info!(self.ground.log, "configuration read anew"; "discovery" => discovery, "platform" => platform);
+        let discovery = self
+            .discovery
+            .change_address(config.discovery, &mut self.context);
+        let platform = self
+            .rollout_status
+            .change_address(config.platform, &mut self.context);
+        self.votes
+            .change_address(config.platform, &mut self.context);
+        info!(self.context.log, "configuration read anew"; "discovery" => discovery, "platform" => platform);
     }
 
     /// Clients still come for a while; all that they ask is answered before SIGKILL.
-    fn stop(&mut self, to: &mut Balancer) {
-        let now = self.ground.now;
+    fn stop(&mut self, policy: &mut Balancer) {
+        let now = self.context.now;
         let by = now + self.longest.min(LONGEST_WAIT) + CLIENTS_COME - MARGIN;
-        info!(self.ground.log, "stopping"; "open_reqs" => self.clients.open_reqs());
+        info!(self.context.log, "stopping"; "open_reqs" => self.clients.open_request_count());
         self.stopping = Some((now + CLIENTS_COME, by + MARGIN / 2));
-        self.clients.stop();
-        self.upstream.stop(by, &mut self.ground);
-        to.closing(by);
-        self.ground.deadlines.set((Part::Exit, 0), now + CLIENTS_COME);
-        self.ground.deadlines.set((Part::Exit, 1), by + MARGIN / 2);
+        self.clients.begin_shutdown();
+        self.upstream.begin_shutdown(by, &mut self.context);
+        policy.begin_shutdown(by);
+        self.context
+            .deadlines
+            .set(Owner::new(Component::Shutdown, 0), now + CLIENTS_COME);
+        self.context
+            .deadlines
+            .set(Owner::new(Component::Shutdown, 1), by + MARGIN / 2);
     }
 
     fn is_finished(&mut self) -> bool {
-        let now = self.ground.now;
-        let Some((_, by)) = self.stopping.filter(|(from, _)| now >= *from) else { return false };
+        let now = self.context.now;
+        let Some((_, by)) = self.stopping.filter(|(from, _)| now >= *from) else {
+            return false;
+        };
         // Whoever has come since the last turn is let in first.
-        let before = std::mem::replace(&mut self.quiet, self.clients.is_quiet());
+        let before = std::mem::replace(&mut self.quiet, self.clients.is_idle());
         if self.quiet && !before {
-            self.clients.knocked();
+            self.clients.on_accept_ready();
         }
         // A client that does not read its answer holds up no end.
         self.quiet && before || now >= by
     }
 
-    fn is_pressed(&self) -> bool {
-        let ground = &self.ground;
-        self.clients.is_pressed(ground) || self.upstream.is_pressed(ground) || self.votes.is_pressed()
+    fn has_pending_work(&self) -> bool {
+        let context = &self.context;
+        self.clients.has_pending_work(context)
+            || self.upstream.has_pending_work(context)
+            || self.votes.has_pending_work()
     }
 }
 
-/// Takes the decisions of a round.
-struct Decided<'a>(&'a RefCell<Node>);
+/// Takes the decisions of a step.
+struct Decisions<'a>(&'a RefCell<Node>);
 
-impl Writer for Decided<'_> {
-    fn upstream_try(&mut self, rq: u64, machine: &str, until: u64) {
+impl DecisionSink for Decisions<'_> {
+    fn start_attempt(&mut self, request: u64, endpoint: &str, deadline: Timestamp) {
         let node = &mut *self.0.borrow_mut();
-        node.upstream.send(rq, machine, until, &mut node.ground, &mut node.clients);
+        node.upstream.start_attempt(
+            request,
+            endpoint,
+            deadline,
+            &mut node.context,
+            &mut node.clients,
+        );
     }
-    fn cancel_try(&mut self, rq: u64, n: usize) {
+    fn cancel_attempt(&mut self, request: u64, attempt_index: usize) {
         let node = &mut *self.0.borrow_mut();
-        node.upstream.cancel(rq, n, &mut node.ground, &mut node.clients);
+        node.upstream
+            .cancel_attempt(request, attempt_index, &mut node.context, &mut node.clients);
     }
-    fn shed(&mut self, rq: u64, come_back: u64) {
-        self.0.borrow_mut().clients.shed(rq, come_back);
+    fn reject_request(&mut self, request: u64, retry_after: Duration) {
+        self.0
+            .borrow_mut()
+            .clients
+            .reject_request(request, retry_after);
     }
-    fn error(&mut self, rq: u64) {
-        self.0.borrow_mut().clients.error(rq);
+    fn fail_request(&mut self, request: u64) {
+        self.0.borrow_mut().clients.fail_request(request);
     }
-    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
+    fn cast_vote(&mut self, ballot: Ballot) {
         let node = &mut *self.0.borrow_mut();
-        info!(node.ground.log, "vote"; "build" => build, "stage" => stage, "verdict" => ?verdict);
-        node.votes.cast(build, stage, verdict, &mut node.ground);
+        info!(node.context.log, "vote";
+            "build" => ballot.build, "stage" => ballot.stage, "vote" => ?ballot.vote);
+        node.votes.cast_vote(ballot, &mut node.context);
     }
-    fn probe(&mut self, machine: &str, until: u64) {
+    fn start_health_check(&mut self, endpoint: &str, deadline: Timestamp) {
         let node = &mut *self.0.borrow_mut();
-        node.upstream.probe(machine, until, &mut node.ground, &mut node.clients);
+        node.upstream
+            .start_health_check(endpoint, deadline, &mut node.context, &mut node.clients);
     }
-    /// The watch always stands.
-    fn watch_list(&mut self) {}
-    fn wake(&mut self, after: u64) {
-        let ground = &mut self.0.borrow_mut().ground;
-        ground.deadlines.set((Part::Module, 0), ground.now + after);
+    /// The stream of the endpoint list always stands.
+    fn poll_endpoints(&mut self) {}
+    fn schedule_wake_up(&mut self, after: Duration) {
+        let context = &mut self.0.borrow_mut().context;
+        context
+            .deadlines
+            .set(Owner::new(Component::Policy, 0), context.now + after);
     }
-    fn found(&mut self, f: &Finding) {
+    fn report_rollback_verdict(&mut self, verdict: &RollbackVerdict) {
         let round = |x: f64| format!("{x:.2}");
-        info!(self.0.borrow().ground.log, "verdict: to go back";
-            "build" => f.build, "stage" => f.stage, "test" => crate::explain::TESTS[f.test],
-            "new_hits" => round(f.new[0]), "new_outcomes" => round(f.new[1]),
-            "old_hits" => round(f.old[0]), "old_outcomes" => round(f.old[1]),
-            "recalled" => round(f.recalled), "score" => round(f.score), "bound" => round(f.bound),
-            "alpha" => f.alpha, "beta" => f.beta, "aside" => f.aside);
+        info!(self.0.borrow().context.log, "verdict: to go back";
+            "build" => verdict.build, "stage" => verdict.stage, "test" => crate::explain::test_name(verdict.test),
+            "new_hits" => round(verdict.candidate.failures), "new_outcomes" => round(verdict.candidate.outcomes),
+            "old_hits" => round(verdict.baseline.failures), "old_outcomes" => round(verdict.baseline.outcomes),
+            "recalled" => round(verdict.restored_outcomes), "score" => round(verdict.score),
+            "bound" => round(verdict.bound), "alpha" => verdict.alpha, "beta" => verdict.beta,
+            "aside" => verdict.ejected_endpoints);
     }
 }
 
 /// A front, from its first turn to its last.
 pub struct Front {
-    events: EventLoop<'static, Ready>,
-    ready: Ready,
+    events: EventLoop<'static, TurnEvents>,
+    ready: TurnEvents,
     clock: Clock,
     node: RefCell<Node>,
     pub module: Balancer,
-    keeper: Option<Keeper>,
+    snapshot_writer: Option<SnapshotWriter>,
     /// The longest turn since the first.
     longest: Duration,
 }
 
 impl Node {
-    fn beside(&self) -> Beside<'_> {
-        Beside { upstream: &self.upstream, list: self.discovery.heard() }
+    fn directory(&self) -> EndpointDirectory<'_> {
+        EndpointDirectory {
+            upstream: &self.upstream,
+            list_version: self.discovery.list_version(),
+            list_confirmed_at: self.discovery.list_confirmed_at(),
+        }
     }
 }
 
@@ -303,13 +376,18 @@
         log: Logger,
     ) -> Result<Front, String> {
         let failed = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
-        let events: EventLoop<'static, Ready> = EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
-        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| failed("signals", &e))?;
-        let told = |event: Event, _: &mut (), ready: &mut Ready| match event.signal() {
+        let events: EventLoop<'static, TurnEvents> =
+            EventLoop::try_new().map_err(|e| failed("event loop", &e))?;
+        let signals =
+            Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| failed("signals", &e))?;
+        let told = |event: Event, _: &mut (), ready: &mut TurnEvents| match event.signal() {
             Signal::SIGHUP => ready.reload = true,
             _ => ready.stop = true,
         };
-        events.handle().insert_source(signals, told).map_err(|e| failed("signals", &e))?;
+        events
+            .handle()
+            .insert_source(signals, told)
+            .map_err(|e| failed("signals", &e))?;
 
         let listener = listen()?;
         let clock = Clock::new();
@@ -318,8 +396,15 @@
         let clients_pool = Pool::new((buffers / 2).max(1));
         let pool = Pool::new(buffers.saturating_sub(buffers / 2 + STREAMS_BUFFERS).max(1));
         let (handle, now) = (events.handle(), clock.now());
-        let ground =
-            Ground { handle, pool, clients_pool, streams_pool, deadlines: Deadlines::default(), log, now };
+        let context = IoContext {
+            handle,
+            pool,
+            clients_pool,
+            streams_pool,
+            deadlines: Deadlines::default(),
+            log,
+            now,
+        };
         let routes = config.settings.routes.clone();
         let free = config.sockets.saturating_sub(RESERVE + STANDING);
         if free < MACHINES_PART {
@@ -327,28 +412,32 @@
         }
         let for_machines = free / MACHINES_PART;
         let for_clients = (free - for_machines, config.sockets / RESTING_PART);
-        let clients =
-            Clients::new(&ground, listener, routes, for_clients).map_err(|e| failed("listener", &e))?;
+        let clients = Clients::new(&context, listener, routes, for_clients)
+            .map_err(|e| failed("listener", &e))?;
         let node = RefCell::new(Node {
-            upstream: Upstream::new(config.links.clone(), for_machines),
-            discovery: Discovery::new(config.discovery, config.settings.ask_list, config.seed),
-            bulletin: Bulletin::new(config.platform, config.seed),
-            votes: Votes::new(config.platform, config.settings.vote_wait),
-            longest: config.links.longest_timeout,
+            upstream: Upstream::new(config.connections.clone(), for_machines),
+            discovery: Discovery::new(
+                config.discovery,
+                config.settings.poll_endpoints,
+                config.seed,
+            ),
+            rollout_status: RolloutStatusStream::new(config.platform, config.seed),
+            votes: Votes::new(config.platform, config.settings.vote_timeout),
+            longest: config.connections.longest_deadline,
             config: path,
             stopping: None,
             quiet: false,
             clients,
-            ground,
+            context,
         });
         let module = Balancer::new(config.settings.clone(), config.seed, now);
         let mut front = Front {
             events,
-            ready: Ready::default(),
+            ready: TurnEvents::default(),
             clock,
             node,
             module,
-            keeper: None,
+            snapshot_writer: None,
             longest: Duration::ZERO,
         };
         front.round(Some(config));
@@ -359,41 +448,58 @@
     pub fn keep(&mut self, operators: &Operators) {
         let Some(set) = &operators.memory else { return };
         let (now, node) = (self.clock.now(), self.node.borrow());
-        let log = node.ground.log.clone();
-        let Some((keeper, image)) = Keeper::open(set, now, log.clone()) else { return };
+        let log = node.context.log.clone();
+        let Some((snapshot_writer, image)) = SnapshotWriter::open(set, now, log.clone()) else {
+            return;
+        };
         if let Some(image) = image {
-            let counted = snapshot_writer::recall(&image, &node.beside(), now, &mut self.module);
-            let age_s = now.saturating_sub(image.written) / (1000 * MS);
+            let counted =
+                snapshot_writer::restore(&image, &node.directory(), now, &mut self.module);
+            let age_s = (now - Timestamp::from_micros(image.written)).as_secs();
             info!(log, "memory read"; "facts" => image.facts.len(), "counted" => counted, "age_s" => age_s);
         }
-        self.keeper = Some(keeper);
+        self.snapshot_writer = Some(snapshot_writer);
     }
 
     fn round(&mut self, first: Option<&Config>) {
         let now = self.clock.now();
-        self.node.borrow_mut().ground.now = now;
-        let mut found = Found { node: &self.node, ready: &mut self.ready, first };
-        self.module.round(now, &mut found, &mut Decided(&self.node));
+        self.node.borrow_mut().context.now = now;
+        let mut found = Found {
+            node: &self.node,
+            ready: &mut self.ready,
+            first,
+        };
+        self.module
+            .step(now, &mut found, &mut Decisions(&self.node));
     }
 
     /// Waits for news or a deadline and answers it; whether the front goes on.
     pub fn turn(&mut self) -> Result<bool, String> {
-        let due = self.node.borrow().ground.deadlines.next();
+        let due = self.node.borrow().context.deadlines.next_at();
         let now = self.clock.now();
-        let keep_at = self.keeper.as_mut().and_then(|k| k.wake_at(now));
+        let keep_at = self
+            .snapshot_writer
+            .as_mut()
+            .and_then(|k| k.next_wake_up(now));
         let pause = match due.into_iter().chain(keep_at).min() {
-            _ if self.node.borrow().is_pressed() => Some(Duration::ZERO),
-            due => due.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now()))),
+            _ if self.node.borrow().has_pending_work() => Some(Duration::ZERO),
+            due => due.map(|at| at - self.clock.now()),
         };
-        self.events.dispatch(pause, &mut self.ready).map_err(|e| format!("event loop: {e}"))?;
-        let late = due.map_or(0, |at| self.clock.now().saturating_sub(at));
+        self.events
+            .dispatch(pause, &mut self.ready)
+            .map_err(|e| format!("event loop: {e}"))?;
+        let late = due.map_or(Duration::ZERO, |at| self.clock.now() - at);
         if late > LATE {
-            warn!(self.node.borrow().ground.log, "a turn came late"; "late_ms" => late / MS);
+            warn!(self.node.borrow().context.log, "a turn came late"; "late_ms" => late.as_millis());
         }
         let begun = Instant::now();
         self.round(None);
-        if let Some(keeper) = &mut self.keeper {
-            keeper.slice(&self.node.borrow().beside(), self.clock.now(), &mut self.module);
+        if let Some(snapshot_writer) = &mut self.snapshot_writer {
+            snapshot_writer.run_slice(
+                &self.node.borrow().directory(),
+                self.clock.now(),
+                &mut self.module,
+            );
         }
         self.longest = self.longest.max(begun.elapsed());
         Ok(!self.node.borrow_mut().is_finished())
@@ -412,8 +518,12 @@
     front.keep(operators);
     info!(log, "serving"; "listen" => %config.listen);
     while front.turn()? {}
-    if let Some(keeper) = &mut front.keeper {
-        keeper.finish(&front.node.borrow().beside(), front.clock.now(), &mut front.module);
+    if let Some(snapshot_writer) = &mut front.snapshot_writer {
+        snapshot_writer.write_final(
+            &front.node.borrow().directory(),
+            front.clock.now(),
+            &mut front.module,
+        );
     }
     info!(log, "stopped"; "longest_turn_us" => front.longest.as_micros() as u64);
     Ok(())
--- a/crates/proxy/src/explain.rs
+++ b/crates/proxy/src/explain.rs
@@ -3,16 +3,28 @@
 use std::collections::BTreeMap;
 
 use comfy_table::{ContentArrangement, Table, presets};
+use tidescale_policy::types::EvidenceTest;
 
-/// By the module's number.
-pub const TESTS: [&str; 4] = ["failures", "slowness", "errors", "whole-fleet"];
+/// Name of a test in the log.
+pub fn test_name(test: EvidenceTest) -> &'static str {
+    match test {
+        EvidenceTest::Failures => "failures",
+        EvidenceTest::Slowness => "slowness",
+        EvidenceTest::Errors => "errors",
+        EvidenceTest::FleetSlowdown => "whole-fleet",
+    }
+}
 
 const MARK: &str = "verdict: to go back, ";
 
 /// The names and values of a verdict's line; none of any other line.
 fn values(line: &str) -> Option<BTreeMap<&str, &str>> {
     let told = line.split_once(MARK)?.1;
-    Some(told.split(", ").filter_map(|pair| pair.split_once(": ")).collect())
+    Some(
+        told.split(", ")
+            .filter_map(|pair| pair.split_once(": "))
+            .collect(),
+    )
 }
 
 /// What the test compares, in words.
@@ -32,13 +44,18 @@
 
 fn share(hits: &str, outcomes: &str) -> Option<String> {
     let (k, n): (f64, f64) = (hits.parse().ok()?, outcomes.parse().ok()?);
-    Some(format!("{hits} of {outcomes} ({:.1}%)", 100.0 * k / n.max(1e-9)))
+    Some(format!(
+        "{hits} of {outcomes} ({:.1}%)",
+        100.0 * k / n.max(1e-9)
+    ))
 }
 
 /// A table of all verdicts in the log; none where there are none.
 pub fn table(log: &str) -> Option<String> {
     let mut table = Table::new();
-    table.load_style(presets::ASCII_MARKDOWN).set_content_arrangement(ContentArrangement::Disabled);
+    table
+        .load_style(presets::ASCII_MARKDOWN)
+        .set_content_arrangement(ContentArrangement::Disabled);
     table.set_header([
         "when",
         "build",
@@ -54,7 +71,8 @@
         let Some(v) = values(line) else { continue };
         let of = |name: &str| v.get(name).copied().unwrap_or("?");
         let sides = ["new", "old"].map(|side| {
-            share(of(&format!("{side}_hits")), of(&format!("{side}_outcomes"))).unwrap_or_else(|| "?".into())
+            share(of(&format!("{side}_hits")), of(&format!("{side}_outcomes")))
+                .unwrap_or_else(|| "?".into())
         });
         let [new, old] = sides;
         let mut what = compared(of("test")).to_string();
@@ -66,7 +84,16 @@
         }
         let when = line.split(" INFO").next().unwrap_or_default().trim();
         let score = format!("{} of {}", of("score"), of("bound"));
-        table.add_row([when, of("build"), of("stage"), of("test"), &new, &old, &score, &what]);
+        table.add_row([
+            when,
+            of("build"),
+            of("stage"),
+            of("test"),
+            &new,
+            &old,
+            &score,
+            &what,
+        ]);
         rows += 1;
     }
     (rows > 0).then(|| table.to_string())
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -67,7 +67,9 @@
         loop {
             match self.next {
                 Next::Head => {
-                    let Some(len) = self.head(input)? else { return Ok(()) };
+                    let Some(len) = self.head(input)? else {
+                        return Ok(());
+                    };
                     input.skip(len);
                 }
                 Next::Sized(left) | Next::Chunk(left) => {
@@ -90,9 +92,15 @@
                     match httparse::parse_chunk_size(&line) {
                         Ok(httparse::Status::Complete((used, size))) => {
                             input.skip(used);
-                            self.next = if size == 0 { Next::Trailer } else { Next::Chunk(size as usize) };
+                            self.next = if size == 0 {
+                                Next::Trailer
+                            } else {
+                                Next::Chunk(size as usize)
+                            };
+                        }
+                        Ok(httparse::Status::Partial) if line.len() < LONGEST_SIZE_LINE => {
+                            return Ok(());
                         }
-                        Ok(httparse::Status::Partial) if line.len() < LONGEST_SIZE_LINE => return Ok(()),
                         _ => return Err(Malformed("a chunk without its size")),
                     }
                 }
@@ -148,15 +156,21 @@
             _ => return Err(Malformed("not the head of an answer")),
         };
         let value = |name: &str| {
-            let header = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+            let header = head
+                .headers
+                .iter()
+                .find(|h| h.name.eq_ignore_ascii_case(name));
             header.map(|h| String::from_utf8_lossy(h.value).trim().to_ascii_lowercase())
         };
         self.status = head.code.unwrap_or(0);
-        self.keeps_open = head.version == Some(1) && value("connection").is_none_or(|v| v != "close");
+        self.keeps_open =
+            head.version == Some(1) && value("connection").is_none_or(|v| v != "close");
         self.next = if value("transfer-encoding").is_some_and(|v| v.ends_with("chunked")) {
             Next::ChunkSize
         } else if let Some(len) = value("content-length") {
-            let len = len.parse().map_err(|_| Malformed("a length that is no number"))?;
+            let len = len
+                .parse()
+                .map_err(|_| Malformed("a length that is no number"))?;
             if len > LONGEST_BODY {
                 return Err(Malformed("a body too long"));
             }
@@ -171,9 +185,12 @@
 
     /// Takes the whole lines that have come, without their ends.
     pub fn lines(&mut self, mut each: impl FnMut(&str)) -> Result<(), Malformed> {
-        let Some(end) = self.body.iter().rposition(|b| *b == b'\n') else { return Ok(()) };
+        let Some(end) = self.body.iter().rposition(|b| *b == b'\n') else {
+            return Ok(());
+        };
         let text = std::str::from_utf8(&self.body[..end]).map_err(|_| Malformed("not UTF-8"))?;
-        text.split('\n').for_each(|line| each(line.strip_suffix('\r').unwrap_or(line)));
+        text.split('\n')
+            .for_each(|line| each(line.strip_suffix('\r').unwrap_or(line)));
         self.body.drain(..=end);
         Ok(())
     }
--- a/crates/proxy/src/logging.rs
+++ b/crates/proxy/src/logging.rs
@@ -51,7 +51,11 @@
     type Err = Never;
     fn log(&self, record: &Record, values: &OwnedKVList) -> Result<(), Never> {
         let place = (record.file(), record.line());
-        let mut left_out = self.counts.lock().ok().and_then(|mut c| c.admit(place, Instant::now()));
+        let mut left_out = self
+            .counts
+            .lock()
+            .ok()
+            .and_then(|mut c| c.admit(place, Instant::now()));
         if left_out.is_some() && !takes_a_line() {
             self.lost.fetch_add(1, Ordering::Relaxed);
             return Ok(());
@@ -68,7 +72,17 @@
 }
 
 pub fn start() -> Logger {
-    let drain = slog_term::FullFormat::new(slog_term::PlainSyncDecorator::new(io::stderr())).build();
+    let drain =
+        slog_term::FullFormat::new(slog_term::PlainSyncDecorator::new(io::stderr())).build();
     let (counts, lost) = (Mutex::default(), AtomicU32::new(0));
-    Logger::root(Rarely { counts, lost, drain }.filter_level(Level::Info).fuse(), o!())
+    Logger::root(
+        Rarely {
+            counts,
+            lost,
+            drain,
+        }
+        .filter_level(Level::Info)
+        .fuse(),
+        o!(),
+    )
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -28,11 +28,13 @@
     let operators = match &run.operators {
         None => Operators::default(),
         Some(path) => {
-            let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+            let text =
+                std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
             operators::read(&text).map_err(|e| format!("{}: {e}", path.display()))?
         }
     };
-    let listen = || listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen));
+    let listen =
+        || listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen));
     event_loop::run(&config, &operators, path, listen, logging::start())?;
     Ok(ExitCode::SUCCESS)
 }
@@ -45,7 +47,10 @@
             return ExitCode::SUCCESS;
         }
         let told = e.to_string();
-        let line = told.lines().find(|l| !l.trim().is_empty()).unwrap_or_default();
+        let line = told
+            .lines()
+            .find(|l| !l.trim().is_empty())
+            .unwrap_or_default();
         eprintln!("tidescale: {}", line.trim_start_matches("error: "));
         ExitCode::from(2)
     })
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -10,19 +10,28 @@
 /// A time with its unit, in whole microseconds.
 fn span<'d, D: Deserializer<'d>>(d: D) -> Result<u64, D::Error> {
     let text = String::deserialize(d)?;
-    let time: Duration = humantime::parse_duration(&text)
-        .map_err(|e| de::Error::custom(format!("`{text}` is no time with a unit, as in \"30 s\": {e}")))?;
+    let time: Duration = humantime::parse_duration(&text).map_err(|e| {
+        de::Error::custom(format!(
+            "`{text}` is no time with a unit, as in \"30 s\": {e}"
+        ))
+    })?;
     Ok(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
 }
 
 /// A size with its unit, in bytes.
 fn size<'d, D: Deserializer<'d>>(d: D) -> Result<u64, D::Error> {
     let text = String::deserialize(d)?;
-    let fault = |e: &str| de::Error::custom(format!("`{text}` is no size with a unit, as in \"4 MiB\": {e}"));
+    let fault = |e: &str| {
+        de::Error::custom(format!(
+            "`{text}` is no size with a unit, as in \"4 MiB\": {e}"
+        ))
+    };
     if !text.ends_with(|c: char| c.is_ascii_alphabetic()) {
         return Err(fault("unit missing"));
     }
-    ByteSize::from_str(&text).map(|s| s.as_u64()).map_err(|e| fault(&e))
+    ByteSize::from_str(&text)
+        .map(|s| s.as_u64())
+        .map_err(|e| fault(&e))
 }
 
 const MS: u64 = 1000;
@@ -68,9 +77,15 @@
 /// Of a fault the first line says where it is and what; fields are named.
 pub fn read(text: &str) -> Result<Operators, String> {
     let operators: Operators = toml::from_str(text).map_err(|e| {
-        let line = e.span().map_or(0, |s| text[..s.start].matches('\n').count());
+        let line = e
+            .span()
+            .map_or(0, |s| text[..s.start].matches('\n').count());
         let told = text.lines().nth(line).unwrap_or_default().trim();
-        format!("line {}, `{told}`: {}", line + 1, e.message().replace('\n', " "))
+        format!(
+            "line {}, `{told}`: {}",
+            line + 1,
+            e.message().replace('\n', " ")
+        )
     })?;
     if let Some(m) = &operators.memory {
         let bounds = [
@@ -81,7 +96,9 @@
         ];
         for (name, value, least, most) in bounds {
             if !(least..=most).contains(&value) {
-                return Err(format!("memory.{name}: out of its bounds, see docs/operators-memory.md"));
+                return Err(format!(
+                    "memory.{name}: out of its bounds, see docs/operators-memory.md"
+                ));
             }
         }
         if m.folder.as_os_str().is_empty() {
--- a/crates/proxy/src/postgres.rs
+++ b/crates/proxy/src/postgres.rs
@@ -47,12 +47,16 @@
 
 /// The first message of a connection and its length; turned down at its head where that can be.
 pub fn opening(input: &Chain) -> Result<Option<(Opening, usize)>, Malformed> {
-    let Some(len) = word(input, 0) else { return Ok(None) };
+    let Some(len) = word(input, 0) else {
+        return Ok(None);
+    };
     let len = len as usize;
     if !(8..=LONGEST_STARTUP).contains(&len) {
         return Err(Malformed("a startup message of impossible length"));
     }
-    let Some(code) = word(input, 4) else { return Ok(None) };
+    let Some(code) = word(input, 4) else {
+        return Ok(None);
+    };
     let opening = match code {
         VERSION => Opening::Startup,
         SSL | GSS if len == 8 => Opening::Encryption,
@@ -100,10 +104,17 @@
 
 /// Type and whole length of the next message, as its head tells; `longest` bounds the body by its type, so that
 /// nothing is waited for that can't be used.
-pub fn head(input: &Chain, longest: fn(u8) -> Option<usize>) -> Result<Option<(u8, usize)>, Malformed> {
-    let Some(tag) = input.slices(0..1).next().map(|s| s[0]) else { return Ok(None) };
+pub fn head(
+    input: &Chain,
+    longest: fn(u8) -> Option<usize>,
+) -> Result<Option<(u8, usize)>, Malformed> {
+    let Some(tag) = input.slices(0..1).next().map(|s| s[0]) else {
+        return Ok(None);
+    };
     let most = longest(tag).ok_or(Malformed("an unknown kind of message"))?;
-    let Some(len) = word(input, 1) else { return Ok(None) };
+    let Some(len) = word(input, 1) else {
+        return Ok(None);
+    };
     let len = len as usize;
     if !(4..=most + 4).contains(&len) {
         return Err(Malformed("a message of impossible length"));
@@ -112,7 +123,10 @@
 }
 
 /// The same once all of the message is there.
-pub fn message(input: &Chain, longest: fn(u8) -> Option<usize>) -> Result<Option<(u8, usize)>, Malformed> {
+pub fn message(
+    input: &Chain,
+    longest: fn(u8) -> Option<usize>,
+) -> Result<Option<(u8, usize)>, Malformed> {
     Ok(head(input, longest)?.filter(|(_, len)| input.len() >= *len))
 }
 
@@ -149,9 +163,14 @@
     let quoted = |rest: &str| -> Option<usize> { rest.find('\'') };
     let hex = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_hexdigit());
     let off = Malformed("a statement of another form");
-    let (code, rest) = if let Some(rest) = statement.strip_prefix("SELECT data FROM facts WHERE code = '") {
+    let (code, rest) = if let Some(rest) =
+        statement.strip_prefix("SELECT data FROM facts WHERE code = '")
+    {
         let end = quoted(rest).ok_or(off.clone())?;
-        (&rest[..end], rest[end..].strip_prefix("' /* ").ok_or(off.clone())?)
+        (
+            &rest[..end],
+            rest[end..].strip_prefix("' /* ").ok_or(off.clone())?,
+        )
     } else if let Some(rest) = statement.strip_prefix("INSERT INTO facts (code, data) VALUES ('") {
         let end = quoted(rest).ok_or(off.clone())?;
         let value = rest[end..].strip_prefix("', '\\x").ok_or(off.clone())?;
@@ -163,11 +182,19 @@
         {
             return Err(off);
         }
-        (&rest[..end], value[stop..].strip_prefix("') RETURNING data /* ").ok_or(off.clone())?)
+        (
+            &rest[..end],
+            value[stop..]
+                .strip_prefix("') RETURNING data /* ")
+                .ok_or(off.clone())?,
+        )
     } else {
         return Err(off);
     };
-    let named = rest.strip_suffix(" */").filter(|n| !n.contains("*/")).ok_or(off.clone())?;
+    let named = rest
+        .strip_suffix(" */")
+        .filter(|n| !n.contains("*/"))
+        .ok_or(off.clone())?;
     let mut at = statement.len() - rest.len();
     let (mut id, mut route, mut wait, mut key) = (None, None, None, None);
     for pair in named.split(',') {
@@ -189,13 +216,23 @@
         return Err(Malformed("a field is missing"));
     };
     let digits = wait.bytes().all(|b| b.is_ascii_digit());
-    let wait_ms = wait.parse().ok().filter(|ms| digits && *ms <= LONGEST_WAIT_MS);
+    let wait_ms = wait
+        .parse()
+        .ok()
+        .filter(|ms| digits && *ms <= LONGEST_WAIT_MS);
     let wait_ms: u64 = wait_ms.ok_or(Malformed("not a time"))?;
     let short = |s: &str| hex(s) && s.len() <= LONGEST_ID;
     if !short(code) || !short(id) || key.is_some_and(|k| !short(k)) {
         return Err(off);
     }
-    Ok(Asked { id, route, code, key, wait_ms, wait_at: start..start + wait.len() })
+    Ok(Asked {
+        id,
+        route,
+        code,
+        key,
+        wait_ms,
+        wait_at: start..start + wait.len(),
+    })
 }
 
 /// Code, message and detail of an ErrorResponse.
@@ -222,14 +259,23 @@
 /// The only column of a DataRow.
 pub fn row(body: &[u8]) -> Result<&[u8], Malformed> {
     let off = Malformed("not a row of one column");
-    let [0, 1, a, b, c, d, value @ ..] = body else { return Err(off) };
+    let [0, 1, a, b, c, d, value @ ..] = body else {
+        return Err(off);
+    };
     let len = u32::from_be_bytes([*a, *b, *c, *d]) as usize;
-    if len == value.len() { Ok(value) } else { Err(off) }
+    if len == value.len() {
+        Ok(value)
+    } else {
+        Err(off)
+    }
 }
 
 /// Whether a RowDescription announces one column, and ends with it.
 pub fn describes_one(body: &[u8]) -> Result<(), Malformed> {
-    let rest = body.strip_prefix(&[0, 1]).and_then(text).map(|(_, rest)| rest);
+    let rest = body
+        .strip_prefix(&[0, 1])
+        .and_then(text)
+        .map(|(_, rest)| rest);
     match rest {
         // Table, column, type, its size and modifier, then plain or binary.
         Some([_, _, _, _, _, _, _, _, _, _, _, _, _, _, _, _, 0, 0 | 1]) => Ok(()),
@@ -247,7 +293,11 @@
 
 /// What has to be asked of the far side before it lets in: nothing.
 pub fn admitted(body: &[u8]) -> Result<(), Malformed> {
-    if body == [0, 0, 0, 0] { Ok(()) } else { Err(Malformed("asked for a password")) }
+    if body == [0, 0, 0, 0] {
+        Ok(())
+    } else {
+        Err(Malformed("asked for a password"))
+    }
 }
 
 fn put(out: &mut Chain, tag: u8, parts: &[&[u8]]) {
@@ -277,17 +327,25 @@
 /// A client's statement, with the front's own wait in place of the client's.
 pub fn put_statement(out: &mut Chain, statement: &Chain, wait_at: &Range<usize>, wait_ms: u64) {
     let wait = wait_ms.to_string();
-    let (before, after) =
-        (statement.slices(0..wait_at.start), statement.slices(wait_at.end..statement.len()));
-    let parts: Vec<&[u8]> = before.chain([wait.as_bytes()]).chain(after).chain([&[0][..]]).collect();
+    let (before, after) = (
+        statement.slices(0..wait_at.start),
+        statement.slices(wait_at.end..statement.len()),
+    );
+    let parts: Vec<&[u8]> = before
+        .chain([wait.as_bytes()])
+        .chain(after)
+        .chain([&[0][..]])
+        .collect();
     put(out, b'Q', &parts);
 }
 
 pub fn put_welcome(out: &mut Chain) {
     put(out, b'R', &[&[0; 4]]);
-    for (name, value) in
-        [("server_version", "15.0"), ("server_encoding", "UTF8"), ("client_encoding", "UTF8")]
-    {
+    for (name, value) in [
+        ("server_version", "15.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+    ] {
         put(out, b'S', &[name.as_bytes(), &[0], value.as_bytes(), &[0]]);
     }
     put_ready(out);
@@ -304,7 +362,13 @@
 pub fn put_error(out: &mut Chain, fatal: bool, code: &str, message: &str, detail: &str) {
     let severity = if fatal { "FATAL" } else { "ERROR" };
     let mut body = Vec::new();
-    for (kind, value) in [(b'S', severity), (b'V', severity), (b'C', code), (b'M', message), (b'D', detail)] {
+    for (kind, value) in [
+        (b'S', severity),
+        (b'V', severity),
+        (b'C', code),
+        (b'M', message),
+        (b'D', detail),
+    ] {
         if !value.is_empty() {
             body.push(kind);
             body.extend_from_slice(value.as_bytes());
--- a/crates/proxy/src/rollout_status.rs
+++ b/crates/proxy/src/rollout_status.rs
@@ -1,25 +1,25 @@
 //! The platform: its bulletin, a stream that always stands, and votes on a connection of their own.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use slog::info;
-use tidescale_policy::decide::Balancer;
-use tidescale_policy::front::{Answer, Phase, Verdict};
+use tidescale_policy::Balancer;
+use tidescale_policy::types::{Ballot, RolloutPhase, RolloutStatus, Vote, VoteResult};
 
 use crate::buffers::Fill;
-use crate::connection::{Ground, Link, Part};
+use crate::connection::{Component, Connection, IoContext, Owner};
 use crate::http;
-use crate::stream::{Pace, Standing};
+use crate::stream::{Pace, PersistentStream};
 
-const MS: u64 = 1000;
 const BULLETIN: &str = "/bulletin";
 const LONGEST_EVENT: usize = 64 * 1024;
-const VOTES: (Part, u64) = (Part::Votes, 0);
+const VOTES: Owner = Owner::new(Component::Votes, 0);
 /// Five of the signs of life that come every second.
-const SILENCE: u64 = 5000 * MS;
+const SILENCE: Duration = Duration::from_millis(5000);
 /// Calls reuse a connection only well inside the time after which the platform may close it.
-const VOTES_IDLE: u64 = 3000 * MS;
+const VOTES_IDLE: Duration = Duration::from_millis(3000);
 const READ_AHEAD: usize = 64 * 1024;
 
 /// Where the newest build stands.
@@ -43,19 +43,25 @@
     Withdrawn,
 }
 
-fn micros(ms: f64) -> u64 {
-    (ms.max(0.0) * 1000.0) as u64
+fn age(ms: f64) -> Duration {
+    Duration::from_micros((ms.max(0.0) * 1000.0) as u64)
 }
 
 impl News {
-    pub fn tell(&self, to: &mut Balancer) {
+    pub fn tell(&self, policy: &mut Balancer) {
         let phase = match self.status {
-            Status::Trial => Phase::Trial,
-            Status::RollingBack => Phase::GoingBack,
-            Status::Released => Phase::Released,
-            Status::Withdrawn => Phase::Withdrawn,
+            Status::Trial => RolloutPhase::Canary,
+            Status::RollingBack => RolloutPhase::RollingBack,
+            Status::Released => RolloutPhase::Released,
+            Status::Withdrawn => RolloutPhase::Withdrawn,
         };
-        to.news(self.version, self.step, phase, self.cap, micros(self.ago_ms));
+        policy.on_rollout_status(RolloutStatus {
+            build: self.version,
+            stage: self.step,
+            phase,
+            traffic_cap: self.cap,
+            age: age(self.ago_ms),
+        });
     }
 
     /// From named fields, wherever they stand.
@@ -71,14 +77,22 @@
             version: field("version")?.trim().parse().ok()?,
             step: field("step")?.trim().parse().ok()?,
             status,
-            cap: field("maxWeight")?.trim().parse().ok().filter(|c| (0.0..=1.0).contains(c))?,
-            ago_ms: field("observedAgoMs")?.trim().parse().ok().filter(|t: &f64| t.is_finite())?,
+            cap: field("maxWeight")?
+                .trim()
+                .parse()
+                .ok()
+                .filter(|c| (0.0..=1.0).contains(c))?,
+            ago_ms: field("observedAgoMs")?
+                .trim()
+                .parse()
+                .ok()
+                .filter(|t: &f64| t.is_finite())?,
         })
     }
 }
 
 /// What an answer to a vote says; none when it can't be read.
-pub fn vote_answer(status: u16, body: &[u8]) -> Option<(Answer, Option<News>)> {
+pub fn vote_answer(status: u16, body: &[u8]) -> Option<(VoteResult, Option<News>)> {
     let text = std::str::from_utf8(body).ok()?;
     let document = roxmltree::Document::parse(text).ok()?;
     let text_of = |name: &str| {
@@ -86,16 +100,18 @@
         found.next().and_then(|n| n.text())
     };
     match (status, text_of("Code")) {
-        (200, _) => Some((Answer::Counts, Some(News::from_fields(text_of)?))),
-        (400, Some("Throttling")) => Some((Answer::Busy, None)),
-        (400, Some("ConditionFailed")) => Some((Answer::Moot, None)),
-        (500, Some("InternalFailure")) | (400, Some("ValidationError")) => Some((Answer::Error, None)),
+        (200, _) => Some((VoteResult::Accepted, Some(News::from_fields(text_of)?))),
+        (400, Some("Throttling")) => Some((VoteResult::Busy, None)),
+        (400, Some("ConditionFailed")) => Some((VoteResult::Superseded, None)),
+        (500, Some("InternalFailure")) | (400, Some("ValidationError")) => {
+            Some((VoteResult::Failed, None))
+        }
         _ => None,
     }
 }
 
 /// One event of the bulletin, as its lines. Whatever of it can't be read may have been news.
-pub fn announce(lines: &str, to: &mut Balancer) -> Result<(), String> {
+pub fn announce(lines: &str, policy: &mut Balancer) -> Result<(), String> {
     let off = |what: &str| Err(format!("not an event: {what}"));
     let (mut event, mut data) = ("", "");
     for line in lines.lines() {
@@ -107,13 +123,24 @@
         }
     }
     let fields: Vec<_> = form_urlencoded::parse(data.as_bytes()).collect();
-    let field = |name: &str| fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_ref());
+    let field = |name: &str| {
+        fields
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.as_ref())
+    };
     match event {
-        "stage" => News::from_fields(field).ok_or_else(|| format!("not a stage: {data}"))?.tell(to),
+        "stage" => News::from_fields(field)
+            .ok_or_else(|| format!("not a stage: {data}"))?
+            .tell(policy),
         "flag" => {
-            let ago = field("observedAgoMs").and_then(|t| t.parse().ok()).filter(|t: &f64| t.is_finite());
-            let (pod, ago) = field("pod").zip(ago).ok_or_else(|| format!("not a flag: {data}"))?;
-            to.flagged(pod, micros(ago));
+            let ago = field("observedAgoMs")
+                .and_then(|t| t.parse().ok())
+                .filter(|t: &f64| t.is_finite());
+            let (pod, ago) = field("pod")
+                .zip(ago)
+                .ok_or_else(|| format!("not a flag: {data}"))?;
+            policy.on_answer_flagged(pod, age(ago));
         }
         // Sampled counts, which the module does without; and events of nothing but a sign of life.
         "tally" => {}
@@ -123,35 +150,42 @@
     Ok(())
 }
 
-pub struct Bulletin {
-    streams: Standing,
+pub struct RolloutStatusStream {
+    streams: PersistentStream,
 }
 
-impl Bulletin {
-    pub fn new(addr: SocketAddr, seed: u64) -> Bulletin {
-        Bulletin { streams: Standing::new(Part::Bulletin, addr, Pace::near(SILENCE), seed) }
+impl RolloutStatusStream {
+    pub fn new(addr: SocketAddr, seed: u64) -> RolloutStatusStream {
+        RolloutStatusStream {
+            streams: PersistentStream::new(
+                Component::RolloutStatus,
+                addr,
+                Pace::near(SILENCE),
+                seed,
+            ),
+        }
     }
 
-    pub fn open(&mut self, ground: &mut Ground) {
-        self.streams.open(BULLETIN, ground);
+    pub fn open(&mut self, context: &mut IoContext) {
+        self.streams.open(BULLETIN, context);
     }
 
-    pub fn move_to(&mut self, addr: SocketAddr, ground: &mut Ground) -> bool {
-        self.streams.move_to(addr, BULLETIN, ground)
+    pub fn change_address(&mut self, addr: SocketAddr, context: &mut IoContext) -> bool {
+        self.streams.change_address(addr, BULLETIN, context)
     }
 
-    pub fn due(&mut self, number: u64, ground: &mut Ground) {
-        if self.streams.due(number, ground) {
-            self.open(ground);
+    pub fn on_deadline(&mut self, number: u64, context: &mut IoContext) {
+        if self.streams.on_deadline(number, context) {
+            self.open(context);
         }
     }
 
-    pub fn found(&mut self, number: u64, readiness: calloop::Readiness) {
-        self.streams.found(number, readiness);
+    pub fn on_ready(&mut self, number: u64, readiness: calloop::Readiness) {
+        self.streams.on_ready(number, readiness);
     }
 
-    pub fn serve(&mut self, ground: &mut Ground, to: &mut Balancer) {
-        self.streams.serve(ground, |line, held, _| {
+    pub fn serve(&mut self, context: &mut IoContext, policy: &mut Balancer) {
+        self.streams.serve(context, |line, held, _| {
             // A sign of life belongs to no event.
             if line.starts_with(':') {
                 return Ok(());
@@ -159,9 +193,13 @@
             if !line.is_empty() {
                 held.push_str(line);
                 held.push('\n');
-                return if held.len() > LONGEST_EVENT { Err("an event without end".into()) } else { Ok(()) };
+                return if held.len() > LONGEST_EVENT {
+                    Err("an event without end".into())
+                } else {
+                    Ok(())
+                };
             }
-            let told = announce(held, to);
+            let told = announce(held, policy);
             held.clear();
             told
         });
@@ -171,8 +209,8 @@
 /// Votes; the module has one out at a time.
 pub struct Votes {
     addr: SocketAddr,
-    wait: u64,
-    link: Option<Link>,
+    wait: Duration,
+    connection: Option<Connection>,
     answer: http::Answer,
     out: bool,
     /// The vote could not begin.
@@ -182,34 +220,43 @@
 }
 
 impl Votes {
-    pub fn new(addr: SocketAddr, wait: u64) -> Votes {
+    pub fn new(addr: SocketAddr, wait: Duration) -> Votes {
         let answer = http::Answer::default();
-        Votes { addr, wait, link: None, answer, out: false, failed: false, moved: false }
+        Votes {
+            addr,
+            wait,
+            connection: None,
+            answer,
+            out: false,
+            failed: false,
+            moved: false,
+        }
     }
 
-    pub fn is_pressed(&self) -> bool {
+    pub fn has_pending_work(&self) -> bool {
         self.failed
     }
 
     /// The next vote goes there; one that is out is settled where it went.
-    pub fn move_to(&mut self, addr: SocketAddr, ground: &mut Ground) {
+    pub fn change_address(&mut self, addr: SocketAddr, context: &mut IoContext) {
         (self.moved, self.addr) = (self.moved || addr != self.addr, addr);
         if self.moved && !self.out {
-            self.drop_link(ground);
+            self.drop_link(context);
         }
     }
 
-    fn drop_link(&mut self, ground: &mut Ground) {
-        (self.link, self.moved) = (None, false);
-        ground.deadlines.clear(VOTES);
+    fn drop_link(&mut self, context: &mut IoContext) {
+        (self.connection, self.moved) = (None, false);
+        context.deadlines.clear(VOTES);
     }
 
-    pub fn cast(&mut self, build: u32, stage: u32, verdict: Verdict, ground: &mut Ground) {
-        let vote = match verdict {
-            Verdict::None => "clear",
-            Verdict::On => "approve",
-            Verdict::Hold => "wait",
-            Verdict::Back => "reject",
+    pub fn cast_vote(&mut self, ballot: Ballot, context: &mut IoContext) {
+        let Ballot { build, stage, vote } = ballot;
+        let vote = match vote {
+            Vote::Abstain => "clear",
+            Vote::Advance => "approve",
+            Vote::Hold => "wait",
+            Vote::RollBack => "reject",
         };
         let (version, step) = (build.to_string(), stage.to_string());
         let form = form_urlencoded::Serializer::new(String::new())
@@ -221,97 +268,126 @@
             ])
             .finish();
         // An answer that is still owed would be taken for this vote's.
-        if self.out || !self.link.as_ref().is_some_and(Link::is_quiet) {
-            self.drop_link(ground);
+        if self.out || !self.connection.as_ref().is_some_and(Connection::is_quiet) {
+            self.drop_link(context);
         }
-        if self.link.is_none() {
-            match Link::open(ground, self.addr, VOTES) {
-                Ok(link) => self.link = Some(link),
+        if self.connection.is_none() {
+            match Connection::open(context, self.addr, VOTES) {
+                Ok(connection) => self.connection = Some(connection),
                 Err(e) => {
-                    info!(ground.log, "cannot reach the platform"; "error" => %e);
+                    info!(context.log, "cannot reach the platform"; "error" => %e);
                     self.failed = true;
                     return;
                 }
             }
         }
-        let Some(link) = &mut self.link else { return };
-        http::post_form(&mut link.output, &self.addr.to_string(), &form);
+        let Some(connection) = &mut self.connection else {
+            return;
+        };
+        http::post_form(&mut connection.output, &self.addr.to_string(), &form);
         // A failure shows at the next read.
-        let _ = link.flush();
+        let _ = connection.flush();
         self.answer = http::Answer::default();
         self.out = true;
-        ground.deadlines.set(VOTES, ground.now + self.wait);
+        context.deadlines.set(VOTES, context.now + self.wait);
     }
 
-    pub fn tell_failed(&mut self, to: &mut Balancer) {
+    pub fn notify_failed_vote(&mut self, policy: &mut Balancer) {
         if std::mem::take(&mut self.failed) {
-            to.answered(Answer::Error);
+            policy.on_vote_result(VoteResult::Failed);
         }
     }
 
-    pub fn found(&mut self, readiness: calloop::Readiness) {
-        if let Some(link) = &mut self.link {
-            link.found(readiness);
+    pub fn on_ready(&mut self, readiness: calloop::Readiness) {
+        if let Some(connection) = &mut self.connection {
+            connection.on_ready(readiness);
         }
     }
 
-    pub fn serve(&mut self, ground: &mut Ground, to: &mut Balancer) {
-        let Some(link) = &mut self.link else { return };
-        let flushed = link.flush();
-        let read = link.read(READ_AHEAD);
+    pub fn serve(&mut self, context: &mut IoContext, policy: &mut Balancer) {
+        let Some(connection) = &mut self.connection else {
+            return;
+        };
+        let flushed = connection.flush();
+        let read = connection.read(READ_AHEAD);
         let open = flushed.is_ok() && matches!(read, Ok(fill) if fill != Fill::Ended);
         if self.out {
-            let fault = self.answer.read(&mut link.input).err();
+            let fault = self.answer.read(&mut connection.input).err();
             let whole = self.answer.is_done() || !open && self.answer.ended();
             if whole {
-                let mut keep = open && self.answer.keeps_open && link.input.is_empty() && !self.moved;
+                let mut keep =
+                    open && self.answer.keeps_open && connection.input.is_empty() && !self.moved;
                 match vote_answer(self.answer.status, &self.answer.body) {
-                    Some((answer, news)) => self.settle(answer, news, ground, to),
+                    Some((answer, news)) => self.settle(answer, news, context, policy),
                     None => {
-                        info!(ground.log, "platform answered a vote with what can't be read"; "status" => self.answer.status);
+                        info!(context.log, "platform answered a vote with what can't be read"; "status" => self.answer.status);
                         // Whatever comes next on it could be the rest of that.
                         keep = false;
-                        self.settle(Answer::Unknown, None, ground, to);
+                        self.settle(VoteResult::Unknown, None, context, policy);
                     }
                 }
                 if keep {
-                    ground.deadlines.set(VOTES, ground.now + VOTES_IDLE);
+                    context.deadlines.set(VOTES, context.now + VOTES_IDLE);
                     return;
                 }
             } else if fault.is_some() || !open {
-                let never = link_unsent(link);
-                self.settle(if never { Answer::Error } else { Answer::Unknown }, None, ground, to);
+                let never = link_unsent(connection);
+                self.settle(
+                    if never {
+                        VoteResult::Failed
+                    } else {
+                        VoteResult::Unknown
+                    },
+                    None,
+                    context,
+                    policy,
+                );
             } else {
                 return;
             }
-        } else if open && link.input.is_empty() {
+        } else if open && connection.input.is_empty() {
             return;
         }
-        self.drop_link(ground);
+        self.drop_link(context);
     }
 
-    fn settle(&mut self, answer: Answer, news: Option<News>, ground: &Ground, to: &mut Balancer) {
+    fn settle(
+        &mut self,
+        answer: VoteResult,
+        news: Option<News>,
+        context: &IoContext,
+        policy: &mut Balancer,
+    ) {
         self.out = false;
-        if !matches!(answer, Answer::Counts | Answer::Moot) {
-            info!(ground.log, "vote not counted"; "answer" => ?answer);
+        if !matches!(answer, VoteResult::Accepted | VoteResult::Superseded) {
+            info!(context.log, "vote not counted"; "answer" => ?answer);
         }
-        to.answered(answer);
+        policy.on_vote_result(answer);
         if let Some(news) = news {
-            news.tell(to);
+            news.tell(policy);
         }
     }
 
     /// No answer in the told time, or nothing to ask for a while.
-    pub fn due(&mut self, ground: &mut Ground, to: &mut Balancer) {
+    pub fn on_deadline(&mut self, context: &mut IoContext, policy: &mut Balancer) {
         if self.out {
-            let never = self.link.as_ref().is_none_or(link_unsent);
-            self.settle(if never { Answer::Error } else { Answer::Unknown }, None, ground, to);
+            let never = self.connection.as_ref().is_none_or(link_unsent);
+            self.settle(
+                if never {
+                    VoteResult::Failed
+                } else {
+                    VoteResult::Unknown
+                },
+                None,
+                context,
+                policy,
+            );
         }
-        self.drop_link(ground);
+        self.drop_link(context);
     }
 }
 
 /// The call's last byte was never written.
-fn link_unsent(link: &Link) -> bool {
-    !link.output.is_empty()
+fn link_unsent(connection: &Connection) -> bool {
+    !connection.output.is_empty()
 }
--- a/crates/proxy/src/slots.rs
+++ b/crates/proxy/src/slots.rs
@@ -14,7 +14,10 @@
 
 impl<T> Slots<T> {
     pub fn new(most: usize) -> Self {
-        Slots { table: SlotMap::new(), most }
+        Slots {
+            table: SlotMap::new(),
+            most,
+        }
     }
     pub fn is_full(&self) -> bool {
         self.table.len() >= self.most
