--- a/crates/proxy/src/snapshot_writer.rs
+++ b/crates/proxy/src/snapshot_writer.rs
@@ -8,9 +8,12 @@
 use std::time::{Duration, Instant};
 
 use slog::{Logger, debug, info, warn};
-use tidescale_policy::decide::Balancer;
-use tidescale_policy::front::{Phase, Standing};
-use tidescale_policy::recall::{Known, Recorder};
+use tidescale_policy::Balancer;
+use tidescale_policy::snapshot::{
+    EndpointRecord, FleetBaselineRecord, HardwareClassRecord, OutcomeRecord, RolloutRecord,
+    RouteRecord, SnapshotSink,
+};
+use tidescale_policy::types::{EndpointState, RolloutPhase, Timestamp};
 use tidescale_snapshot::disk::Folder;
 use tidescale_snapshot::expiry::{self, Listed};
 use tidescale_snapshot::format::Image;
@@ -26,105 +29,220 @@
 const PRIORITY: u8 = 1;
 
 /// What is known beside the module: where machines listen, and when the list was last heard.
-pub struct Beside<'a> {
+pub struct EndpointDirectory<'a> {
+    /// The endpoints' processes.
     pub upstream: &'a Upstream,
-    pub list: (u64, u64),
+    /// Version of the endpoint list.
+    pub list_version: u64,
+    /// When discovery last confirmed it.
+    pub list_confirmed_at: Timestamp,
 }
 
-impl Beside<'_> {
+impl EndpointDirectory<'_> {
     fn process(&self, id: &str) -> Option<Process> {
-        let (addr, build, started) = self.upstream.listed(id)?;
-        Some(Process { id: id.into(), addr: addr.to_string(), build, started })
+        let identity = self.upstream.process_of(id)?;
+        let started = identity.started_at.map_or(0, Timestamp::as_micros);
+        Some(Process {
+            id: id.into(),
+            addr: identity.address.to_string(),
+            build: identity.build,
+            started,
+        })
     }
 }
 
 /// Facts as they are told.
 struct Gathered<'a> {
     now: u64,
-    beside: &'a Beside<'a>,
+    directory: &'a EndpointDirectory<'a>,
     facts: &'a mut Vec<Fact>,
 }
 
-impl Recorder for Gathered<'_> {
-    fn machine(&mut self, m: Known) {
-        let Some(process) = self.beside.process(m.name) else { return };
-        let (seen, kind) = (self.now, m.place.2.to_string());
-        let (version, heard) = self.beside.list;
+impl SnapshotSink for Gathered<'_> {
+    fn endpoint(&mut self, record: EndpointRecord<'_>) {
+        let Some(process) = self.directory.process(record.name) else {
+            return;
+        };
+        let (seen, kind) = (self.now, record.hardware_class.to_string());
         self.facts.push(Fact::Listed(ListedFact {
-            seen: heard,
-            version,
+            seen: self.directory.list_confirmed_at.as_micros(),
+            version: self.directory.list_version,
             process: process.clone(),
-            zone: m.place.0.into(),
+            zone: record.zone.into(),
             kind: kind.clone(),
-            cell: m.place.1,
-            state: if m.standing == Standing::Ready { "active" } else { "leaving" }.into(),
+            cell: record.cell,
+            state: if record.state == EndpointState::Ready {
+                "active"
+            } else {
+                "leaving"
+            }
+            .into(),
+        }));
+        let load = (record.reported_load, record.reported_at.as_micros());
+        let (pace, aside) = (record.slowdown, record.ejected);
+        self.facts.push(Fact::Machine(MachineFact {
+            seen,
+            process,
+            kind,
+            pace,
+            load,
+            aside,
         }));
-        let (pace, load, aside) = (m.pace, m.load, m.aside);
-        self.facts.push(Fact::Machine(MachineFact { seen, process, kind, pace, load, aside }));
     }
-    fn kind(&mut self, kind: &str, load: [f64; 2], pace: [f64; 2], usual: [f64; 3]) {
-        self.facts.push(Fact::Kind(KindFact { seen: self.now, kind: kind.into(), load, pace, usual }));
+    fn hardware_class(&mut self, record: HardwareClassRecord<'_>) {
+        let load = record.load.unwrap_or_default();
+        let pace = record.slowdown.unwrap_or_default();
+        let usual = record.baseline.unwrap_or_default();
+        self.facts.push(Fact::Kind(KindFact {
+            seen: self.now,
+            kind: record.name.into(),
+            load,
+            pace,
+            usual,
+        }));
     }
-    fn route(&mut self, route: Option<&str>, usual: [f64; 3]) {
-        let route = route.unwrap_or_default().into();
-        self.facts.push(Fact::Route(RouteFact { seen: self.now, route, usual }));
+    fn route(&mut self, record: RouteRecord<'_>) {
+        let route = record.route.unwrap_or_default().into();
+        self.facts.push(Fact::Route(RouteFact {
+            seen: self.now,
+            route,
+            usual: record.baseline,
+        }));
     }
-    fn evidence(&mut self, machine: &str, build: u32, all: &[f64], hits: &[f64]) {
-        if let Some(process) = self.beside.process(machine) {
-            let (seen, all, hits) = (self.now, all.into(), hits.into());
-            self.facts.push(Fact::Evidence(EvidenceFact { seen, process, build, all, hits }));
+    fn outcomes(&mut self, record: OutcomeRecord<'_>) {
+        if let Some(process) = self.directory.process(record.endpoint) {
+            let (all, hits) = (record.outcomes.into(), record.failures.into());
+            self.facts.push(Fact::Evidence(EvidenceFact {
+                seen: self.now,
+                process,
+                build: record.build,
+                all,
+                hits,
+            }));
         }
     }
-    fn condemned(&mut self, build: u32, seen: u64) {
-        self.facts.push(Fact::Condemned(CondemnedFact { seen, build }));
+    fn rejected_build(&mut self, build: u32, rejected_at: Timestamp) {
+        self.facts.push(Fact::Condemned(CondemnedFact {
+            seen: rejected_at.as_micros(),
+            build,
+        }));
     }
-    fn calm(&mut self, seen: u64, [outcomes, hits]: [f64; 2], spread: [f64; 3], fleet: (usize, f64)) {
-        let (machines, sends) = fleet;
-        self.facts.push(Fact::Calm(CalmFact { seen, outcomes, hits, spread, machines, sends }));
+    fn fleet_baseline(&mut self, record: FleetBaselineRecord) {
+        self.facts.push(Fact::Calm(CalmFact {
+            seen: record.taken_at.as_micros(),
+            outcomes: record.outcomes,
+            hits: record.failures,
+            spread: record.spread,
+            machines: record.endpoints,
+            sends: record.attempts_per_second,
+        }));
     }
-    fn zones(&mut self, paces: [[f64; 2]; 2]) {
-        self.facts.push(Fact::Zones(ZonesFact { seen: self.now, paces }));
+    fn zones(&mut self, slowdowns: [[f64; 2]; 2]) {
+        self.facts.push(Fact::Zones(ZonesFact {
+            seen: self.now,
+            paces: slowdowns,
+        }));
     }
-    fn key(&mut self, key: &str, build: u32) {
-        self.facts.push(Fact::Key(KeyFact { seen: self.now, key: key.into(), build }));
+    fn key_build(&mut self, key: &str, build: u32) {
+        self.facts.push(Fact::Key(KeyFact {
+            seen: self.now,
+            key: key.into(),
+            build,
+        }));
     }
-    fn news(&mut self, build: u32, stage: u32, phase: Phase, cap: f64, since: u64) {
-        let phase = format!("{phase:?}").to_lowercase();
-        self.facts.push(Fact::News(NewsFact { seen: self.now, build, stage, phase, cap, since }));
+    fn rollout(&mut self, record: RolloutRecord) {
+        let phase = match record.phase {
+            RolloutPhase::Canary => CANARY,
+            RolloutPhase::RollingBack => "goingback",
+            RolloutPhase::Released => "released",
+            RolloutPhase::Withdrawn => "withdrawn",
+        };
+        self.facts.push(Fact::News(NewsFact {
+            seen: self.now,
+            build: record.build,
+            stage: record.stage,
+            phase: phase.into(),
+            cap: record.traffic_cap,
+            since: record.since.as_micros(),
+        }));
     }
 }
 
+/// How the file names the phase of a build under evaluation.
+const CANARY: &str = "trial";
+
 /// Tells the module what of the image still counts; how many facts did.
-pub fn recall(image: &Image, beside: &Beside, now: u64, to: &mut Balancer) -> usize {
-    let standing = |p: &Process| expiry::listed(p, beside.process(&p.id).as_ref());
+pub fn restore(
+    image: &Image,
+    directory: &EndpointDirectory,
+    now: Timestamp,
+    policy: &mut Balancer,
+) -> usize {
+    let now = now.as_micros();
+    let standing = |p: &Process| expiry::listed(p, directory.process(&p.id).as_ref());
     // The calm before a trial is of use while that trial goes on, and no longer.
     let trial = |n: &NewsFact| {
-        to.news.is_some_and(|told| told.build == n.build && told.phase == Phase::Trial) && n.phase == "trial"
+        policy
+            .rollout
+            .is_some_and(|told| told.build == n.build && told.phase == RolloutPhase::Canary)
+            && n.phase == CANARY
     };
-    let goes_on = image.facts.iter().any(|f| matches!(f, Fact::News(n) if trial(n)));
+    let goes_on = image
+        .facts
+        .iter()
+        .any(|f| matches!(f, Fact::News(n) if trial(n)));
     let mut counted = 0;
     for fact in &image.facts {
         let weight = expiry::weight(fact, now);
         let told = match fact {
             Fact::Machine(f) => expiry::machine(f, now, standing(&f.process))
-                .map(|m| to.recall_machine(&f.process.id, m.pace, m.aside)),
+                .map(|m| policy.restore_endpoint(&f.process.id, m.pace, m.aside)),
             Fact::Kind(f) => {
                 let k = expiry::kind(f, now);
-                (weight > 0.0).then(|| to.recall_kind(&f.kind, k.load, k.pace, k.usual))
+                (weight > 0.0).then(|| {
+                    policy.restore_hardware_class(HardwareClassRecord {
+                        name: &f.kind,
+                        load: k.load,
+                        slowdown: k.pace,
+                        baseline: k.usual,
+                    })
+                })
             }
             Fact::Route(f) => {
                 let name = Some(f.route.as_str()).filter(|r| !r.is_empty());
-                expiry::route(f, now).map(|usual| to.recall_route(name, usual))
+                expiry::route(f, now).map(|usual| {
+                    policy.restore_route(RouteRecord {
+                        route: name,
+                        baseline: usual,
+                    })
+                })
             }
-            Fact::Evidence(f) => expiry::evidence(f, now, standing(&f.process))
-                .map(|(all, hits)| to.recall_evidence(&f.process.id, f.build, &all, &hits)),
-            Fact::Condemned(f) => (weight > 0.0).then(|| to.recall_condemned(f.build, f.seen)),
+            Fact::Evidence(f) => {
+                expiry::evidence(f, now, standing(&f.process)).map(|(all, hits)| {
+                    policy.restore_outcomes(OutcomeRecord {
+                        endpoint: &f.process.id,
+                        build: f.build,
+                        outcomes: &all,
+                        failures: &hits,
+                    })
+                })
+            }
+            Fact::Condemned(f) => (weight > 0.0)
+                .then(|| policy.restore_rejected_build(f.build, Timestamp::from_micros(f.seen))),
             Fact::Calm(f) => (weight > 0.0 && goes_on).then(|| {
-                let fleet = (f.machines, f.sends);
-                to.recall_calm(f.seen.min(now), [weight * f.outcomes, weight * f.hits], f.spread, fleet);
+                policy.restore_fleet_baseline(FleetBaselineRecord {
+                    taken_at: Timestamp::from_micros(f.seen.min(now)),
+                    outcomes: weight * f.outcomes,
+                    failures: weight * f.hits,
+                    spread: f.spread,
+                    endpoints: f.machines,
+                    attempts_per_second: f.sends,
+                });
             }),
-            Fact::Zones(f) => (weight > 0.0).then(|| to.recall_zones(f.paces.map(|p| p.map(|x| x * weight)))),
-            Fact::Key(f) => (weight > 0.0).then(|| to.recall_key(&f.key, f.build)),
+            Fact::Zones(f) => {
+                (weight > 0.0).then(|| policy.restore_zones(f.paces.map(|p| p.map(|x| x * weight))))
+            }
+            Fact::Key(f) => (weight > 0.0).then(|| policy.restore_key_build(&f.key, f.build)),
             // Kept for starts without discovery.
             Fact::Listed(_) | Fact::News(_) => None,
         };
@@ -144,7 +262,7 @@
     Rest,
 }
 
-pub struct Keeper {
+pub struct SnapshotWriter {
     schedule: Schedule,
     job: usize,
     facts: Vec<Fact>,
@@ -159,9 +277,14 @@
     log: Logger,
 }
 
-impl Keeper {
+impl SnapshotWriter {
     /// What the folder holds, and what keeps it from now on; none where it can't be held.
-    pub fn open(set: &Memory, now: u64, log: Logger) -> Option<(Keeper, Option<Image>)> {
+    pub fn open(
+        set: &Memory,
+        now: Timestamp,
+        log: Logger,
+    ) -> Option<(SnapshotWriter, Option<Image>)> {
+        let now = now.as_micros();
         let folder = match Folder::hold(&set.folder) {
             Ok(folder) => folder,
             Err(why) => {
@@ -191,25 +314,46 @@
         let stop_within = Duration::from_micros(set.stop_within);
         let (facts, cursor, out, longest) = (Vec::new(), Cursor::Machines(0), 0, Duration::ZERO);
         Some((
-            Keeper { schedule, job, facts, cursor, parcels, done, out, stop_within, longest, log },
+            SnapshotWriter {
+                schedule,
+                job,
+                facts,
+                cursor,
+                parcels,
+                done,
+                out,
+                stop_within,
+                longest,
+                log,
+            },
             opened.image,
         ))
     }
 
     /// Some machines, or all the rest; whether all is gathered.
-    fn gather(&mut self, most: usize, beside: &Beside, now: u64, from: &mut Balancer) -> bool {
-        let mut to = Gathered { now, beside, facts: &mut self.facts };
+    fn gather(
+        &mut self,
+        most: usize,
+        directory: &EndpointDirectory,
+        now: u64,
+        from: &mut Balancer,
+    ) -> bool {
+        let mut gathered = Gathered {
+            now,
+            directory,
+            facts: &mut self.facts,
+        };
         match self.cursor {
             Cursor::Machines(at) => {
-                let next = from.remember_machines(at, most, &mut to);
+                let next = from.save_endpoints(at, most, &mut gathered);
                 self.cursor = next.map_or(Cursor::Evidence((0, 0)), Cursor::Machines);
             }
             Cursor::Evidence(at) => {
-                let next = from.remember_evidence(at, most, &mut to);
+                let next = from.save_outcomes(at, most, &mut gathered);
                 self.cursor = next.map_or(Cursor::Rest, Cursor::Evidence);
             }
             Cursor::Rest => {
-                from.remember_rest(&mut to);
+                from.save_rest(&mut gathered);
                 self.cursor = Cursor::Machines(0);
                 // What must not be cut off where the whole would be too long comes first.
                 self.facts.reverse();
@@ -231,7 +375,13 @@
     }
 
     /// One slice, where it is time for one.
-    pub fn slice(&mut self, beside: &Beside, now: u64, from: &mut Balancer) {
+    pub fn run_slice(
+        &mut self,
+        directory: &EndpointDirectory,
+        now: Timestamp,
+        from: &mut Balancer,
+    ) {
+        let now = now.as_micros();
         while let Ok(done) = self.done.try_recv() {
             self.answered(done, now);
         }
@@ -239,7 +389,7 @@
             return;
         }
         let begun = Instant::now();
-        if self.gather(SLICE, beside, now, from) {
+        if self.gather(SLICE, directory, now, from) {
             self.hand_over(now);
             self.schedule.ended(self.job, now);
         }
@@ -250,23 +400,37 @@
 
     /// A thread that still writes an earlier state takes none: a disk that stalls must not fill the memory.
     fn hand_over(&mut self, now: u64) {
-        match self.parcels.try_send((now, std::mem::take(&mut self.facts))) {
+        match self
+            .parcels
+            .try_send((now, std::mem::take(&mut self.facts)))
+        {
             Ok(()) => self.out += 1,
-            Err(TrySendError::Full(_)) => warn!(self.log, "memory not written"; "why" => "the disk is slow"),
-            Err(TrySendError::Disconnected(_)) => warn!(self.log, "memory not written"; "why" => "no thread"),
+            Err(TrySendError::Full(_)) => {
+                warn!(self.log, "memory not written"; "why" => "the disk is slow")
+            }
+            Err(TrySendError::Disconnected(_)) => {
+                warn!(self.log, "memory not written"; "why" => "no thread")
+            }
         }
     }
 
-    pub fn wake_at(&mut self, now: u64) -> Option<u64> {
-        self.schedule.wake_at(now)
+    pub fn next_wake_up(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let now = now.as_micros();
+        self.schedule.wake_at(now).map(Timestamp::from_micros)
     }
 
     /// The last state, once everything is answered, and no longer than told.
-    pub fn finish(&mut self, beside: &Beside, now: u64, from: &mut Balancer) {
+    pub fn write_final(
+        &mut self,
+        directory: &EndpointDirectory,
+        now: Timestamp,
+        from: &mut Balancer,
+    ) {
+        let now = now.as_micros();
         let by = Instant::now() + self.stop_within;
         self.facts.clear();
         self.cursor = Cursor::Machines(0);
-        while !self.gather(SLICE, beside, now, from) {}
+        while !self.gather(SLICE, directory, now, from) {}
         let rest = || by.saturating_duration_since(Instant::now());
         if self.out > 0
             && let Ok(done) = self.done.recv_timeout(rest())
@@ -299,9 +463,11 @@
 /// Whether a fact's process is the one that the kept list names.
 pub fn stands(fact: &Fact, listed: &BTreeMap<&str, &Process>) -> Option<Listed> {
     match fact {
-        Fact::Machine(MachineFact { process, .. }) | Fact::Evidence(EvidenceFact { process, .. }) => {
-            Some(expiry::listed(process, listed.get(process.id.as_str()).copied()))
-        }
+        Fact::Machine(MachineFact { process, .. })
+        | Fact::Evidence(EvidenceFact { process, .. }) => Some(expiry::listed(
+            process,
+            listed.get(process.id.as_str()).copied(),
+        )),
         _ => None,
     }
 }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -2,24 +2,26 @@
 //! falls silent.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use calloop::Readiness;
 use oorandom::Rand32;
 use slog::info;
 
+use tidescale_policy::types::whole_micros;
+
 use crate::buffers::Fill;
-use crate::connection::{Ground, Link, Owner, Part};
+use crate::connection::{Component, Connection, IoContext, Owner};
 use crate::http;
 
-const MS: u64 = 1000;
-const FIRST_PAUSE: u64 = 100 * MS;
-const LONGEST_PAUSE: u64 = 2000 * MS;
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(2000);
 /// An answer that begins takes no longer.
-const OPENING: u64 = 1000 * MS;
+const OPENING: Duration = Duration::from_millis(1000);
 /// What has begun goes on at once, or has stopped short: the far side may show life, and tell the rest to nobody.
-const PART: u64 = 400 * MS;
+const PART: Duration = Duration::from_millis(400);
 /// A stream may show life and tell nothing of what changes: one opened anew tells what was missed.
-const AFRESH: u64 = 3000 * MS;
+const AFRESH: Duration = Duration::from_millis(3000);
 /// The deadline for that, beside those of streams.
 const ANEW: u64 = u64::MAX;
 const READ_AHEAD: usize = 256 * 1024;
@@ -28,19 +30,24 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
     /// Longer than any pause between signs of life.
-    pub silence: u64,
+    pub silence: Duration,
     /// An answer that begins takes no longer.
-    pub opening: u64,
+    pub opening: Duration,
     /// The longest pause before it is opened again, by chance up to twice as long.
-    pub longest: u64,
+    pub longest: Duration,
     /// So often a standing stream is opened anew; never where each call costs the far side what all fronts share.
-    pub afresh: Option<u64>,
+    pub afresh: Option<Duration>,
 }
 
 impl Pace {
     /// Of a far side that is on this front's own machine, or answers at once.
-    pub const fn near(silence: u64) -> Pace {
-        Pace { silence, opening: OPENING, longest: LONGEST_PAUSE, afresh: Some(AFRESH) }
+    pub const fn near(silence: Duration) -> Pace {
+        Pace {
+            silence,
+            opening: OPENING,
+            longest: LONGEST_PAUSE,
+            afresh: Some(AFRESH),
+        }
     }
 }
 
@@ -50,9 +57,9 @@
     pace: Pace,
     /// Fronts whose streams ended together must not come back together, or they would all be turned away again.
     chance: Rand32,
-    link: Option<Link>,
+    connection: Option<Connection>,
     answer: http::Answer,
-    pause: u64,
+    pause: Duration,
     /// It has told something since it was opened.
     told: bool,
     /// What of a longer message has come.
@@ -62,59 +69,78 @@
 impl Stream {
     pub fn new(owner: Owner, addr: SocketAddr, pace: Pace, seed: u64) -> Stream {
         let (answer, pause, held) = (http::Answer::default(), FIRST_PAUSE, String::new());
-        let chance = Rand32::new(seed ^ (owner.0 as u64) << 32 ^ owner.1);
-        Stream { owner, addr, pace, chance, link: None, answer, pause, told: false, held }
+        let chance = Rand32::new(seed ^ (owner.component as u64) << 32 ^ owner.slot);
+        Stream {
+            owner,
+            addr,
+            pace,
+            chance,
+            connection: None,
+            answer,
+            pause,
+            told: false,
+            held,
+        }
     }
 
-    pub fn open(&mut self, path: &str, ground: &mut Ground) {
+    pub fn open(&mut self, path: &str, context: &mut IoContext) {
         (self.answer, self.told) = (http::Answer::default(), false);
         self.held.clear();
-        match Link::open(ground, self.addr, self.owner) {
-            Ok(mut link) => {
-                http::get(&mut link.output, &self.addr.to_string(), path);
-                self.link = Some(link);
-                ground.deadlines.set(self.owner, ground.now + self.pace.silence.min(self.pace.opening));
+        match Connection::open(context, self.addr, self.owner) {
+            Ok(mut connection) => {
+                http::get(&mut connection.output, &self.addr.to_string(), path);
+                self.connection = Some(connection);
+                context.deadlines.set(
+                    self.owner,
+                    context.now + self.pace.silence.min(self.pace.opening),
+                );
             }
-            Err(e) => self.broken(&e.to_string(), ground),
+            Err(e) => self.broken(&e.to_string(), context),
         }
     }
 
-    fn broken(&mut self, why: &str, ground: &mut Ground) {
-        let pause = (self.pause as f64 * f64::from(1.0 + self.chance.rand_float())) as u64;
-        info!(ground.log, "stream ended"; "part" => ?self.owner.0, "why" => why, "again_ms" => pause / MS);
-        self.link = None;
-        ground.deadlines.set(self.owner, ground.now + pause);
+    fn broken(&mut self, why: &str, context: &mut IoContext) {
+        let pause = whole_micros(self.pause) as f64 * f64::from(1.0 + self.chance.rand_float());
+        let pause = Duration::from_micros(pause as u64);
+        info!(context.log, "stream ended"; "part" => ?self.owner.component, "why" => why, "again_ms" => pause.as_millis());
+        self.connection = None;
+        context.deadlines.set(self.owner, context.now + pause);
         self.pause = (self.pause * 2).min(self.pace.longest);
     }
 
     /// Silence, or a pause that is over: whether it is to be opened now.
-    pub fn due(&mut self, ground: &mut Ground) -> bool {
-        let silent = self.link.is_some();
+    pub fn on_deadline(&mut self, context: &mut IoContext) -> bool {
+        let silent = self.connection.is_some();
         if silent {
-            self.broken("silent", ground);
+            self.broken("silent", context);
         }
         !silent
     }
 
-    pub fn found(&mut self, readiness: Readiness) {
-        if let Some(link) = &mut self.link {
-            link.found(readiness);
+    pub fn on_ready(&mut self, readiness: Readiness) {
+        if let Some(connection) = &mut self.connection {
+            connection.on_ready(readiness);
         }
     }
 
     /// Hands over the whole lines that have come; what is not read for want of buffers waits for the next call.
     pub fn serve(
         &mut self,
-        ground: &mut Ground,
-        mut each: impl FnMut(&str, &mut String, &mut Ground) -> Result<(), String>,
+        context: &mut IoContext,
+        mut each: impl FnMut(&str, &mut String, &mut IoContext) -> Result<(), String>,
     ) {
-        let Some(link) = &mut self.link else { return };
-        let flushed = link.flush();
+        let Some(connection) = &mut self.connection else {
+            return;
+        };
+        let flushed = connection.flush();
         let (mut read, mut fault, mut heard) = (Ok(Fill::Enough), Ok(()), false);
         while matches!(read, Ok(Fill::Enough)) && fault.is_ok() {
-            read = link.read(READ_AHEAD);
-            heard |= !link.input.is_empty();
-            fault = self.answer.read(&mut link.input).map_err(|e| e.0.to_string());
+            read = connection.read(READ_AHEAD);
+            heard |= !connection.input.is_empty();
+            fault = self
+                .answer
+                .read(&mut connection.input)
+                .map_err(|e| e.0.to_string());
         }
         if self.answer.has_begun() && self.answer.status != 200 {
             fault = Err(format!("status {}", self.answer.status));
@@ -125,7 +151,7 @@
                 *pause = FIRST_PAUSE;
                 // What follows something that can't be read is worth no more than that.
                 if fault.is_ok() {
-                    fault = each(line, held, ground);
+                    fault = each(line, held, context);
                 }
                 // A part of something longer takes no earlier stream's place.
                 *told |= fault.is_ok() && held.is_empty();
@@ -134,13 +160,16 @@
         }
         if heard {
             let whole = self.held.is_empty() && self.answer.is_between();
-            ground.deadlines.set(self.owner, ground.now + if whole { self.pace.silence } else { PART });
+            context.deadlines.set(
+                self.owner,
+                context.now + if whole { self.pace.silence } else { PART },
+            );
         }
         match (fault, flushed, read) {
-            (Err(why), ..) => self.broken(&why, ground),
-            (_, Err(e), _) | (_, _, Err(e)) => self.broken(&e.to_string(), ground),
-            (.., Ok(Fill::Ended)) => self.broken("closed", ground),
-            _ if self.answer.is_done() => self.broken("complete", ground),
+            (Err(why), ..) => self.broken(&why, context),
+            (_, Err(e), _) | (_, _, Err(e)) => self.broken(&e.to_string(), context),
+            (.., Ok(Fill::Ended)) => self.broken("closed", context),
+            _ if self.answer.is_done() => self.broken("complete", context),
             _ => {}
         }
     }
@@ -148,98 +177,119 @@
 
 /// The stream that stands and, after a change of address and every now and then, the one whose place it takes: that
 /// goes on until the new one tells something, or what is told in between would be missed.
-pub struct Standing {
+pub struct PersistentStream {
     now: Stream,
     seed: u64,
     earlier: Option<Stream>,
 }
 
-impl Standing {
-    pub fn new(part: Part, addr: SocketAddr, pace: Pace, seed: u64) -> Standing {
-        Standing { now: Stream::new((part, 0), addr, pace, seed), seed, earlier: None }
+impl PersistentStream {
+    pub fn new(component: Component, addr: SocketAddr, pace: Pace, seed: u64) -> PersistentStream {
+        PersistentStream {
+            now: Stream::new(Owner::new(component, 0), addr, pace, seed),
+            seed,
+            earlier: None,
+        }
     }
 
-    pub fn open(&mut self, path: &str, ground: &mut Ground) {
-        self.now.open(path, ground);
-        self.anew(ground);
+    pub fn open(&mut self, path: &str, context: &mut IoContext) {
+        self.now.open(path, context);
+        self.anew(context);
     }
 
-    fn anew(&self, ground: &mut Ground) {
+    fn anew(&self, context: &mut IoContext) {
         if let Some(afresh) = self.now.pace.afresh {
-            ground.deadlines.set((self.now.owner.0, ANEW), ground.now + afresh);
+            context.deadlines.set(
+                Owner::new(self.now.owner.component, ANEW),
+                context.now + afresh,
+            );
         }
     }
 
     /// Whether the address is another one.
-    pub fn move_to(&mut self, addr: SocketAddr, path: &str, ground: &mut Ground) -> bool {
+    pub fn change_address(
+        &mut self,
+        addr: SocketAddr,
+        path: &str,
+        context: &mut IoContext,
+    ) -> bool {
         let moves = addr != self.now.addr;
         if moves {
-            self.replace(addr, ground);
-            self.open(path, ground);
+            self.replace(addr, context);
+            self.open(path, context);
         }
         moves
     }
 
-    fn replace(&mut self, addr: SocketAddr, ground: &mut Ground) {
-        let (part, made) = self.now.owner;
-        let next = Stream::new((part, made + 1), addr, self.now.pace, self.seed);
+    fn replace(&mut self, addr: SocketAddr, context: &mut IoContext) {
+        let Owner { component, slot } = self.now.owner;
+        let next = Stream::new(
+            Owner::new(component, slot + 1),
+            addr,
+            self.now.pace,
+            self.seed,
+        );
         let left = std::mem::replace(&mut self.now, next);
         if left.told || self.earlier.is_none() {
-            self.leave(ground);
+            self.leave(context);
             self.earlier = Some(left);
         } else {
-            ground.deadlines.clear(left.owner);
+            context.deadlines.clear(left.owner);
         }
     }
 
-    fn leave(&mut self, ground: &mut Ground) {
+    fn leave(&mut self, context: &mut IoContext) {
         if let Some(earlier) = self.earlier.take() {
-            ground.deadlines.clear(earlier.owner);
+            context.deadlines.clear(earlier.owner);
         }
     }
 
     /// Whether the stream is to be opened now; an earlier one never is.
-    pub fn due(&mut self, number: u64, ground: &mut Ground) -> bool {
-        if number == self.now.owner.1 {
-            return self.now.due(ground);
+    pub fn on_deadline(&mut self, number: u64, context: &mut IoContext) -> bool {
+        if number == self.now.owner.slot {
+            return self.now.on_deadline(context);
         }
         if number != ANEW {
-            self.leave(ground);
+            self.leave(context);
             return false;
         }
         if self.now.told {
-            self.replace(self.now.addr, ground);
+            self.replace(self.now.addr, context);
             return true;
         }
         // Open for so long and still nothing told, not even that nothing changes: it is as silent as one that has
         // stopped, and what it misses counts as told before its silence would end it.
-        if self.now.link.is_some() && self.now.answer.has_begun() {
-            self.now.broken("nothing told", ground);
+        if self.now.connection.is_some() && self.now.answer.has_begun() {
+            self.now.broken("nothing told", context);
         }
-        self.anew(ground);
+        self.anew(context);
         false
     }
 
-    pub fn found(&mut self, number: u64, readiness: Readiness) {
+    pub fn on_ready(&mut self, number: u64, readiness: Readiness) {
         let streams = [Some(&mut self.now), self.earlier.as_mut()];
-        streams.into_iter().flatten().filter(|s| s.owner.1 == number).for_each(|s| s.found(readiness));
+        streams
+            .into_iter()
+            .flatten()
+            .filter(|s| s.owner.slot == number)
+            .for_each(|s| s.on_ready(readiness));
     }
 
     pub fn serve(
         &mut self,
-        ground: &mut Ground,
-        mut each: impl FnMut(&str, &mut String, &mut Ground) -> Result<(), String>,
+        context: &mut IoContext,
+        mut each: impl FnMut(&str, &mut String, &mut IoContext) -> Result<(), String>,
     ) {
         if let Some(earlier) = &mut self.earlier {
-            earlier.serve(ground, &mut each);
+            earlier.serve(context, &mut each);
             // The far side ends it, as it should.
-            if earlier.link.is_none() {
-                self.leave(ground);
+            if earlier.connection.is_none() {
+                self.leave(context);
             }
         }
-        self.now.serve(ground, each);
+        self.now.serve(context, each);
         if self.now.told {
-            self.leave(ground);
+            self.leave(context);
         }
     }
 }
--- a/crates/proxy/tests/codecs.rs
+++ b/crates/proxy/tests/codecs.rs
@@ -1,6 +1,6 @@
 //! Bytes in, meaning out, wherever they are split.
 
-use tidescale_policy::front::{Answer, End};
+use tidescale_policy::types::{AttemptOutcome, Timestamp, VoteResult};
 use tidescale_proxy::buffers::{Chain, Pool};
 use tidescale_proxy::{config, http, postgres, rollout_status, upstream};
 
@@ -23,11 +23,17 @@
 fn a_statement_is_passed_on_unchanged_but_for_the_wait() {
     for (statement, route) in [(SELECT, "basket"), (INSERT, "order")] {
         let asked = postgres::asked(statement).unwrap();
-        assert_eq!((asked.route, asked.code, asked.wait_ms), (route, "7f3a", 480));
+        assert_eq!(
+            (asked.route, asked.code, asked.wait_ms),
+            (route, "7f3a", 480)
+        );
         let mut out = chain(b"");
         postgres::put_statement(&mut out, &chain(statement.as_bytes()), &asked.wait_at, 77);
         let sent = bytes(&out);
-        assert_eq!(postgres::query(&sent[5..]).unwrap(), statement.replace("d=480", "d=77"));
+        assert_eq!(
+            postgres::query(&sent[5..]).unwrap(),
+            statement.replace("d=480", "d=77")
+        );
     }
 }
 
@@ -74,7 +80,11 @@
         if let Some((kind, len)) = opening {
             assert_eq!((kind, len), (postgres::Opening::Startup, startup));
             input.skip(len);
-            assert_eq!(postgres::message(&input, postgres::from_client).unwrap(), None, "{split}");
+            assert_eq!(
+                postgres::message(&input, postgres::from_client).unwrap(),
+                None,
+                "{split}"
+            );
             input.push(&all[split..]);
             assert_eq!(
                 postgres::message(&input, postgres::from_client).unwrap(),
@@ -86,11 +96,22 @@
 
 #[test]
 fn impossible_messages_are_malformed() {
-    for first in [&[0, 0, 0, 7, 0, 3, 0, 0][..], &[0x7f, 0, 0, 0, 0, 3, 0, 0], &[0, 0, 0, 8, 0, 2, 0, 0]] {
+    for first in [
+        &[0, 0, 0, 7, 0, 3, 0, 0][..],
+        &[0x7f, 0, 0, 0, 0, 3, 0, 0],
+        &[0, 0, 0, 8, 0, 2, 0, 0],
+    ] {
         assert!(postgres::opening(&chain(first)).is_err(), "{first:?}");
     }
-    for message in [&[b'Q', 0, 0, 0, 3][..], &[b'Q', 0x7f, 0, 0, 0], &[b'Q', 0xff, 0xff, 0xff, 0xff]] {
-        assert!(postgres::message(&chain(message), postgres::from_client).is_err(), "{message:?}");
+    for message in [
+        &[b'Q', 0, 0, 0, 3][..],
+        &[b'Q', 0x7f, 0, 0, 0],
+        &[b'Q', 0xff, 0xff, 0xff, 0xff],
+    ] {
+        assert!(
+            postgres::message(&chain(message), postgres::from_client).is_err(),
+            "{message:?}"
+        );
     }
     assert!(
         postgres::query(b"SELECT 1").is_err()
@@ -99,9 +120,15 @@
     );
     assert!(postgres::error(b"MNo code\0\0").is_err() && postgres::error(b"C5330").is_err());
     assert!(
-        postgres::parameter(b"vitals\0inflight=1").is_err() && postgres::admitted(&[0, 0, 0, 3]).is_err()
+        postgres::parameter(b"vitals\0inflight=1").is_err()
+            && postgres::admitted(&[0, 0, 0, 3]).is_err()
     );
-    for row in [&[][..], &[0, 2, 0, 0, 0, 1, 9], &[0, 1, 0, 0, 0, 2, 9], &[0, 1, 0xff, 0xff, 0xff, 0xff]] {
+    for row in [
+        &[][..],
+        &[0, 2, 0, 0, 0, 1, 9],
+        &[0, 1, 0, 0, 0, 2, 9],
+        &[0, 1, 0xff, 0xff, 0xff, 0xff],
+    ] {
         assert!(postgres::row(row).is_err(), "{row:?}");
     }
     assert_eq!(postgres::row(&[0, 1, 0, 0, 0, 2, 9, 8]), Ok(&[9, 8][..]));
@@ -124,13 +151,18 @@
     for (longest, head) in table {
         assert!(postgres::head(&chain(head), longest).is_err(), "{head:?}");
     }
-    assert_eq!(postgres::head(&chain(b"D\0\x10\0\x04"), postgres::from_machine), Ok(Some((b'D', 1_048_581))));
+    assert_eq!(
+        postgres::head(&chain(b"D\0\x10\0\x04"), postgres::from_machine),
+        Ok(Some((b'D', 1_048_581)))
+    );
 }
 
 #[test]
 fn the_parts_of_an_answer_have_one_form_each() {
     let mut column = b"\0\x01data\0".to_vec();
-    column.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
+    column.extend([
+        0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1,
+    ]);
     assert!(postgres::describes_one(&column).is_ok());
     for at in 0..column.len() {
         assert!(postgres::describes_one(&column[..at]).is_err(), "{at}");
@@ -164,28 +196,47 @@
 
 #[test]
 fn what_an_event_says_is_told_or_found_unreadable() {
-    let settings = config::read(include_str!("config.json")).ok().unwrap().settings;
+    let settings = config::read(include_str!("config.json"))
+        .ok()
+        .unwrap()
+        .settings;
     let stage = "data: version=42&step=1&status=trial&maxWeight=0.28&observedAgoMs=310";
     let table = [
         (format!("event: stage\n{stage}\n"), true, true),
         (format!(":\n{stage}\nevent: stage\n"), true, true),
         (":\n".into(), true, false),
         (String::new(), true, false),
-        ("event: flag\ndata: pod=s-1&kind=look&observedAgoMs=1200\n".into(), true, false),
+        (
+            "event: flag\ndata: pod=s-1&kind=look&observedAgoMs=1200\n".into(),
+            true,
+            false,
+        ),
         // Other bytes in place of a word may have hidden news.
         (format!("event: stXge\n{stage}\n"), false, false),
         (format!("evXnt: stage\n{stage}\n"), false, false),
         (format!("{stage}\n"), false, false),
         ("event: stage\n".into(), false, false),
         ("event: stage\nnoise\n".into(), false, false),
-        (format!("event: stage\n{}\n", stage.replace("0.28", "7.5")), false, false),
-        (format!("event: stage\n{}\n", stage.replace("trial", "tria")), false, false),
+        (
+            format!("event: stage\n{}\n", stage.replace("0.28", "7.5")),
+            false,
+            false,
+        ),
+        (
+            format!("event: stage\n{}\n", stage.replace("trial", "tria")),
+            false,
+            false,
+        ),
         ("event: flag\ndata: pod=s-1\n".into(), false, false),
     ];
     for (lines, read, told) in table {
-        let mut module = tidescale_policy::decide::Balancer::new(settings.clone(), 1, 0);
-        assert_eq!(rollout_status::announce(&lines, &mut module).is_ok(), read, "{lines}");
-        assert_eq!(module.news.is_some(), told, "{lines}");
+        let mut module = tidescale_policy::Balancer::new(settings.clone(), 1, Timestamp::ZERO);
+        assert_eq!(
+            rollout_status::announce(&lines, &mut module).is_ok(),
+            read,
+            "{lines}"
+        );
+        assert_eq!(module.rollout.is_some(), told, "{lines}");
     }
 }
 
@@ -194,21 +245,27 @@
     let mut out = chain(b"");
     postgres::put_error(&mut out, false, postgres::SHED, "try again", "250");
     let sent = bytes(&out);
-    assert_eq!(postgres::message(&out, postgres::from_machine).unwrap(), Some((b'E', sent.len())));
-    assert_eq!(postgres::error(&sent[5..]).unwrap(), ("53300".into(), "try again".into()));
+    assert_eq!(
+        postgres::message(&out, postgres::from_machine).unwrap(),
+        Some((b'E', sent.len()))
+    );
+    assert_eq!(
+        postgres::error(&sent[5..]).unwrap(),
+        ("53300".into(), "try again".into())
+    );
     assert!(sent.windows(6).any(|w| w == b"\0D250\0"));
 }
 
 #[test]
 fn machines_errors_and_reports_are_told_apart() {
     for (code, end) in [
-        ("53300", End::Full),
-        ("57P03", End::Full),
-        ("XX000", End::Error),
-        ("08P01", End::Error),
-        ("42601", End::Unfit),
-        ("22P02", End::Unfit),
-        ("", End::Error),
+        ("53300", AttemptOutcome::Overloaded),
+        ("57P03", AttemptOutcome::Overloaded),
+        ("XX000", AttemptOutcome::Failed),
+        ("08P01", AttemptOutcome::Failed),
+        ("42601", AttemptOutcome::InvalidRequest),
+        ("22P02", AttemptOutcome::InvalidRequest),
+        ("", AttemptOutcome::Failed),
     ] {
         assert_eq!(upstream::error_end(code), end, "{code}");
     }
@@ -225,7 +282,11 @@
         ("", None),
     ];
     for (text, wanted) in table {
-        assert_eq!(upstream::load(text).map(|l| (l.inflight, l.queue)), wanted, "{text}");
+        assert_eq!(
+            upstream::load(text).map(|l| (l.in_flight, l.queued)),
+            wanted,
+            "{text}"
+        );
     }
 }
 
@@ -256,13 +317,20 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n",
     ];
     for sent in malformed {
-        assert!(http::Answer::default().read(&mut chain(sent)).is_err(), "{}", String::from_utf8_lossy(sent));
+        assert!(
+            http::Answer::default().read(&mut chain(sent)).is_err(),
+            "{}",
+            String::from_utf8_lossy(sent)
+        );
     }
 }
 
 #[test]
 fn lines_are_handed_over_when_they_are_whole() {
-    let (mut answer, mut input) = (http::Answer::default(), chain(b"HTTP/1.1 200 OK\r\n\r\none\r\n\ntw"));
+    let (mut answer, mut input) = (
+        http::Answer::default(),
+        chain(b"HTTP/1.1 200 OK\r\n\r\none\r\n\ntw"),
+    );
     let mut got = Vec::new();
     answer.read(&mut input).unwrap();
     answer.lines(|l| got.push(l.to_string())).unwrap();
@@ -279,11 +347,11 @@
         <status>rolling_back</status><maxWeight>0.28</maxWeight><observedAgoMs>310</observedAgoMs></item></groups></Response>";
     let error = |code: &str| format!("<Response><Error><Code>{code}</Code></Error></Response>");
     let table = [
-        (200, state.to_string(), Some(Answer::Counts)),
-        (400, error("Throttling"), Some(Answer::Busy)),
-        (400, error("ConditionFailed"), Some(Answer::Moot)),
-        (500, error("InternalFailure"), Some(Answer::Error)),
-        (400, error("ValidationError"), Some(Answer::Error)),
+        (200, state.to_string(), Some(VoteResult::Accepted)),
+        (400, error("Throttling"), Some(VoteResult::Busy)),
+        (400, error("ConditionFailed"), Some(VoteResult::Superseded)),
+        (500, error("InternalFailure"), Some(VoteResult::Failed)),
+        (400, error("ValidationError"), Some(VoteResult::Failed)),
         (200, error("Throttling"), None),
         (200, state.replace("rolling_back", "elsewhere"), None),
         (200, state.replace("0.28", "NaN"), None),
@@ -293,8 +361,15 @@
     ];
     for (status, body, wanted) in table {
         let got = rollout_status::vote_answer(status, body.as_bytes());
-        assert_eq!(got.as_ref().map(|(answer, _)| *answer), wanted, "{status} {body}");
-        assert_eq!(got.is_some_and(|(_, news)| news.is_some()), wanted == Some(Answer::Counts));
+        assert_eq!(
+            got.as_ref().map(|(answer, _)| *answer),
+            wanted,
+            "{status} {body}"
+        );
+        assert_eq!(
+            got.is_some_and(|(_, news)| news.is_some()),
+            wanted == Some(VoteResult::Accepted)
+        );
     }
 }
 
@@ -305,18 +380,36 @@
     let table = [
         ("", "EOF"),
         ("\"listen\":", "missing field `listen`"),
-        ("\"rules\":", "settings: a setting is missing: rules.drain_grace"),
-        ("\"conn_idle\":", "settings: a setting is missing: policy_limits.conn_idle"),
-        ("\"idempotency\":", "settings: a setting is missing: classes.0.idempotency"),
+        (
+            "\"rules\":",
+            "settings: a setting is missing: rules.drain_grace",
+        ),
+        (
+            "\"conn_idle\":",
+            "settings: a setting is missing: policy_limits.conn_idle",
+        ),
+        (
+            "\"idempotency\":",
+            "settings: a setting is missing: classes.0.idempotency",
+        ),
     ];
     for (name, wanted) in table {
-        let text = if name.is_empty() { String::new() } else { whole.replacen(name, "\"x\":", 1) };
+        let text = if name.is_empty() {
+            String::new()
+        } else {
+            whole.replacen(name, "\"x\":", 1)
+        };
         let fault = config::read(&text).err().unwrap();
         assert!(fault.contains(wanted), "{name}: {fault}");
     }
-    for (from, to) in
-        [("127.0.0.1:6432", "here"), ("\"8c1f30d27a5be964\"", "\"seed\""), ("\"retryable\"", "\"odd\"")]
-    {
-        assert!(config::read(&whole.replacen(from, to, 1)).is_err(), "{from}");
+    for (from, to) in [
+        ("127.0.0.1:6432", "here"),
+        ("\"8c1f30d27a5be964\"", "\"seed\""),
+        ("\"retryable\"", "\"odd\""),
+    ] {
+        assert!(
+            config::read(&whole.replacen(from, to, 1)).is_err(),
+            "{from}"
+        );
     }
 }
--- a/crates/proxy/tests/loopback/clients.rs
+++ b/crates/proxy/tests/loopback/clients.rs
@@ -13,12 +13,22 @@
 fn answers_come_whole_and_in_order_however_the_bytes_come() {
     let value: Vec<u8> = (0..60_000u32).map(|i| (i * 7) as u8).collect();
     let long = value.clone();
-    let (addr, seen) =
-        machine(move |n| if n == 0 { Act::Row(long.clone()) } else { Act::Row(vec![n as u8]) });
+    let (addr, seen) = machine(move |n| {
+        if n == 0 {
+            Act::Row(long.clone())
+        } else {
+            Act::Row(vec![n as u8])
+        }
+    });
     let front = start(&told(&[addr], 128));
     let mut client = Client::open(front.addr);
-    let all = [startup(), query("look", 1, 900), out(|o| postgres::put_query(o, b"")), query("pay", 2, 800)]
-        .concat();
+    let all = [
+        startup(),
+        query("look", 1, 900),
+        out(|o| postgres::put_query(o, b"")),
+        query("pay", 2, 800),
+    ]
+    .concat();
     for byte in &all[..all.len() - 20] {
         client.send(&[*byte]);
     }
@@ -42,10 +52,19 @@
     // What is sent once admitted -> tags, code; a dot where the front closes.
     let table: [(Vec<u8>, &str, &str); 10] = [
         (odd("SELECT 1"), "EZ", "42601"),
-        (odd("SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=look */"), "EZ", "42601"),
+        (
+            odd("SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=look */"),
+            "EZ",
+            "42601",
+        ),
         (query("elsewhere", 1, 900), "EZ", "42601"),
         (
-            [message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b""), message(b'S', b"")].concat(),
+            [
+                message(b'P', b"\0SELECT 1\0\0\0"),
+                message(b'B', b""),
+                message(b'S', b""),
+            ]
+            .concat(),
             "EZ",
             "0A000",
         ),
@@ -74,7 +93,10 @@
     assert_eq!(one, *b"N");
     client.send(&startup());
     assert_eq!(client.answer().0, "RSSSZ");
-    for first in [&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 1][..], &[0, 0, 0, 8, 0, 2, 0, 0]] {
+    for first in [
+        &[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 1][..],
+        &[0, 0, 0, 8, 0, 2, 0, 0],
+    ] {
         let mut client = Client::open(front.addr);
         client.send(first);
         assert!(client.answer().0.ends_with('.'));
@@ -91,7 +113,11 @@
     let wait_for = |n: usize| {
         let begun = Instant::now();
         while seen.lock().unwrap().len() < n {
-            assert!(begun.elapsed() < Duration::from_millis(1000), "{:?}", seen.lock().unwrap());
+            assert!(
+                begun.elapsed() < Duration::from_millis(1000),
+                "{:?}",
+                seen.lock().unwrap()
+            );
             thread::sleep(Duration::from_millis(5));
         }
     };
@@ -124,7 +150,10 @@
     for client in &mut busy {
         assert_eq!(client.answer().0, "RSSSZ");
         let (tags, value) = client.answer();
-        assert!(tags == "TDCZ" || (tags, &value[..]) == ("EZ".into(), b"53300"), "{value:?}");
+        assert!(
+            tags == "TDCZ" || (tags, &value[..]) == ("EZ".into(), b"53300"),
+            "{value:?}"
+        );
         rows += usize::from(value == [5]);
     }
     assert!(rows >= 2, "{rows}");
@@ -136,7 +165,7 @@
     let (_, (struck, other)) = with_front(
         &told(&[addr], 128),
         // The module knows nothing of the second route any more.
-        |front| front.module.set.routes.truncate(1),
+        |front| front.module.settings.routes.truncate(1),
         |addr| {
             let [mut struck, mut other] = [(); 2].map(|()| Client::open(addr));
             for client in [&mut struck, &mut other] {
@@ -164,7 +193,10 @@
     assert_eq!(silent[2].answer().0, "RSSSZ");
     // Half a message, with lengths that are far too long among them; the head alone is refused at once.
     let asked = query("look", 1, 900);
-    let table = [(asked[..30].to_vec(), 2000..3000), (b"Q\x03\x93\x87\0SELECT".to_vec(), 0..500)];
+    let table = [
+        (asked[..30].to_vec(), 2000..3000),
+        (b"Q\x03\x93\x87\0SELECT".to_vec(), 0..500),
+    ];
     let told: Vec<_> = table
         .into_iter()
         .map(|(sent, within)| {
@@ -174,7 +206,11 @@
                 assert_eq!(client.answer().0, "RSSSZ");
                 let begun = Instant::now();
                 assert_eq!(client.answer(), ("E.".into(), b"08P01".to_vec()));
-                assert!(within.contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+                assert!(
+                    within.contains(&begun.elapsed().as_millis()),
+                    "{:?}",
+                    begun.elapsed()
+                );
             })
         })
         .collect();
@@ -183,18 +219,29 @@
     sender.send(&[startup(), b"Q\x03\x93\x87\0".to_vec()].concat());
     thread::sleep(Duration::from_millis(50));
     let _ = sender.0.write_all(&vec![b'x'; 200_000]);
-    assert_eq!((sender.answer().0, sender.answer().0), ("RSSSZ".into(), "E.".into()));
+    assert_eq!(
+        (sender.answer().0, sender.answer().0),
+        ("RSSSZ".into(), "E.".into())
+    );
     // Hundreds at once, more than is read at a time and more answers than may pile up: all in their order.
     let mut many = Client::open(front.addr);
     let mut all = startup();
     let (good, bad) = (|i| query("look", i, 5000), query("nowhere", 1, 900));
     for i in 0..400 {
-        all.extend(if i % 20 == 0 { good(100 + i) } else { bad.clone() });
+        all.extend(if i % 20 == 0 {
+            good(100 + i)
+        } else {
+            bad.clone()
+        });
     }
     many.send(&all);
     assert_eq!(many.answer().0, "RSSSZ");
     for i in 0..400 {
-        assert_eq!(many.answer().0, if i % 20 == 0 { "TDCZ" } else { "EZ" }, "{i}");
+        assert_eq!(
+            many.answer().0,
+            if i % 20 == 0 { "TDCZ" } else { "EZ" },
+            "{i}"
+        );
     }
     for client in &mut silent {
         assert!(client.ended() && begun.elapsed() < Duration::from_millis(3000));
@@ -219,10 +266,16 @@
     owner.send(&query("look", 1, 1200));
     thread::sleep(Duration::from_millis(50));
     other.send(&query("look", 1, 1200));
-    assert_eq!((other.answer().0, owner.answer().0), ("EZ".into(), "TDCZ".into()));
+    assert_eq!(
+        (other.answer().0, owner.answer().0),
+        ("EZ".into(), "TDCZ".into())
+    );
     let begun = Instant::now();
     other.send(&query("look", 1, 1200));
-    assert_eq!((other.answer().0, seen.lock().unwrap().len()), ("TDCZ".into(), 2));
+    assert_eq!(
+        (other.answer().0, seen.lock().unwrap().len()),
+        ("TDCZ".into(), 2)
+    );
     // Not before two seconds have passed since its last answer.
     assert!(owner.ended() && begun.elapsed() > Duration::from_millis(2000));
     assert!(other.ended() && begun.elapsed() > Duration::from_millis(2300));
@@ -237,39 +290,62 @@
     let mut clients: Vec<Client> = (0..24).map(|_| Client::open(front.addr)).collect();
     for (i, client) in clients.iter_mut().enumerate() {
         client.send(&[startup(), query("look", i as u32, 900)].concat());
-        assert_eq!((client.answer().0, client.answer().0), ("RSSSZ".into(), "TDCZ".into()));
+        assert_eq!(
+            (client.answer().0, client.answer().0),
+            ("RSSSZ".into(), "TDCZ".into())
+        );
     }
     thread::sleep(Duration::from_millis(150));
     // One more answer, and the first eight are closed long before their time; the others are not.
     clients[23].send(&query("look", 99, 900));
     assert_eq!(clients[23].answer().0, "TDCZ");
-    assert!(clients[..8].iter_mut().all(Client::ended) && begun.elapsed() < Duration::from_millis(1500));
+    assert!(
+        clients[..8].iter_mut().all(Client::ended) && begun.elapsed() < Duration::from_millis(1500)
+    );
     clients[23].send(&query("look", 100, 900));
     assert_eq!(clients[23].answer().0, "TDCZ");
 }
 
 #[test]
 fn a_client_that_leaves_behind_much_that_is_unread_has_gone() {
-    let (addr, seen) = machine(|n| if n == 0 { Act::Silence } else { Act::Row(vec![5]) });
+    let (addr, seen) = machine(|n| {
+        if n == 0 {
+            Act::Silence
+        } else {
+            Act::Row(vec![5])
+        }
+    });
     let front = start(&told(&[addr], 128));
     let mut client = Client::admitted(front.addr);
     client.send(&query("look", 1, 1200));
     let wait_for = |n: usize| {
         let begun = Instant::now();
         while seen.lock().unwrap().len() < n {
-            assert!(begun.elapsed() < Duration::from_millis(1000), "{:?}", seen.lock().unwrap());
+            assert!(
+                begun.elapsed() < Duration::from_millis(1000),
+                "{:?}",
+                seen.lock().unwrap()
+            );
             thread::sleep(Duration::from_millis(5));
         }
     };
     wait_for(1);
     // More than is read ahead of an open req.
-    let more: Vec<u8> = (0..600).flat_map(|i| query("look", 100 + i, 1200)).collect();
+    let more: Vec<u8> = (0..600)
+        .flat_map(|i| query("look", 100 + i, 1200))
+        .collect();
     client.send(&more);
     drop(client);
     wait_for(2);
     assert_eq!(seen.lock().unwrap()[1], "gone");
     assert_eq!(one_query(front.addr, 0xffff).0, "TDCZ");
-    let others = seen.lock().unwrap().iter().skip(2).filter(|q| !q.contains("id=ffff")).count();
+    let others = seen
+        .lock()
+        .unwrap()
+        .iter()
+        .skip(2)
+        .filter(|q| !q.contains("id=ffff"))
+        .count();
     assert_eq!(others, 0, "tries for a client that has gone");
 }
 
@@ -303,7 +379,10 @@
 #[test]
 fn the_time_of_a_req_runs_while_it_waits_behind_another() {
     let gate = Gate::new();
-    let silent = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let silent = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let (platform, _) = http(|_| String::new());
     let front = start(&told_by(&[(gate.addr(), 41)], 128, silent, platform));
     let mut client = Client::admitted(front.addr);
--- a/crates/proxy/tests/loopback/common.rs
+++ b/crates/proxy/tests/loopback/common.rs
@@ -29,10 +29,21 @@
 }
 
 pub fn row(value: &[u8]) -> Vec<u8> {
-    let field = [&b"data\0"[..], &[0; 6], &17u32.to_be_bytes(), &[0xff; 6], &[0, 1]].concat();
+    let field = [
+        &b"data\0"[..],
+        &[0; 6],
+        &17u32.to_be_bytes(),
+        &[0xff; 6],
+        &[0, 1],
+    ]
+    .concat();
     let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
-    [message(b'T', &[&[0, 1][..], &field].concat()), message(b'D', &data), message(b'C', b"SELECT 1\0")]
-        .concat()
+    [
+        message(b'T', &[&[0, 1][..], &field].concat()),
+        message(b'D', &data),
+        message(b'C', b"SELECT 1\0"),
+    ]
+    .concat()
 }
 
 pub fn error(code: &str) -> Vec<u8> {
@@ -65,7 +76,11 @@
 /// Notes each query and, where a connection ends while one is out, `gone`.
 pub fn machine(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (SocketAddr, Seen) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (addr, seen, act) = (listener.local_addr().unwrap(), Seen::default(), Arc::new(act));
+    let (addr, seen, act) = (
+        listener.local_addr().unwrap(),
+        Seen::default(),
+        Arc::new(act),
+    );
     let noted = seen.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -82,7 +97,9 @@
     let len = u32::from_be_bytes(bytes[..4].try_into().unwrap()) as usize;
     read_to(&mut stream, &mut bytes, len).then_some(())?;
     bytes.drain(..len);
-    stream.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat()).ok()?;
+    stream
+        .write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())
+        .ok()?;
     while let Some((b'Q', body)) = next(&mut stream, &mut bytes) {
         let n = {
             let mut noted = noted.lock().unwrap();
@@ -94,7 +111,13 @@
             Act::Error(code) => error(code),
             Act::Bytes(bytes) => bytes.to_vec(),
             Act::Spoilt(report, more) => {
-                let all = [row(&[5]), message(b'S', report), message(b'Z', b"I"), more.to_vec()].concat();
+                let all = [
+                    row(&[5]),
+                    message(b'S', report),
+                    message(b'Z', b"I"),
+                    more.to_vec(),
+                ]
+                .concat();
                 stream.write_all(&all).ok()?;
                 continue;
             }
@@ -106,7 +129,11 @@
             }
         };
         // The report comes after the answer, as it may.
-        let after = [message(b'S', b"vitals\0inflight=7,queue=2\0"), message(b'Z', b"I")].concat();
+        let after = [
+            message(b'S', b"vitals\0inflight=7,queue=2\0"),
+            message(b'Z', b"I"),
+        ]
+        .concat();
         stream.write_all(&[answer, after].concat()).ok()?;
     }
     Some(())
@@ -115,7 +142,11 @@
 /// Answers each request and keeps the connection; notes what was asked.
 pub fn http(answer: impl Fn(&str) -> String + Send + Sync + 'static) -> (SocketAddr, Seen) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (addr, notes, answer) = (listener.local_addr().unwrap(), Seen::default(), Arc::new(answer));
+    let (addr, notes, answer) = (
+        listener.local_addr().unwrap(),
+        Seen::default(),
+        Arc::new(answer),
+    );
     let noted = notes.clone();
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
@@ -141,12 +172,16 @@
 }
 
 pub fn list(version: u64, full: bool, entries: &[String]) -> String {
-    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, entries.join(","))
+    format!(
+        r#"{{"version":{version},"full":{full},"servers":[{}]}}"#,
+        entries.join(",")
+    )
 }
 
 pub fn listing(machines: &[(SocketAddr, u32)]) -> String {
     let entries = machines.iter().enumerate();
-    let entries = entries.map(|(i, (addr, build))| entry(&format!("s-{i}"), *addr, "active", 0, *build));
+    let entries =
+        entries.map(|(i, (addr, build))| entry(&format!("s-{i}"), *addr, "active", 0, *build));
     list(41, true, &entries.collect::<Vec<_>>())
 }
 
@@ -166,7 +201,10 @@
         .replace("127.0.0.1:6432\"", &format!("{listen}\""))
         .replace("127.0.0.1:8500\"", &format!("{discovery}\""))
         .replace("127.0.0.1:6400\"", &format!("{platform}\""))
-        .replace(r#"{"version":41,"full":true,"servers":[]}"#, &listing(machines))
+        .replace(
+            r#"{"version":41,"full":true,"servers":[]}"#,
+            &listing(machines),
+        )
         .replace("\"sockets\":128", &format!("\"sockets\":{sockets}"))
 }
 
@@ -215,12 +253,18 @@
     }
     /// Goes unheard where the front has closed.
     pub fn let_in(&mut self) {
-        let _ = self.0.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat());
+        let _ = self
+            .0
+            .write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat());
     }
     /// The next query; none at the connection's end.
     pub fn query(&mut self) -> Option<String> {
         let (tag, body) = next(&mut self.0, &mut self.1)?;
-        Some(format!("{} {}", tag as char, String::from_utf8_lossy(&body)))
+        Some(format!(
+            "{} {}",
+            tag as char,
+            String::from_utf8_lossy(&body)
+        ))
     }
     pub fn answer(&mut self, value: u8) {
         self.send(&[row(&[value]), message(b'Z', b"I")].concat());
@@ -240,7 +284,10 @@
 
 /// The same; discovery can't be reached and the platform says nothing that can be read.
 pub fn told(machines: &[SocketAddr], sockets: usize) -> String {
-    let silent = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let silent = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let (platform, _) = http(|_| "HTTP/1.1 200 OK\r\n\r\nevent: stage\ndata: noise\n\n".into());
     let known: Vec<_> = machines.iter().map(|addr| (*addr, 41)).collect();
     told_by(&known, sockets, silent, platform)
@@ -254,7 +301,10 @@
 
 impl Running {
     pub fn signal(&mut self, name: &str) {
-        let told = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        let told = Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .status()
+            .unwrap();
         assert!(told.success() && self.child.try_wait().unwrap().is_none());
     }
 }
@@ -281,8 +331,17 @@
     let path = format!("{}/config-{}.json", env!("CARGO_TARGET_TMPDIR"), addr.ip());
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
-    let child = command.args(words).env("PROXY_CONFIG", &path).stderr(log).spawn().unwrap();
-    let running = Running { child, addr, config: path };
+    let child = command
+        .args(words)
+        .env("PROXY_CONFIG", &path)
+        .stderr(log)
+        .spawn()
+        .unwrap();
+    let running = Running {
+        child,
+        addr,
+        config: path,
+    };
     let begun = Instant::now();
     while TcpStream::connect(addr).is_err() {
         assert!(begun.elapsed() < PATIENCE, "it does not listen");
@@ -301,7 +360,8 @@
 }
 
 pub fn query(route: &str, id: u32, wait: u64) -> Vec<u8> {
-    let statement = format!("SELECT data FROM facts WHERE code = '7f3a' /* id={id:x},c={route},d={wait} */");
+    let statement =
+        format!("SELECT data FROM facts WHERE code = '7f3a' /* id={id:x},c={route},d={wait} */");
     out(|o| postgres::put_query(o, statement.as_bytes()))
 }
 
@@ -372,7 +432,10 @@
 }
 
 pub fn tidescale(words: &[&str]) -> (Option<i32>, String, String) {
-    let done = Command::new(env!("CARGO_BIN_EXE_tidescale")).args(words).output().unwrap();
+    let done = Command::new(env!("CARGO_BIN_EXE_tidescale"))
+        .args(words)
+        .output()
+        .unwrap();
     let [told, complaint] = [done.stdout, done.stderr].map(|b| String::from_utf8(b).unwrap());
     (done.status.code(), told, complaint)
 }
--- a/crates/proxy/tests/loopback/files.rs
+++ b/crates/proxy/tests/loopback/files.rs
@@ -9,10 +9,18 @@
 
 /// A folder of a test's own with an operators' file beside it that names it.
 fn memory_folder(name: &str) -> (String, String) {
-    let folder = format!("{}/memory-{name}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let folder = format!(
+        "{}/memory-{name}-{}",
+        env!("CARGO_TARGET_TMPDIR"),
+        std::process::id()
+    );
     let _ = std::fs::remove_dir_all(&folder);
     let operators = format!("{folder}.toml");
-    std::fs::write(&operators, format!("[memory]\nfolder = \"{folder}\"\nevery = \"100 ms\"\n")).unwrap();
+    std::fs::write(
+        &operators,
+        format!("[memory]\nfolder = \"{folder}\"\nevery = \"100 ms\"\n"),
+    )
+    .unwrap();
     (folder, operators)
 }
 
@@ -20,7 +28,13 @@
 fn a_restarted_front_spares_clients_a_silent_machine_and_takes_it_back_once_healed() {
     let healed = Arc::new(AtomicU8::new(0));
     let seen_by = healed.clone();
-    let act = move |_| if seen_by.load(Ordering::Relaxed) == 1 { Act::Row(vec![5]) } else { Act::Silence };
+    let act = move |_| {
+        if seen_by.load(Ordering::Relaxed) == 1 {
+            Act::Row(vec![5])
+        } else {
+            Act::Silence
+        }
+    };
     let (silent, asked) = machine(act);
     let (good, _) = machine(|_| Act::Row(vec![5]));
     let (_, operators) = memory_folder("silent");
@@ -28,7 +42,14 @@
     let words = ["run", "--operators", &operators];
     let front = start_with(&config, &words);
     // One req goes to the silent machine and waits in vain; after its objective the machine is set aside.
-    let count = |word: &str| asked.lock().unwrap().iter().filter(|q| q.contains(word)).count();
+    let count = |word: &str| {
+        asked
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|q| q.contains(word))
+            .count()
+    };
     let begun = Instant::now();
     for id in 0.. {
         one_query(front.addr, id);
@@ -45,7 +66,11 @@
         let (tags, value) = one_query(front.addr, id);
         assert_eq!((tags.as_str(), &value[..]), ("TDCZ", &[5][..]));
     }
-    assert_eq!(count("facts"), before, "a try at a machine that was known to be silent");
+    assert_eq!(
+        count("facts"),
+        before,
+        "a try at a machine that was known to be silent"
+    );
     healed.store(1, Ordering::Relaxed);
     let begun = Instant::now();
     for id in 2000.. {
@@ -53,7 +78,10 @@
         if count("facts") > before {
             break;
         }
-        assert!(begun.elapsed() < PATIENCE * 4, "it is shunned though it has healed");
+        assert!(
+            begun.elapsed() < PATIENCE * 4,
+            "it is shunned though it has healed"
+        );
         thread::sleep(Duration::from_millis(20));
     }
 }
@@ -62,11 +90,20 @@
 fn files_that_cannot_be_read_are_set_aside_and_the_front_serves() {
     let (addr, _) = machine(|_| Act::Row(vec![5]));
     let newer = [&b"tidemem\n"[..], &[0, 0, 0, 9], &[0; 40]].concat();
-    let huge =
-        [&b"tidemem\n"[..], &[0, 0, 0, 1], &[0; 20], &3_000_000_000u64.to_be_bytes(), &[0; 4]].concat();
-    for (name, bytes) in
-        [("empty", vec![]), ("newer", newer), ("torn", huge), ("foreign", vec![b'x'; 70_000])]
-    {
+    let huge = [
+        &b"tidemem\n"[..],
+        &[0, 0, 0, 1],
+        &[0; 20],
+        &3_000_000_000u64.to_be_bytes(),
+        &[0; 4],
+    ]
+    .concat();
+    for (name, bytes) in [
+        ("empty", vec![]),
+        ("newer", newer),
+        ("torn", huge),
+        ("foreign", vec![b'x'; 70_000]),
+    ] {
         let (folder, operators) = memory_folder(name);
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(format!("{folder}/memory.0"), bytes).unwrap();
@@ -78,7 +115,12 @@
             .map(|e| e.unwrap().file_name().into_string().unwrap())
             .collect();
         for word in [name, "unreadable"] {
-            assert!(files.iter().any(|f| f.starts_with("set-aside.") && f.ends_with(word)), "{files:?}");
+            assert!(
+                files
+                    .iter()
+                    .any(|f| f.starts_with("set-aside.") && f.ends_with(word)),
+                "{files:?}"
+            );
         }
     }
 }
@@ -87,7 +129,11 @@
 fn the_last_state_is_written_at_sigterm_and_a_second_front_goes_without() {
     let (addr, _) = machine(|_| Act::Row(vec![5]));
     let (folder, operators) = memory_folder("sigterm");
-    std::fs::write(&operators, format!("[memory]\nfolder = \"{folder}\"\nevery = \"1 h\"\n")).unwrap();
+    std::fs::write(
+        &operators,
+        format!("[memory]\nfolder = \"{folder}\"\nevery = \"1 h\"\n"),
+    )
+    .unwrap();
     let words = ["run", "--operators", &operators];
     let mut front = start_with(&told(&[addr], 128), &words);
     let second = start_with(&told(&[addr], 128), &words);
@@ -95,7 +141,11 @@
         assert_eq!(one_query(front.addr, 1).0, "TDCZ");
     }
     assert_eq!(tidescale(&["memory", "check", &folder]).0, Some(1));
-    assert_eq!(tidescale(&["memory", "clear", &folder]).0, Some(1), "a front holds it");
+    assert_eq!(
+        tidescale(&["memory", "clear", &folder]).0,
+        Some(1),
+        "a front holds it"
+    );
     front.signal("-TERM");
     let begun = Instant::now();
     while front.child.try_wait().unwrap().is_none() {
--- a/crates/proxy/tests/loopback/reload.rs
+++ b/crates/proxy/tests/loopback/reload.rs
@@ -14,7 +14,8 @@
             format!("{head}{:x}\r\n{list}\n\r\n", list.len() + 1)
         })
     };
-    let platform = || http(|_| "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n:\n\n\r\n".into());
+    let platform =
+        || http(|_| "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n:\n\n\r\n".into());
     let (first, _) = watch(listing(&[(earlier, 41)]));
     let (second, asked) = watch(listing(&[(later, 41)]));
     let [(before, _), (after, told)] = [(); 2].map(|()| platform());
@@ -31,9 +32,14 @@
     // Gone, half written, of another form: it goes on as it was.
     let mended = config.replace(&first.to_string(), &second.to_string());
     let mended = mended.replace(&before.to_string(), &after.to_string());
-    for text in [None, Some(&mended[..mended.len() / 2]), Some(&mended.replace("\"rules\"", "\"rulez\""))] {
+    for text in [
+        None,
+        Some(&mended[..mended.len() / 2]),
+        Some(&mended.replace("\"rules\"", "\"rulez\"")),
+    ] {
         std::fs::remove_file(&front.config).ok();
-        text.iter().for_each(|text| std::fs::write(&front.config, text).unwrap());
+        text.iter()
+            .for_each(|text| std::fs::write(&front.config, text).unwrap());
         front.signal("-HUP");
         thread::sleep(Duration::from_millis(30));
         asks(2);
--- a/crates/proxy/tests/loopback/start.rs
+++ b/crates/proxy/tests/loopback/start.rs
@@ -13,7 +13,9 @@
     std::fs::write(&path, told(&[], 128).replace("\"rules\"", "\"rulez\"")).unwrap();
     for path in [Some(path.as_str()), Some("/nowhere/config.json"), None] {
         let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
-        command.env_remove("PROXY_CONFIG").envs(path.map(|p| ("PROXY_CONFIG", p)));
+        command
+            .env_remove("PROXY_CONFIG")
+            .envs(path.map(|p| ("PROXY_CONFIG", p)));
         let done = command.output().unwrap();
         let said = String::from_utf8(done.stderr).unwrap();
         assert!(
@@ -25,7 +27,13 @@
 
 #[test]
 fn bad_arguments_are_one_line_and_exit_code_2() {
-    for words in [&["bogus"][..], &["run", "--operators"], &["memory"], &["memory", "show"], &["run", "x"]] {
+    for words in [
+        &["bogus"][..],
+        &["run", "--operators"],
+        &["memory"],
+        &["memory", "show"],
+        &["run", "x"],
+    ] {
         let (code, told, complaint) = tidescale(words);
         assert!(
             code == Some(2) && told.is_empty() && complaint.lines().count() == 1,
@@ -38,11 +46,20 @@
 #[test]
 fn an_operators_file_that_cannot_be_used_is_refused_with_line_and_field() {
     let table = [
-        ("folder = \"f\"\nevery = \"5\"", "line 3, `every = \"5\"`: `5` is no time with a unit"),
+        (
+            "folder = \"f\"\nevery = \"5\"",
+            "line 3, `every = \"5\"`: `5` is no time with a unit",
+        ),
         ("folder = \"f\"\nevery = 5", "line 3, `every = 5`"),
         ("folder = \"f\"\nevry = \"5 s\"", "unknown field `evry`"),
-        ("folder = \"f\"\nevery = \"1 ms\"", "memory.every: out of its bounds"),
-        ("folder = \"f\"\nbytes_a_second = \"4\"", "`4` is no size with a unit"),
+        (
+            "folder = \"f\"\nevery = \"1 ms\"",
+            "memory.every: out of its bounds",
+        ),
+        (
+            "folder = \"f\"\nbytes_a_second = \"4\"",
+            "`4` is no size with a unit",
+        ),
         ("every = \"5 s\"", "missing field `folder`"),
         ("folder = \"\"", "memory.folder: empty"),
     ];
--- a/crates/proxy/tests/loopback/stop.rs
+++ b/crates/proxy/tests/loopback/stop.rs
@@ -24,7 +24,10 @@
     let mut late = Client::open(front.addr);
     late.send(&[startup(), query("pay", 2, 1000)].concat());
     assert_eq!(busy.answer().0, "TDCZ");
-    assert_eq!((late.answer().0, late.answer().0), ("RSSSZ".into(), "TDCZ".into()));
+    assert_eq!(
+        (late.answer().0, late.answer().0),
+        ("RSSSZ".into(), "TDCZ".into())
+    );
     assert!(busy.ended() && late.ended());
     while front.child.try_wait().unwrap().is_none() {
         assert!(begun.elapsed() < Duration::from_millis(1900), "it goes on");
--- a/crates/proxy/tests/loopback/upstream.rs
+++ b/crates/proxy/tests/loopback/upstream.rs
@@ -22,15 +22,27 @@
         // Noise, a value said to have gigabytes, parts out of order or spoilt: failed at once, and may have run.
         (|| Act::Bytes(b"\xf7\x03noise"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"D\xb2\xd0\x5e\0\0\x01"), "TDCZ", "EZ 58000"),
-        (|| Act::Bytes(b"D\0\0\0\x0b\0\x01\0\0\0\x01\x05"), "TDCZ", "EZ 58000"),
+        (
+            || Act::Bytes(b"D\0\0\0\x0b\0\x01\0\0\0\x01\x05"),
+            "TDCZ",
+            "EZ 58000",
+        ),
         (|| Act::Bytes(b"T\0\0\0\x06\0\x02"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"E\0\0\0\x08XX00"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b""), "TDCZ", "EZ 58000"),
         // The req's own fault: no other machine is asked.
         (|| Act::Error("42601"), "EZ 42601", "EZ 42601"),
         // A good answer stays good, whatever comes behind it; none of that answers what is asked next.
-        (|| Act::Spoilt(b"vitals\0inflight=\xff\xfe\0", b""), "TDCZ", "TDCZ"),
-        (|| Act::Spoilt(b"vitals\0inflight=7\0", b"\xf7\x03"), "TDCZ", "TDCZ"),
+        (
+            || Act::Spoilt(b"vitals\0inflight=\xff\xfe\0", b""),
+            "TDCZ",
+            "TDCZ",
+        ),
+        (
+            || Act::Spoilt(b"vitals\0inflight=7\0", b"\xf7\x03"),
+            "TDCZ",
+            "TDCZ",
+        ),
     ];
     for (i, (act, again, never)) in table.into_iter().enumerate() {
         for (route, wanted) in [("look", again), ("pay", never)] {
@@ -40,8 +52,11 @@
             client.send(&[startup(), query(route, 1, 900)].concat());
             assert_eq!(client.answer().0, "RSSSZ");
             let (tags, value) = client.answer();
-            let code =
-                if tags == "EZ" { format!(" {}", String::from_utf8_lossy(&value)) } else { String::new() };
+            let code = if tags == "EZ" {
+                format!(" {}", String::from_utf8_lossy(&value))
+            } else {
+                String::new()
+            };
             assert_eq!(format!("{tags}{code}"), wanted, "{i} {route}");
         }
     }
@@ -86,7 +101,8 @@
         },
     );
     assert_eq!(tags.1, "TDCZ");
-    assert_eq!((front.module.machines[0].load.0, front.module.machines[0].held), (7.0, 0.0));
+    let status = front.module.endpoint_status("s-0").unwrap();
+    assert_eq!((status.reported_load, status.in_flight), (7.0, 0.0));
 }
 
 #[test]
@@ -96,8 +112,7 @@
     let (discovery, _) = http(|_| String::new());
     let (platform, asked) = http(|request| {
         if request.starts_with("GET /bulletin ") {
-            let event =
-                "event: stage\ndata: version=42&step=1&status=trial&maxWeight=1.0&observedAgoMs=10\n\n";
+            let event = "event: stage\ndata: version=42&step=1&status=trial&maxWeight=1.0&observedAgoMs=10\n\n";
             return format!(
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n",
                 event.len()
@@ -105,7 +120,10 @@
         }
         let state = "<Response><groups><item><version>42</version><step>1</step><status>rolling_back</status>\
             <maxWeight>0</maxWeight><observedAgoMs>1</observedAgoMs></item></groups></Response>";
-        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{state}", state.len())
+        format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{state}",
+            state.len()
+        )
     });
     let front = start(&told_by(&[(good, 41), (bad, 42)], 128, discovery, platform));
     let mut client = Client::open(front.addr);
@@ -113,7 +131,12 @@
     client.answer();
     let begun = Instant::now();
     let form = "Action=RecordOpinion&version=42&step=1&vote=reject";
-    while !asked.lock().unwrap().iter().any(|a| a.starts_with("POST / HTTP/1.1\r\n") && a.ends_with(form)) {
+    while !asked
+        .lock()
+        .unwrap()
+        .iter()
+        .any(|a| a.starts_with("POST / HTTP/1.1\r\n") && a.ends_with(form))
+    {
         assert!(begun.elapsed() < PATIENCE, "{:?}", asked.lock().unwrap());
         client.send(&query("look", 1, 900));
         client.answer();
@@ -125,12 +148,18 @@
     let (platform, _) = http(|_| String::new());
     told_by(&[(gate.addr(), 41)], 128, discovery.addr(), platform)
         .replace("\"connect_timeout\":250.0", "\"connect_timeout\":4000.0")
-        .replace("\"target\":500.0,\"deadline\":1200.0", "\"target\":4000.0,\"deadline\":8000.0")
+        .replace(
+            "\"target\":500.0,\"deadline\":1200.0",
+            "\"target\":4000.0,\"deadline\":8000.0",
+        )
 }
 
 #[test]
 fn a_try_whose_machine_is_told_otherwise_while_it_connects_goes_elsewhere() {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64;
     // How the machine comes in the list before its connection is up.
     let table = [
         ("leaving", 0, 41, false),
@@ -148,8 +177,17 @@
         first.send(&query("look", 1, 8000));
         let mut late = gate.accept();
         late.startup();
-        let listed = entry("s-0", if moves { moved } else { gate.addr() }, state, started, build);
-        watch.chunk(&format!("{}\n", list(42, false, &[listed, entry("s-1", other, "active", 0, 41)])));
+        let listed = entry(
+            "s-0",
+            if moves { moved } else { gate.addr() },
+            state,
+            started,
+            build,
+        );
+        watch.chunk(&format!(
+            "{}\n",
+            list(42, false, &[listed, entry("s-1", other, "active", 0, 41)])
+        ));
         // Whoever is served elsewhere shows that the list has been read.
         second.send(&query("look", 2, 8000));
         assert_eq!(second.answer().0, "TDCZ", "{state} {started} {build}");
@@ -164,8 +202,8 @@
     let (gate, discovery) = (Gate::new(), Gate::new());
     // Nor where a try that is out may not be given up.
     for cancel in ["true", "false"] {
-        let config =
-            known_only(&gate, &discovery).replace("\"may_cancel\":true", &format!("\"may_cancel\":{cancel}"));
+        let config = known_only(&gate, &discovery)
+            .replace("\"may_cancel\":true", &format!("\"may_cancel\":{cancel}"));
         let front = start(&config);
         let [mut leaves, mut stays] = [(); 2].map(|()| Client::admitted(front.addr));
         leaves.send(&query("look", 1, 8000));
@@ -183,7 +221,10 @@
             anew.let_in();
             anew.query()
         });
-        assert!(asked.as_ref().is_some_and(|q| q.contains("id=2")), "{cancel}: {asked:?}");
+        assert!(
+            asked.as_ref().is_some_and(|q| q.contains("id=2")),
+            "{cancel}: {asked:?}"
+        );
     }
 }
 
@@ -249,7 +290,9 @@
     assert_eq!(client.answer(), ("TDCZ".into(), vec![1]));
     client.send(&query("look", 2, 8000));
     // Where it goes over another connection, the first has no query when its answer comes again.
-    kept.0.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    kept.0
+        .set_read_timeout(Some(Duration::from_millis(200)))
+        .unwrap();
     if kept.query().is_some() {
         kept.send(&row(&[1]));
         kept.answer(2);
--- a/crates/proxy/tests/tables.rs
+++ b/crates/proxy/tests/tables.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read, Write};
 use std::time::{Duration, Instant};
 
-use tidescale_policy::front::End;
+use tidescale_policy::types::{AttemptOutcome, Timestamp};
 use tidescale_proxy::buffers::{Chain, Fill, Pool, SIZE};
 use tidescale_proxy::deadlines::Deadlines;
 use tidescale_proxy::explain;
@@ -18,27 +18,37 @@
     assert_eq!(slots.remove(first), Some("first"));
     let second = slots.insert(|_| Ok::<_, ()>("second")).unwrap().unwrap();
     assert_ne!(first, second);
-    assert!(slots.get(first).is_none() && slots.get_mut(first).is_none() && slots.remove(first).is_none());
+    assert!(
+        slots.get(first).is_none()
+            && slots.get_mut(first).is_none()
+            && slots.remove(first).is_none()
+    );
     assert_eq!(slots.get(second), Some(&"second"));
     // One that could not be made takes no room; beyond the room nothing is made.
     assert_eq!(slots.insert(|_| Err("no")), Some(Err("no")));
     assert!(slots.insert(|_| Ok::<_, ()>("third")).is_some() && slots.is_full());
-    assert!(slots.insert(|_| -> Result<_, ()> { panic!("made without room") }).is_none());
+    assert!(
+        slots
+            .insert(|_| -> Result<_, ()> { panic!("made without room") })
+            .is_none()
+    );
 }
 
 #[test]
 fn deadlines_come_in_order_and_one_to_an_owner() {
     let mut deadlines = Deadlines::default();
     for (owner, at) in [("a", 30), ("b", 10), ("c", 20), ("b", 40), ("d", 10)] {
-        deadlines.set(owner, at);
+        deadlines.set(owner, Timestamp::from_micros(at));
     }
     deadlines.clear("c");
-    assert_eq!(deadlines.next(), Some(10));
-    let mut due = |now| std::iter::from_fn(|| deadlines.due(now)).collect::<Vec<_>>();
+    assert_eq!(deadlines.next_at(), Some(Timestamp::from_micros(10)));
+    let mut due = |now| {
+        std::iter::from_fn(|| deadlines.pop_due(Timestamp::from_micros(now))).collect::<Vec<_>>()
+    };
     assert_eq!(due(9), [""; 0]);
     assert_eq!(due(30), ["d", "a"]);
     assert_eq!(due(1000), ["b"]);
-    assert_eq!(deadlines.next(), None);
+    assert_eq!(deadlines.next_at(), None);
 }
 
 /// Gives so much at a time, then nothing for now.
@@ -63,7 +73,11 @@
     fn write(&mut self, from: &[u8]) -> io::Result<usize> {
         let n = from.len().min(self.1 - self.0.len());
         self.0.extend_from_slice(&from[..n]);
-        if n == 0 { Err(io::ErrorKind::WouldBlock.into()) } else { Ok(n) }
+        if n == 0 {
+            Err(io::ErrorKind::WouldBlock.into())
+        } else {
+            Ok(n)
+        }
     }
     fn flush(&mut self) -> io::Result<()> {
         Ok(())
@@ -76,10 +90,20 @@
     for step in [1000, SIZE, SIZE + 1, 1 << 20] {
         let pool = Pool::new(4);
         let mut chain = Chain::new(&pool);
-        assert_eq!(chain.fill(&mut Source(long.clone(), step), 1 << 20).unwrap(), Fill::Drained);
+        assert_eq!(
+            chain
+                .fill(&mut Source(long.clone(), step), 1 << 20)
+                .unwrap(),
+            Fill::Drained
+        );
         assert!(chain.len() == long.len() && pool.is_empty());
         // Nothing to read into; what is there can still be passed on and written.
-        assert_eq!(chain.fill(&mut Source(vec![1; SIZE], step), 1 << 20).unwrap(), Fill::Starved);
+        assert_eq!(
+            chain
+                .fill(&mut Source(vec![1; SIZE], step), 1 << 20)
+                .unwrap(),
+            Fill::Starved
+        );
         let held = chain.len();
         let mut other = Chain::new(&pool);
         chain.pass(SIZE + 7, &mut other);
@@ -97,7 +121,10 @@
 #[test]
 fn a_read_stops_where_it_was_told_and_at_the_end() {
     let mut chain = Chain::new(&Pool::new(4));
-    assert_eq!(chain.fill(&mut Source(vec![7; 100], 10), 35).unwrap(), Fill::Enough);
+    assert_eq!(
+        chain.fill(&mut Source(vec![7; 100], 10), 35).unwrap(),
+        Fill::Enough
+    );
     assert_eq!(chain.len(), 40);
     assert_eq!(chain.fill(&mut io::empty(), 1000).unwrap(), Fill::Ended);
     assert_eq!(chain.slices(5..38).map(<[u8]>::len).sum::<usize>(), 33);
@@ -107,15 +134,19 @@
 fn only_a_req_written_whole_may_have_run() {
     let broken = || Cause::Broken(io::ErrorKind::ConnectionReset.into());
     let table = [
-        (Reached::Nothing, broken(), End::Refused),
-        (Reached::Part, broken(), End::Refused),
-        (Reached::All, broken(), End::Reset),
-        (Reached::Part, Cause::Ended, End::Refused),
-        (Reached::All, Cause::Ended, End::Reset),
-        (Reached::All, Cause::Malformed("odd"), End::Spoilt),
-        (Reached::Nothing, Cause::Overdue, End::Refused),
-        (Reached::All, Cause::Overdue, End::TimedOut),
-        (Reached::All, Cause::Cancelled, End::Cancelled),
+        (Reached::Nothing, broken(), AttemptOutcome::Refused),
+        (Reached::Part, broken(), AttemptOutcome::Refused),
+        (Reached::All, broken(), AttemptOutcome::ConnectionReset),
+        (Reached::Part, Cause::Ended, AttemptOutcome::Refused),
+        (Reached::All, Cause::Ended, AttemptOutcome::ConnectionReset),
+        (
+            Reached::All,
+            Cause::Malformed("odd"),
+            AttemptOutcome::Malformed,
+        ),
+        (Reached::Nothing, Cause::Overdue, AttemptOutcome::Refused),
+        (Reached::All, Cause::Overdue, AttemptOutcome::TimedOut),
+        (Reached::All, Cause::Cancelled, AttemptOutcome::Cancelled),
     ];
     for (reached, cause, wanted) in table {
         let failure = Failure { reached, cause };
@@ -128,7 +159,19 @@
     let (mut counts, start) = (Counts::default(), Instant::now());
     let mut at = |line, ms| counts.admit(("file", line), start + Duration::from_millis(ms));
     let admitted: Vec<_> = (0..8).map(|ms| at(1, ms)).collect();
-    assert_eq!(admitted, [Some(0), Some(0), Some(0), Some(0), Some(0), None, None, None]);
+    assert_eq!(
+        admitted,
+        [
+            Some(0),
+            Some(0),
+            Some(0),
+            Some(0),
+            Some(0),
+            None,
+            None,
+            None
+        ]
+    );
     assert_eq!(at(2, 10), Some(0));
     assert_eq!(at(1, 1000), Some(3));
     assert_eq!(at(1, 2500), Some(0));
@@ -152,7 +195,14 @@
         assert!(table.contains(part), "{part}: {table}");
     }
     assert_eq!(table.lines().count(), 3, "{table}");
-    assert_eq!(explain::table("Dec 01 19:12:52.317 INFO vote, verdict: Back, stage: 1, build: 42"), None);
+    assert_eq!(
+        explain::table("Dec 01 19:12:52.317 INFO vote, verdict: Back, stage: 1, build: 42"),
+        None
+    );
     // A line cut off tells what it has.
-    assert!(explain::table("x INFO verdict: to go back, build: 42").unwrap().contains("?"));
+    assert!(
+        explain::table("x INFO verdict: to go back, build: 42")
+            .unwrap()
+            .contains("?")
+    );
 }
--- a/crates/simulation/src/fleet.rs
+++ b/crates/simulation/src/fleet.rs
@@ -40,7 +40,11 @@
     }
     /// Four in ten are bad; a good one is a little quicker or slower.
     pub fn draw(chance: &mut Chance) -> Truth {
-        if chance.of(0.6) { Truth::good(chance) } else { Truth::bad(chance) }
+        if chance.of(0.6) {
+            Truth::good(chance)
+        } else {
+            Truth::bad(chance)
+        }
     }
     pub fn good(chance: &mut Chance) -> Truth {
         Truth::Work(chance.between(0.88, 1.12))
@@ -49,14 +53,26 @@
         let share = chance.between(0.04, 0.35);
         match chance.below(9) {
             0 => Truth::Work(chance.between(1.4, 3.0)),
-            1 => Truth::Errors { route: chance.below(2), share },
-            2 => Truth::Errors { route: EFFECT, share },
+            1 => Truth::Errors {
+                route: chance.below(2),
+                share,
+            },
+            2 => Truth::Errors {
+                route: EFFECT,
+                share,
+            },
             3 => Truth::Busy(share),
-            4 => Truth::Later { after: chance.between(3.0, 8.0), share },
+            4 => Truth::Later {
+                after: chance.between(3.0, 8.0),
+                share,
+            },
             5 => Truth::Wrong(share),
             6 => Truth::Hangs(0.4 * share),
             7 => Truth::Shared(chance.between(1.6, 3.0)),
-            _ => Truth::OnKind { kind: chance.below(2), share },
+            _ => Truth::OnKind {
+                kind: chance.below(2),
+                share,
+            },
         }
     }
 }
@@ -169,13 +185,20 @@
             return Service::Full;
         }
         let age = now.saturating_sub(self.started) as f64 / COLD_FOR as f64;
-        let warm = if self.started == 0 { 1.0 } else { (COLD_FROM + (1.0 - COLD_FROM) * age).min(1.0) };
+        let warm = if self.started == 0 {
+            1.0
+        } else {
+            (COLD_FROM + (1.0 - COLD_FROM) * age).min(1.0)
+        };
         let pace = factor * self.slower / warm * if self.kind == 0 { 1.0 } else { 1.4 };
         let core = self.cores.iter_mut().min().expect("a machine has cores");
         let done = now.max(*core) + (work * pace) as u64;
         *core = done;
         let at = self.held.partition_point(|t| *t <= done);
         self.held.insert(at, done);
-        Service::At { done, held: held + 1 }
+        Service::At {
+            done,
+            held: held + 1,
+        }
     }
 }
--- a/crates/simulation/src/trial.rs
+++ b/crates/simulation/src/trial.rs
@@ -2,9 +2,16 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
 
-use tidescale_policy::decide::Balancer;
-use tidescale_policy::front::*;
+use tidescale_policy::Balancer;
+use tidescale_policy::host::{DecisionSink, EventSource};
+use tidescale_policy::settings::{Idempotency, KeyScope, Route, Settings};
+use tidescale_policy::types::{
+    AttemptOutcome, AttemptResult, Ballot, EndpointEntry, EndpointState, EvidenceTest,
+    IncomingRequest, LoadReport, RollbackVerdict, RolloutPhase, RolloutStatus, Timestamp, Vote,
+    VoteResult, whole_micros,
+};
 
 use crate::chance::Chance;
 use crate::digest::Digest;
@@ -38,9 +45,21 @@
 }
 
 impl Size {
-    pub const SMALL: Size = Size { fronts: 5, machines: 12, seconds: 45 };
-    pub const GROWN: Size = Size { fronts: 60, machines: 150, seconds: 40 };
-    pub const HUGE: Size = Size { fronts: 400, machines: 1000, seconds: 35 };
+    pub const SMALL: Size = Size {
+        fronts: 5,
+        machines: 12,
+        seconds: 45,
+    };
+    pub const GROWN: Size = Size {
+        fronts: 60,
+        machines: 150,
+        seconds: 40,
+    };
+    pub const HUGE: Size = Size {
+        fronts: 400,
+        machines: 1000,
+        seconds: 35,
+    };
 }
 
 /// Whose votes the platform heeds.
@@ -80,7 +99,7 @@
     /// Earnings within objective, and asked for, by second.
     pub earned: Vec<[f64; 2]>,
     /// Which test spoke first, by its number in the module.
-    pub test: Option<u32>,
+    pub test: Option<EvidenceTest>,
     pub held_time: u64,
     pub rounds: u64,
     /// Over every decision of every front, in order.
@@ -90,22 +109,66 @@
 impl Outcome {
     /// The part of what was asked for that was earned, from this second on.
     pub fn share(&self, from: usize) -> f64 {
-        let sums = self.earned.iter().skip(from).fold([0.0; 2], |a, b| [a[0] + b[0], a[1] + b[1]]);
-        if sums[1] > 0.0 { sums[0] / sums[1] } else { 0.0 }
+        let sums = self
+            .earned
+            .iter()
+            .skip(from)
+            .fold([0.0; 2], |a, b| [a[0] + b[0], a[1] + b[1]]);
+        if sums[1] > 0.0 {
+            sums[0] / sums[1]
+        } else {
+            0.0
+        }
     }
 }
 
 enum Due {
-    Arrival { front: usize },
-    Again { front: usize, route: usize },
-    Ended { front: usize, rq: u64, n: usize, machine: usize, end: End, sent: u64, wrong: bool, held: usize },
-    Listed { front: usize, machine: usize },
-    News { front: usize, news: (u32, u32, Phase, f64, u64) },
-    VoteTold { front: usize, counts: bool },
-    Flag { front: usize, machine: usize, sent: u64 },
-    Probed { front: usize, machine: usize, end: End },
-    Ready { place: usize, machine: usize },
-    Gone { machine: usize },
+    Arrival {
+        front: usize,
+    },
+    Again {
+        front: usize,
+        route: usize,
+    },
+    Ended {
+        front: usize,
+        rq: u64,
+        n: usize,
+        machine: usize,
+        end: AttemptOutcome,
+        sent: u64,
+        wrong: bool,
+        held: usize,
+    },
+    Listed {
+        front: usize,
+        machine: usize,
+    },
+    News {
+        front: usize,
+        news: (u32, u32, RolloutPhase, f64, u64),
+    },
+    VoteTold {
+        front: usize,
+        counts: bool,
+    },
+    Flag {
+        front: usize,
+        machine: usize,
+        sent: u64,
+    },
+    Probed {
+        front: usize,
+        machine: usize,
+        end: AttemptOutcome,
+    },
+    Ready {
+        place: usize,
+        machine: usize,
+    },
+    Gone {
+        machine: usize,
+    },
 }
 
 impl Due {
@@ -151,61 +214,68 @@
     delays: Chance,
     fronts_rate: Vec<f64>,
     stage: u32,
-    phase: Phase,
+    phase: RolloutPhase,
     since: u64,
     coming: usize,
     clock: u64,
     told: u64,
-    votes: BTreeMap<usize, (Verdict, u32, u64)>,
+    votes: BTreeMap<usize, (Vote, u32, u64)>,
     votes_needed: [usize; 2],
     trouble: [u64; 2],
     struck: Vec<usize>,
     outcome: Outcome,
 }
 
-fn settings(case: Case, me: usize) -> Settings {
+fn settings(case: Case, index: usize) -> Settings {
     let (size, strict) = (case.size, case.limits == Limits::Strict);
-    let repeat = |r: usize| match r {
-        EFFECT => Repeat::NonRetriable,
-        2 => Repeat::Deduped { scope: Scope::All, window: SECOND },
-        _ => Repeat::Retriable,
+    let idempotency = |r: usize| match r {
+        EFFECT => Idempotency::NotIdempotent,
+        2 => Idempotency::IdempotencyKey {
+            scope: KeyScope::Fleet,
+            window: Duration::from_secs(1),
+        },
+        _ => Idempotency::Idempotent,
     };
     let route = |r: usize| Route {
         name: format!("r{r}"),
-        objective: OBJECTIVES[r],
-        earnings: EARNINGS[r],
-        repeat: repeat(r),
+        latency_objective: Duration::from_micros(OBJECTIVES[r]),
+        priority_weight: EARNINGS[r],
+        idempotency: idempotency(r),
     };
     Settings {
-        me: me as u32,
-        fronts: size.fronts as u32,
-        zone: format!("z{}", me % 3),
+        instance_index: index as u32,
+        instance_count: size.fronts as u32,
+        zone: format!("z{}", index % 3),
         routes: (0..ROUTES).map(route).collect(),
-        ask_list: strict,
-        must_ask_in: if strict { 2 * SECOND } else { u64::MAX },
+        poll_endpoints: strict,
+        max_poll_interval: if strict {
+            Duration::from_secs(2)
+        } else {
+            Duration::MAX
+        },
         cross_zone_price: 0.01,
-        probes: true,
-        cancel: true,
-        second_copies: !strict,
-        max_tries: 4,
-        max_come_back: SECOND,
-        grace: SECOND,
-        cold_from: COLD_FROM,
-        cold_for: COLD_FOR,
-        fall_multiple: 2.0,
-        fall_for: 1_500 * MS,
+        health_checks: true,
+        cancel_attempts: true,
+        hedging: !strict,
+        max_attempts: 4,
+        max_retry_after: Duration::from_secs(1),
+        grace_period: Duration::from_secs(1),
+        warm_up_start: COLD_FROM,
+        warm_up_time: Duration::from_micros(COLD_FOR),
+        overload_multiple: 2.0,
+        overload_window: Duration::from_millis(1_500),
         stage_caps: CAPS.to_vec(),
-        free: 3.0,
-        exposure_window: 4 * SECOND,
-        by_route: strict,
+        exposure_allowance: 3.0,
+        exposure_window: Duration::from_secs(4),
+        exposure_by_route: strict,
         guarded_stages: 1,
-        one_way: strict,
-        timed: !strict,
-        min_dwell: 1_500 * MS,
-        back_votes: back_votes(size) as u32,
-        votes_per_s: (16 * size.fronts) as f64,
-        vote_life: 6 * SECOND,
-        vote_wait: 800 * MS,
+        monotonic_key_builds: strict,
+        automatic_stages: !strict,
+        min_stage_time: Duration::from_millis(1_500),
+        rollback_votes: back_votes(size) as u32,
+        votes_per_second: (16 * size.fronts) as f64,
+        vote_lifetime: Duration::from_secs(6),
+        vote_timeout: Duration::from_millis(800),
     }
 }
 
@@ -220,11 +290,18 @@
         let machine = |n: usize| Machine::new(format!("a{n}"), n % 3, usize::from(n % 5 > 2), 1, 0);
         let machines: Vec<Machine> = (0..case.size.machines).map(machine).collect();
         let mut order: Vec<usize> = (0..case.size.machines).collect();
-        (1..order.len()).rev().for_each(|i| order.swap(i, chance.below(i + 1)));
-        let cores: f64 = machines.iter().map(|m| if m.kind == 0 { 4.0 } else { 3.0 / 1.4 }).sum();
+        (1..order.len())
+            .rev()
+            .for_each(|i| order.swap(i, chance.below(i + 1)));
+        let cores: f64 = machines
+            .iter()
+            .map(|m| if m.kind == 0 { 4.0 } else { 3.0 / 1.4 })
+            .sum();
         let mean: f64 = WORK.iter().zip(TRAFFIC).map(|(w, t)| w * t).sum();
         let rate = chance.between(0.4, 0.6) * cores * 1e6 / mean;
-        let uneven: Vec<f64> = (0..case.size.fronts).map(|_| chance.between(0.6, 1.4)).collect();
+        let uneven: Vec<f64> = (0..case.size.fronts)
+            .map(|_| chance.between(0.6, 1.4))
+            .collect();
         let all: f64 = uneven.iter().sum();
         // At a drawn time, or just as a stage begins.
         let from = if chance.of(0.5) {
@@ -234,7 +311,11 @@
         };
         let spell = chance.between(6.0, 18.0) * 1e6;
         let trouble = [START + from as u64, START + (from + spell) as u64];
-        let ids = machines.iter().enumerate().map(|(i, m)| (m.name.clone(), i)).collect();
+        let ids = machines
+            .iter()
+            .enumerate()
+            .map(|(i, m)| (m.name.clone(), i))
+            .collect();
         let size = case.size;
         World {
             now: START,
@@ -251,7 +332,7 @@
             delays: Chance::new(case.seed, 5),
             fronts_rate: uneven.iter().map(|u| rate * u / all).collect(),
             stage: 0,
-            phase: Phase::Released,
+            phase: RolloutPhase::Released,
             since: START,
             coming: 0,
             clock: 0,
@@ -260,7 +341,10 @@
             votes_needed: [back_votes(size), (0.3 * size.fronts as f64).ceil() as usize],
             trouble,
             struck: Vec::new(),
-            outcome: Outcome { earned: vec![[0.0; 2]; size.seconds as usize + 1], ..Outcome::default() },
+            outcome: Outcome {
+                earned: vec![[0.0; 2]; size.seconds as usize + 1],
+                ..Outcome::default()
+            },
             machines,
             case,
         }
@@ -289,9 +373,9 @@
 
     fn tell(&mut self) {
         let cap = match self.phase {
-            Phase::Trial => CAPS[self.stage as usize],
-            Phase::Released => 1.0,
-            Phase::GoingBack | Phase::Withdrawn => 0.0,
+            RolloutPhase::Canary => CAPS[self.stage as usize],
+            RolloutPhase::Released => 1.0,
+            RolloutPhase::RollingBack | RolloutPhase::Withdrawn => 0.0,
         };
         self.told = self.now;
         for front in 0..self.case.size.fronts {
@@ -307,13 +391,21 @@
         let (zone, kind, at) = (old.zone, old.kind, self.now + BOOT);
         let name = format!("b{}", self.machines.len());
         self.ids.insert(name.clone(), self.machines.len());
-        self.machines.push(Machine::new(name, zone, kind, build, at));
+        self.machines
+            .push(Machine::new(name, zone, kind, build, at));
         self.coming += 1;
-        self.put(at, Due::Ready { place, machine: self.machines.len() - 1 });
+        self.put(
+            at,
+            Due::Ready {
+                place,
+                machine: self.machines.len() - 1,
+            },
+        );
     }
 
     fn begin(&mut self, stage: u32) {
-        (self.stage, self.phase, self.since, self.clock) = (stage, Phase::Trial, self.now, 0);
+        (self.stage, self.phase, self.since, self.clock) =
+            (stage, RolloutPhase::Canary, self.now, 0);
         let places = (PLACES[stage as usize] * self.case.size.machines as f64).ceil() as usize;
         for n in 0..places {
             let place = self.order[n];
@@ -325,7 +417,7 @@
     }
 
     fn go_back(&mut self) {
-        (self.phase, self.since) = (Phase::GoingBack, self.now);
+        (self.phase, self.since) = (RolloutPhase::RollingBack, self.now);
         self.outcome.back = Some(self.now - START - OFFERED);
         for place in 0..self.places.len() {
             if self.machines[self.places[place]].build == 2 {
@@ -342,17 +434,25 @@
         let now = self.now;
         self.votes.retain(|_, (_, _, until)| *until > now);
         let stage = self.stage;
-        let back = self.votes.values().filter(|v| v.0 == Verdict::Back).count();
-        let hold = self.votes.values().filter(|v| v.0 == Verdict::Hold && v.1 == stage).count();
+        let back = self
+            .votes
+            .values()
+            .filter(|v| v.0 == Vote::RollBack)
+            .count();
+        let hold = self
+            .votes
+            .values()
+            .filter(|v| v.0 == Vote::Hold && v.1 == stage)
+            .count();
         let heeds = self.case.heeds != Heeds::Nobody;
         let offered = self.now >= START + OFFERED;
         if heeds
             && offered
-            && matches!(self.phase, Phase::Trial | Phase::Released)
+            && matches!(self.phase, RolloutPhase::Canary | RolloutPhase::Released)
             && back >= self.votes_needed[0]
         {
             self.go_back();
-        } else if self.phase == Phase::Trial && self.coming == 0 {
+        } else if self.phase == RolloutPhase::Canary && self.coming == 0 {
             if heeds && hold >= self.votes_needed[1] {
                 self.outcome.held_time += TICK;
             } else {
@@ -361,7 +461,7 @@
             if self.clock >= STEP && (stage as usize) < CAPS.len() - 1 {
                 self.begin(stage + 1);
             } else if self.clock >= STEP {
-                (self.phase, self.since) = (Phase::Released, self.now);
+                (self.phase, self.since) = (RolloutPhase::Released, self.now);
                 self.outcome.released = Some(self.now - START - OFFERED);
                 self.tell();
             }
@@ -375,10 +475,12 @@
         if self.now == from / TICK * TICK {
             let mut chance = Chance::new(self.case.seed, 6);
             let part = chance.between(0.08, 0.25);
-            let n = ((part * self.places.len() as f64) as usize).clamp(1, 3.max(self.places.len() / 8));
+            let n =
+                ((part * self.places.len() as f64) as usize).clamp(1, 3.max(self.places.len() / 8));
             for i in 0..self.places.len() {
                 let machine = self.places[i];
-                let lost = self.case.confounder == Confounder::LostZone && self.machines[machine].zone == 0;
+                let lost = self.case.confounder == Confounder::LostZone
+                    && self.machines[machine].zone == 0;
                 if lost || self.struck.len() < n && chance.of(2.0 * part) {
                     self.struck.push(machine);
                 }
@@ -407,17 +509,25 @@
     }
 
     /// What the build does to a req on this machine: its factor of work, and how it may end.
-    fn nature(&mut self, machine: usize, route: usize, held: usize) -> (f64, End, bool) {
-        let served = self.places.iter().filter(|m| self.machines[**m].build == 2).count();
+    fn nature(&mut self, machine: usize, route: usize, held: usize) -> (f64, AttemptOutcome, bool) {
+        let served = self
+            .places
+            .iter()
+            .filter(|m| self.machines[**m].build == 2)
+            .count();
         let part = served as f64 / self.places.len() as f64;
         let m = &self.machines[machine];
-        let (new, kind, age) = (m.build == 2, m.kind, self.now.saturating_sub(m.started) as f64 / 1e6);
+        let (new, kind, age) = (
+            m.build == 2,
+            m.kind,
+            self.now.saturating_sub(m.started) as f64 / 1e6,
+        );
         let own = m.errors;
         let mut wrong = false;
         let (mut factor, mut errors) = (1.0, 0.0);
         // One draw for each try, whatever the truth: a pair differs by it alone.
         let (draw, own_draw) = (self.outcomes.share(), self.outcomes.share());
-        let mut end = End::Done;
+        let mut end = AttemptOutcome::Succeeded;
         match self.case.truth {
             Truth::Shared(x) => factor = 1.0 + (x - 1.0) * part,
             _ if !new => {}
@@ -426,12 +536,12 @@
             Truth::Busy(share) if held > if kind == 0 { 4 } else { 3 } => errors = share,
             Truth::Later { after, share } if age > after => errors = share,
             Truth::Wrong(share) => wrong = draw < share,
-            Truth::Hangs(share) if draw < share => end = End::TimedOut,
+            Truth::Hangs(share) if draw < share => end = AttemptOutcome::TimedOut,
             Truth::OnKind { kind: k, share } if k == kind => errors = share,
             _ => {}
         }
         if draw < errors || own_draw < own {
-            end = End::Error;
+            end = AttemptOutcome::Failed;
         }
         (factor, end, wrong)
     }
@@ -443,7 +553,17 @@
             let second = self.second(self.now);
             self.outcome.earned[second][1] += EARNINGS[route];
         }
-        self.reqs.insert(id, Open { front, route, came: self.now, tries: 0, over: false, came_back });
+        self.reqs.insert(
+            id,
+            Open {
+                front,
+                route,
+                came: self.now,
+                tries: 0,
+                over: false,
+                came_back,
+            },
+        );
         id
     }
 
@@ -452,8 +572,23 @@
         (self.case.limits == Limits::Strict).then(|| format!("key{}", id % 97))
     }
 
+    fn ask(&self, id: u64, route: usize, policy: &mut Balancer) {
+        let key = self.key(id);
+        let request = IncomingRequest {
+            route,
+            idempotency_key: key.as_deref(),
+            time_remaining: Duration::from_micros(DEADLINE),
+            cost_hint: None,
+        };
+        policy.on_request(id, request);
+    }
+
     fn draw_route(&mut self) -> usize {
-        let heavy = if self.in_trouble(Confounder::HeavyRoute) { 0.25 } else { 0.0 };
+        let heavy = if self.in_trouble(Confounder::HeavyRoute) {
+            0.25
+        } else {
+            0.0
+        };
         let mut at = self.arrivals.share();
         if at < heavy {
             return 0;
@@ -469,7 +604,9 @@
 
     /// Some come back once, where a repeat does no harm.
     fn gives_up(&mut self, id: u64) {
-        let Some(rq) = self.reqs.get_mut(&id) else { return };
+        let Some(rq) = self.reqs.get_mut(&id) else {
+            return;
+        };
         rq.over = true;
         let (front, route, again) = (rq.front, rq.route, rq.came_back);
         if !again && route != EFFECT && self.arrivals.of(0.6) {
@@ -491,8 +628,8 @@
     dues: Vec<Due>,
 }
 
-impl Inbox for Mail<'_> {
-    fn replay(&mut self, to: &mut Balancer) {
+impl EventSource for Mail<'_> {
+    fn deliver(&mut self, policy: &mut Balancer) {
         for due in std::mem::take(&mut self.dues) {
             let w = &mut *self.world;
             let now = w.now;
@@ -500,23 +637,40 @@
                 Due::Arrival { .. } => {
                     let route = w.draw_route();
                     let id = w.arrive(self.front, route, false);
-                    to.req(id, route, w.key(id).as_deref(), DEADLINE, 0.0);
-                    let burst = if w.in_trouble(Confounder::Burst) { 1.7 } else { 1.0 };
+                    w.ask(id, route, policy);
+                    let burst = if w.in_trouble(Confounder::Burst) {
+                        1.7
+                    } else {
+                        1.0
+                    };
                     let gap = w.arrivals.gap(1e6 / w.fronts_rate[self.front] / burst);
                     w.put(now + gap as u64 + 1, Due::Arrival { front: self.front });
                 }
                 Due::Again { route, .. } => {
                     let id = w.arrive(self.front, route, true);
-                    to.req(id, route, w.key(id).as_deref(), DEADLINE, 0.0);
+                    w.ask(id, route, policy);
                 }
-                Due::Ended { rq, n, machine, end, sent, wrong, held, .. } => {
-                    let Some(open) = w.reqs.get_mut(&rq) else { continue };
-                    let done = end == End::Done && !open.over;
-                    open.over |= end == End::Done;
+                Due::Ended {
+                    rq,
+                    n,
+                    machine,
+                    end,
+                    sent,
+                    wrong,
+                    held,
+                    ..
+                } => {
+                    let Some(open) = w.reqs.get_mut(&rq) else {
+                        continue;
+                    };
+                    let done = end == AttemptOutcome::Succeeded && !open.over;
+                    open.over |= end == AttemptOutcome::Succeeded;
                     let (over, came, route) = (open.over, open.came, open.route);
-                    let failed = matches!(end, End::Error | End::TimedOut) && w.machines[machine].build == 2;
+                    let failed = matches!(end, AttemptOutcome::Failed | AttemptOutcome::TimedOut)
+                        && w.machines[machine].build == 2;
                     if failed && w.case.heeds == Heeds::FirstFailure {
-                        w.votes.insert(self.front, (Verdict::Back, w.stage, now + 6 * SECOND));
+                        w.votes
+                            .insert(self.front, (Vote::RollBack, w.stage, now + 6 * SECOND));
                     }
                     if done && !wrong && now <= came + OBJECTIVES[route] {
                         let second = w.second(came);
@@ -524,30 +678,75 @@
                     }
                     if done && wrong && w.outcomes.of(FLAGGED) {
                         let at = now + w.delays.between(700e3, 2_500e3) as u64;
-                        w.put(at, Due::Flag { front: self.front, machine, sent });
+                        w.put(
+                            at,
+                            Due::Flag {
+                                front: self.front,
+                                machine,
+                                sent,
+                            },
+                        );
                     }
-                    let load = Load { inflight: Some(held as f64), queue: None };
-                    let load = (end == End::Done && w.delays.of(0.8)).then_some(load);
-                    to.outcome(rq, n, end, now - sent, over, load);
+                    let load = LoadReport {
+                        in_flight: Some(held as f64),
+                        queued: None,
+                    };
+                    let load =
+                        (end == AttemptOutcome::Succeeded && w.delays.of(0.8)).then_some(load);
+                    let duration = Duration::from_micros(now - sent);
+                    let result = AttemptResult {
+                        outcome: end,
+                        duration,
+                        request_finished: over,
+                        load,
+                    };
+                    policy.on_attempt_result(rq, n, result);
                 }
                 Due::Listed { machine, .. } => {
                     let m = &w.machines[machine];
                     let standing = match (m.gone, m.draining) {
-                        (true, _) => Standing::Gone,
-                        (_, true) => Standing::Draining,
-                        _ => Standing::Ready,
+                        (true, _) => EndpointState::Removed,
+                        (_, true) => EndpointState::Draining,
+                        _ => EndpointState::Ready,
                     };
                     let (zone, kind) = (format!("z{}", m.zone), format!("k{}", m.kind));
-                    to.machine(&m.name, (&zone, 0, &kind), m.build, standing, m.started);
+                    policy.on_endpoint(EndpointEntry {
+                        name: &m.name,
+                        zone: &zone,
+                        cell: 0,
+                        hardware_class: &kind,
+                        build: m.build,
+                        state: standing,
+                        started_at: (m.started > 0).then(|| Timestamp::from_micros(m.started)),
+                    });
                 }
-                Due::News { news: (build, stage, phase, cap, since), .. } => {
-                    to.news(build, stage, phase, cap, now - since);
+                Due::News {
+                    news: (build, stage, phase, cap, since),
+                    ..
+                } => {
+                    let age = Duration::from_micros(now - since);
+                    policy.on_rollout_status(RolloutStatus {
+                        build,
+                        stage,
+                        phase,
+                        traffic_cap: cap,
+                        age,
+                    });
                 }
                 Due::VoteTold { counts, .. } => {
-                    to.answered(if counts { Answer::Counts } else { Answer::Moot });
+                    policy.on_vote_result(if counts {
+                        VoteResult::Accepted
+                    } else {
+                        VoteResult::Superseded
+                    });
+                }
+                Due::Flag { machine, sent, .. } => {
+                    let age = Duration::from_micros(now - sent);
+                    policy.on_answer_flagged(&w.machines[machine].name, age);
+                }
+                Due::Probed { machine, end, .. } => {
+                    policy.on_health_check(&w.machines[machine].name, end, None)
                 }
-                Due::Flag { machine, sent, .. } => to.flagged(&w.machines[machine].name, now - sent),
-                Due::Probed { machine, end, .. } => to.probed(&w.machines[machine].name, end, None),
                 Due::Ready { .. } | Due::Gone { .. } => {}
             }
         }
@@ -561,11 +760,14 @@
     wake: &'a mut u64,
 }
 
-impl Writer for Hand<'_> {
-    fn upstream_try(&mut self, id: u64, machine: &str, until: u64) {
+impl DecisionSink for Hand<'_> {
+    fn start_attempt(&mut self, id: u64, machine: &str, until: Timestamp) {
+        let until = until.as_micros();
         let w = &mut *self.world;
         let (now, front, machine) = (w.now, self.front, w.ids[machine]);
-        let Some(open) = w.reqs.get_mut(&id) else { return };
+        let Some(open) = w.reqs.get_mut(&id) else {
+            return;
+        };
         let (n, route) = (open.tries, open.route);
         open.tries += 1;
         let work = WORK[route] * w.works.work();
@@ -573,62 +775,120 @@
         let (factor, nature, wrong) = w.nature(machine, route, held);
         let gone = w.machines[machine].gone;
         let hop = w.delays.between(0.3e3, 1.2e3) as u64;
-        let service = if gone { Service::Full } else { w.machines[machine].serve(work, factor, now + hop) };
+        let service = if gone {
+            Service::Full
+        } else {
+            w.machines[machine].serve(work, factor, now + hop)
+        };
         let (end, at, held) = match service {
-            _ if gone => (End::Refused, now + hop, 0),
-            Service::Full => (End::Full, now + 2 * hop, 0),
-            Service::Never => (End::TimedOut, until, 0),
-            Service::At { .. } if nature == End::TimedOut => (End::TimedOut, until, 0),
+            _ if gone => (AttemptOutcome::Refused, now + hop, 0),
+            Service::Full => (AttemptOutcome::Overloaded, now + 2 * hop, 0),
+            Service::Never => (AttemptOutcome::TimedOut, until, 0),
+            Service::At { .. } if nature == AttemptOutcome::TimedOut => {
+                (AttemptOutcome::TimedOut, until, 0)
+            }
             // Errors come fast.
-            Service::At { held, .. } if nature == End::Error => (End::Error, now + 2 * hop + 2 * MS, held),
-            Service::At { done, held } if done + hop < until => (End::Done, done + hop, held),
-            Service::At { .. } => (End::TimedOut, until, 0),
+            Service::At { held, .. } if nature == AttemptOutcome::Failed => {
+                (AttemptOutcome::Failed, now + 2 * hop + 2 * MS, held)
+            }
+            Service::At { done, held } if done + hop < until => {
+                (AttemptOutcome::Succeeded, done + hop, held)
+            }
+            Service::At { .. } => (AttemptOutcome::TimedOut, until, 0),
         };
-        w.put(at.max(now + 1), Due::Ended { front, rq: id, n, machine, end, sent: now, wrong, held });
+        w.put(
+            at.max(now + 1),
+            Due::Ended {
+                front,
+                rq: id,
+                n,
+                machine,
+                end,
+                sent: now,
+                wrong,
+                held,
+            },
+        );
     }
-    fn cancel_try(&mut self, _id: u64, _n: usize) {}
-    fn shed(&mut self, id: u64, _come_back: u64) {
+    fn cancel_attempt(&mut self, _id: u64, _n: usize) {}
+    fn reject_request(&mut self, id: u64, _retry_after: Duration) {
         self.world.gives_up(id);
     }
-    fn error(&mut self, id: u64) {
+    fn fail_request(&mut self, id: u64) {
         self.world.gives_up(id);
     }
-    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
+    fn cast_vote(&mut self, ballot: Ballot) {
         let w = &mut *self.world;
-        let counts = build == w.build() && (verdict == Verdict::Back || stage == w.stage);
+        let Ballot {
+            build,
+            stage,
+            vote: verdict,
+        } = ballot;
+        let counts = build == w.build() && (verdict == Vote::RollBack || stage == w.stage);
         if counts {
-            w.votes.insert(self.front, (verdict, stage, w.now + 6 * SECOND));
+            w.votes
+                .insert(self.front, (verdict, stage, w.now + 6 * SECOND));
         }
         let at = w.now + w.delays.between(30e3, 180e3) as u64;
-        w.put(at, Due::VoteTold { front: self.front, counts });
+        w.put(
+            at,
+            Due::VoteTold {
+                front: self.front,
+                counts,
+            },
+        );
     }
-    fn probe(&mut self, machine: &str, until: u64) {
+    fn start_health_check(&mut self, machine: &str, until: Timestamp) {
+        let until = until.as_micros();
         let w = &mut *self.world;
         let machine = w.ids[machine];
         let (silent, gone) = (w.machines[machine].silent, w.machines[machine].gone);
-        let (end, at) = if silent { (End::TimedOut, until) } else { (End::Done, w.now + 3 * MS) };
-        let end = if gone { End::Refused } else { end };
-        w.put(at, Due::Probed { front: self.front, machine, end });
+        let (end, at) = if silent {
+            (AttemptOutcome::TimedOut, until)
+        } else {
+            (AttemptOutcome::Succeeded, w.now + 3 * MS)
+        };
+        let end = if gone { AttemptOutcome::Refused } else { end };
+        w.put(
+            at,
+            Due::Probed {
+                front: self.front,
+                machine,
+                end,
+            },
+        );
     }
-    fn watch_list(&mut self) {}
-    fn wake(&mut self, after: u64) {
-        *self.wake = self.world.now + after;
+    fn poll_endpoints(&mut self) {}
+    fn schedule_wake_up(&mut self, after: Duration) {
+        *self.wake = self.world.now + whole_micros(after);
     }
-    fn found(&mut self, finding: &Finding) {
-        self.world.outcome.test.get_or_insert(finding.test as u32);
+    fn report_rollback_verdict(&mut self, verdict: &RollbackVerdict) {
+        self.world.outcome.test.get_or_insert(verdict.test);
     }
 }
 
 pub fn play(case: Case) -> Outcome {
     let mut w = World::new(case);
     let seed = |n: usize| case.seed.wrapping_mul(1009).wrapping_add(n as u64);
-    let mut fronts: Vec<(Balancer, u64)> =
-        (0..case.size.fronts).map(|n| (Balancer::new(settings(case, n), seed(n), START), START)).collect();
+    let mut fronts: Vec<(Balancer, u64)> = (0..case.size.fronts)
+        .map(|n| {
+            (
+                Balancer::new(settings(case, n), seed(n), Timestamp::from_micros(START)),
+                START,
+            )
+        })
+        .collect();
     for front in 0..fronts.len() {
         for machine in 0..w.machines.len() {
             w.put(START, Due::Listed { front, machine });
         }
-        w.put(START, Due::News { front, news: (1, 3, Phase::Released, 1.0, START) });
+        w.put(
+            START,
+            Due::News {
+                front,
+                news: (1, 3, RolloutPhase::Released, 1.0, START),
+            },
+        );
         let at = START + w.arrivals.gap(1e6 / w.fronts_rate[front]) as u64;
         w.put(at, Due::Arrival { front });
     }
@@ -638,8 +898,12 @@
         w.confound();
         w.platform();
         while w.queue.peek().is_some_and(|Reverse((at, _))| *at <= w.now) {
-            let Some(Reverse((_, number))) = w.queue.pop() else { break };
-            let Some(due) = w.dues.remove(&number) else { continue };
+            let Some(Reverse((_, number))) = w.queue.pop() else {
+                break;
+            };
+            let Some(due) = w.dues.remove(&number) else {
+                continue;
+            };
             match due {
                 Due::Ready { place, machine } => {
                     let old = std::mem::replace(&mut w.places[place], machine);
@@ -656,7 +920,8 @@
                 due => mail[due.front().unwrap_or(0)].push(due),
             }
         }
-        let stalled = w.in_trouble(Confounder::Stall) && (w.now - w.trouble[0]) % (3 * SECOND) < 400 * MS;
+        let stalled =
+            w.in_trouble(Confounder::Stall) && (w.now - w.trouble[0]) % (3 * SECOND) < 400 * MS;
         for (front, (module, wake)) in fronts.iter_mut().enumerate() {
             // One front stands still now and then, and finds all at once.
             if (mail[front].is_empty() && w.now < *wake) || (stalled && front == 0) {
@@ -665,7 +930,11 @@
             w.outcome.rounds += 1;
             let (now, dues) = (w.now, std::mem::take(&mut mail[front]));
             let shared = std::cell::RefCell::new(&mut w);
-            module.round(now, &mut Shared(&shared, front, dues), &mut Written(&shared, front, wake));
+            module.step(
+                Timestamp::from_micros(now),
+                &mut Shared(&shared, front, dues),
+                &mut Written(&shared, front, wake),
+            );
         }
         if w.now.is_multiple_of(SECOND) {
             w.forget();
@@ -678,10 +947,15 @@
 /// The world is read while news is replayed and changed while decisions are written, never both at once.
 struct Shared<'a, 'w>(&'a std::cell::RefCell<&'w mut World>, usize, Vec<Due>);
 
-impl Inbox for Shared<'_, '_> {
-    fn replay(&mut self, to: &mut Balancer) {
+impl EventSource for Shared<'_, '_> {
+    fn deliver(&mut self, policy: &mut Balancer) {
         let world = &mut **self.0.borrow_mut();
-        Mail { world, front: self.1, dues: std::mem::take(&mut self.2) }.replay(to);
+        Mail {
+            world,
+            front: self.1,
+            dues: std::mem::take(&mut self.2),
+        }
+        .deliver(policy);
     }
 }
 
@@ -690,7 +964,11 @@
 impl Written<'_, '_> {
     fn hand(&mut self, write: impl FnOnce(&mut Hand)) {
         let world = &mut **self.0.borrow_mut();
-        write(&mut Hand { world, front: self.1, wake: self.2 });
+        write(&mut Hand {
+            world,
+            front: self.1,
+            wake: self.2,
+        });
     }
 }
 
@@ -718,55 +996,91 @@
     }
 }
 
-impl Writer for Written<'_, '_> {
-    fn upstream_try(&mut self, rq: u64, machine: &str, until: u64) {
-        self.trace(&[decision::ATTEMPT, rq, self.number_of(machine), until]);
-        self.hand(|h| h.upstream_try(rq, machine, until));
+impl DecisionSink for Written<'_, '_> {
+    fn start_attempt(&mut self, rq: u64, machine: &str, until: Timestamp) {
+        self.trace(&[
+            decision::ATTEMPT,
+            rq,
+            self.number_of(machine),
+            until.as_micros(),
+        ]);
+        self.hand(|h| h.start_attempt(rq, machine, until));
     }
-    fn cancel_try(&mut self, rq: u64, n: usize) {
+    fn cancel_attempt(&mut self, rq: u64, n: usize) {
         self.trace(&[decision::CANCEL, rq, n as u64]);
-        self.hand(|h| h.cancel_try(rq, n));
+        self.hand(|h| h.cancel_attempt(rq, n));
     }
-    fn shed(&mut self, rq: u64, come_back: u64) {
-        self.trace(&[decision::REJECT, rq, come_back]);
-        self.hand(|h| h.shed(rq, come_back));
+    fn reject_request(&mut self, rq: u64, retry_after: Duration) {
+        self.trace(&[decision::REJECT, rq, whole_micros(retry_after)]);
+        self.hand(|h| h.reject_request(rq, retry_after));
     }
-    fn error(&mut self, rq: u64) {
+    fn fail_request(&mut self, rq: u64) {
         self.trace(&[decision::FAIL, rq]);
-        self.hand(|h| h.error(rq));
-    }
-    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
-        let code = match verdict {
-            Verdict::None => 0,
-            Verdict::On => 1,
-            Verdict::Hold => 2,
-            Verdict::Back => 3,
+        self.hand(|h| h.fail_request(rq));
+    }
+    fn cast_vote(&mut self, ballot: Ballot) {
+        let code = match ballot.vote {
+            Vote::Abstain => 0,
+            Vote::Advance => 1,
+            Vote::Hold => 2,
+            Vote::RollBack => 3,
         };
-        self.trace(&[decision::VOTE, u64::from(build), u64::from(stage), code]);
-        self.hand(|h| h.vote(build, stage, verdict));
+        self.trace(&[
+            decision::VOTE,
+            u64::from(ballot.build),
+            u64::from(ballot.stage),
+            code,
+        ]);
+        self.hand(|h| h.cast_vote(ballot));
     }
-    fn probe(&mut self, machine: &str, until: u64) {
-        self.trace(&[decision::HEALTH_CHECK, self.number_of(machine), until]);
-        self.hand(|h| h.probe(machine, until));
+    fn start_health_check(&mut self, machine: &str, until: Timestamp) {
+        self.trace(&[
+            decision::HEALTH_CHECK,
+            self.number_of(machine),
+            until.as_micros(),
+        ]);
+        self.hand(|h| h.start_health_check(machine, until));
     }
-    fn watch_list(&mut self) {
+    fn poll_endpoints(&mut self) {
         self.trace(&[decision::POLL]);
     }
-    fn wake(&mut self, after: u64) {
-        self.trace(&[decision::WAKE_UP, after]);
-        self.hand(|h| h.wake(after));
+    fn schedule_wake_up(&mut self, after: Duration) {
+        self.trace(&[decision::WAKE_UP, whole_micros(after)]);
+        self.hand(|h| h.schedule_wake_up(after));
     }
-    fn found(&mut self, finding: &Finding) {
-        let Finding { build, stage, test, new, old, score, bound, aside, .. } = *finding;
-        let floats = [new[0], new[1], old[0], old[1], score, bound].map(f64::to_bits);
+    fn report_rollback_verdict(&mut self, verdict: &RollbackVerdict) {
+        let RollbackVerdict {
+            build,
+            stage,
+            test,
+            candidate,
+            baseline,
+            ..
+        } = *verdict;
+        let floats = [
+            candidate.failures,
+            candidate.outcomes,
+            baseline.failures,
+            baseline.outcomes,
+            verdict.score,
+            verdict.bound,
+        ];
+        let floats = floats.map(f64::to_bits);
+        let ejected = verdict.ejected_endpoints as u64;
+        let test = match test {
+            EvidenceTest::Failures => 0,
+            EvidenceTest::Slowness => 1,
+            EvidenceTest::Errors => 2,
+            EvidenceTest::FleetSlowdown => 3,
+        };
         self.trace(&[
             decision::ROLLBACK_VERDICT,
             u64::from(build),
             u64::from(stage),
-            test as u64,
-            aside as u64,
+            test,
+            ejected,
         ]);
         self.trace(&floats);
-        self.hand(|h| h.found(finding));
+        self.hand(|h| h.report_rollback_verdict(verdict));
     }
 }
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -4,10 +4,16 @@
 use std::fmt::Write as _;
 use std::io::{self, BufRead, Write as _};
 use std::rc::Rc;
+use std::time::Duration;
 
-use tidescale_policy::decide::Balancer;
-use tidescale_policy::front::{Answer, End, Finding, Inbox, Load, Phase, Standing, Verdict, Writer};
-use tidescale_settings::{Fault, Told, flag, micros, number};
+use tidescale_policy::Balancer;
+use tidescale_policy::host::{DecisionSink, EventSource};
+use tidescale_policy::types::{
+    AttemptOutcome, AttemptResult, Ballot, EndpointEntry, EndpointState, EvidenceTest,
+    IncomingRequest, LoadReport, RollbackVerdict, RolloutPhase, RolloutStatus, Timestamp, Vote,
+    VoteResult, whole_micros,
+};
+use tidescale_settings::{Fault, RawSettings, flag, micros, number};
 
 type List = Rc<Vec<String>>;
 
@@ -23,29 +29,33 @@
     (text != "-").then_some(text)
 }
 
-fn end(text: &str) -> Result<End, Fault> {
+fn end(text: &str) -> Result<AttemptOutcome, Fault> {
     Ok(match text {
-        "done" => End::Done,
-        "err" => End::Error,
-        "busy" => End::Full,
-        "etimedout" => End::TimedOut,
-        "econnrefused" => End::Refused,
-        "econnreset" => End::Reset,
-        "ecanceled" => End::Cancelled,
-        "skipped" => End::NotSent,
+        "done" => AttemptOutcome::Succeeded,
+        "err" => AttemptOutcome::Failed,
+        "busy" => AttemptOutcome::Overloaded,
+        "etimedout" => AttemptOutcome::TimedOut,
+        "econnrefused" => AttemptOutcome::Refused,
+        "econnreset" => AttemptOutcome::ConnectionReset,
+        "ecanceled" => AttemptOutcome::Cancelled,
+        "skipped" => AttemptOutcome::NotSent,
         _ => return Err(format!("unknown outcome: {text}")),
     })
 }
 
-fn load(text: &str) -> Result<Option<Load>, Fault> {
-    let Some(text) = present(text) else { return Ok(None) };
-    let mut load = Load::default();
+fn load(text: &str) -> Result<Option<LoadReport>, Fault> {
+    let Some(text) = present(text) else {
+        return Ok(None);
+    };
+    let mut load = LoadReport::default();
     for pair in text.split(',') {
-        let (name, value) = pair.split_once(':').ok_or_else(|| format!("not a load report: {text}"))?;
+        let (name, value) = pair
+            .split_once(':')
+            .ok_or_else(|| format!("not a load report: {text}"))?;
         let value: f64 = number(value)?;
         match name {
-            "inflight" => load.inflight = Some(value),
-            "queue" => load.queue = Some(value),
+            "inflight" => load.in_flight = Some(value),
+            "queue" => load.queued = Some(value),
             _ => {}
         }
     }
@@ -57,7 +67,9 @@
     let mut all = line.split(' ').skip(1);
     let mut got = [""; N];
     for slot in &mut got {
-        *slot = all.next().ok_or_else(|| format!("too few values: {line}"))?;
+        *slot = all
+            .next()
+            .ok_or_else(|| format!("too few values: {line}"))?;
     }
     match all.next() {
         Some(_) => Err(format!("too many values: {line}")),
@@ -66,12 +78,15 @@
 }
 
 /// The settings as the wire has them.
-fn pairs(text: &str) -> Result<Told, Fault> {
+fn pairs(text: &str) -> Result<RawSettings, Fault> {
     let pair = |p: &str| match p.split_once('=') {
         Some((path, value)) => Ok((path.to_string(), value.to_string())),
         None => Err(format!("not a setting: {p}")),
     };
-    text.split(' ').filter(|p| !p.is_empty()).map(pair).collect()
+    text.split(' ')
+        .filter(|p| !p.is_empty())
+        .map(pair)
+        .collect()
 }
 
 /// One instance in service, and how its names map to indices.
@@ -88,10 +103,10 @@
     fault: Option<Fault>,
 }
 
-impl Inbox for Lines<'_> {
-    fn replay(&mut self, to: &mut Balancer) {
+impl EventSource for Lines<'_> {
+    fn deliver(&mut self, policy: &mut Balancer) {
         for (line, rows) in self.lines {
-            if let Err(fault) = self.replay_line(line, rows.as_ref(), to) {
+            if let Err(fault) = self.deliver_line(line, rows.as_ref(), policy) {
                 self.fault = Some(fault);
                 return;
             }
@@ -101,32 +116,51 @@
 
 impl Lines<'_> {
     fn route(&self, name: &str) -> Result<usize, Fault> {
-        self.routes.iter().position(|r| r == name).ok_or_else(|| format!("unknown class: {name}"))
+        self.routes
+            .iter()
+            .position(|r| r == name)
+            .ok_or_else(|| format!("unknown class: {name}"))
     }
 
-    fn replay_line(&self, line: &str, rows: Option<&List>, to: &mut Balancer) -> Result<(), Fault> {
+    fn deliver_line(
+        &self,
+        line: &str,
+        rows: Option<&List>,
+        policy: &mut Balancer,
+    ) -> Result<(), Fault> {
         match line.split(' ').next().unwrap_or_default() {
             "ASK" => {
                 let [job, class, _team, key, left, hint, again, update] = parts(line)?;
                 let hint = present(hint).map(number).transpose()?;
                 flag(again)?;
                 flag(update)?;
-                let hint = hint.unwrap_or(0.0);
-                to.req(number(job)?, self.route(class)?, present(key), micros(left)?, hint);
+                let request = IncomingRequest {
+                    route: self.route(class)?,
+                    idempotency_key: present(key),
+                    time_remaining: Duration::from_micros(micros(left)?),
+                    cost_hint: hint,
+                };
+                policy.on_request(number(job)?, request);
             }
             "OUTCOME" => {
                 let [job, trial, _machine, rc, took, over, info] = parts(line)?;
                 let took = present(took).map_or(Ok(0), micros)?;
-                to.outcome(number(job)?, number(trial)?, end(rc)?, took, flag(over)?, load(info)?);
+                let result = AttemptResult {
+                    outcome: end(rc)?,
+                    duration: Duration::from_micros(took),
+                    request_finished: flag(over)?,
+                    load: load(info)?,
+                };
+                policy.on_attempt_result(number(job)?, number(trial)?, result);
             }
             "WITHDRAWN" => {
                 let [job] = parts(line)?;
-                to.withdrawn(number(job)?);
+                policy.on_client_disconnected(number(job)?);
             }
             "OPENED" => {
                 let [job, took, _machine, trial] = parts(line)?;
                 micros(took)?;
-                to.begun(number(job)?, number(trial)?);
+                policy.on_response_started(number(job)?, number(trial)?);
             }
             "WAKEUP" => {
                 let [token] = parts(line)?;
@@ -134,64 +168,80 @@
             }
             "ECHO" => {
                 let [machine, rc, _took, info] = parts(line)?;
-                to.probed(machine, end(rc)?, load(info)?);
+                policy.on_health_check(machine, end(rc)?, load(info)?);
             }
             "CONTESTED" => {
                 let [machine, class, since] = parts(line)?;
                 self.route(class)?;
-                to.flagged(machine, micros(since)?);
+                policy.on_answer_flagged(machine, Duration::from_micros(micros(since)?));
             }
             "PHASE_TOLD" => {
                 let [stage, rc, code, course, since, allowed, build] = parts(line)?;
                 let reply = number::<u8>(code)? == 1;
                 let answer = match rc {
-                    "done" => Answer::Counts,
-                    "skipped" => Answer::Moot,
-                    "busy" => Answer::Busy,
-                    "err" => Answer::Error,
-                    "etimedout" => Answer::Unknown,
+                    "done" => VoteResult::Accepted,
+                    "skipped" => VoteResult::Superseded,
+                    "busy" => VoteResult::Busy,
+                    "err" => VoteResult::Failed,
+                    "etimedout" => VoteResult::Unknown,
                     _ => return Err(format!("unknown answer to a vote: {rc}")),
                 };
                 if reply {
-                    to.answered(answer);
+                    policy.on_vote_result(answer);
                 }
-                if answer != Answer::Counts {
+                if answer != VoteResult::Accepted {
                     return Ok(());
                 }
                 let phase = match course {
-                    "0" => Phase::Trial,
-                    "1" => Phase::GoingBack,
-                    "2" => Phase::Released,
-                    "3" => Phase::Withdrawn,
+                    "0" => RolloutPhase::Canary,
+                    "1" => RolloutPhase::RollingBack,
+                    "2" => RolloutPhase::Released,
+                    "3" => RolloutPhase::Withdrawn,
                     _ => return Err(format!("unknown course: {course}")),
                 };
                 let (build, stage, cap) = (number(build)?, number(stage)?, number(allowed)?);
-                to.news(build, stage, phase, cap, micros(since)?);
+                let age = Duration::from_micros(micros(since)?);
+                policy.on_rollout_status(RolloutStatus {
+                    build,
+                    stage,
+                    phase,
+                    traffic_cap: cap,
+                    age,
+                });
             }
             "ROSTER_CHANGE" => {
                 let [how, revision, _list] = parts(line)?;
                 number::<u64>(revision)?;
                 if how == "2" {
-                    to.list_failed();
+                    policy.on_endpoint_list_failed();
                     return Ok(());
                 }
-                to.list(match how {
-                    "0" | "1" => true,
-                    "3" => false,
+                match how {
+                    "0" | "1" => policy.on_complete_endpoint_list(),
+                    "3" => {}
                     _ => return Err(format!("unknown kind of list: {how}")),
-                });
+                }
                 for row in rows.ok_or("a list that was never given")?.iter() {
                     let [machine, zone, ver, kind, cell, readiness, weight, since] = parts(row)?;
                     present(weight).map_or(Ok(0.0), number::<f64>)?;
                     let standing = match readiness {
-                        "0" => Standing::Gone,
-                        "1" => Standing::Ready,
-                        "2" => Standing::Draining,
+                        "0" => EndpointState::Removed,
+                        "1" => EndpointState::Ready,
+                        "2" => EndpointState::Draining,
                         _ => return Err(format!("unknown readiness: {row}")),
                     };
-                    let started = present(since).map_or(Ok(0), micros)?;
+                    let started_at = present(since).map(micros).transpose()?.filter(|at| *at > 0);
+                    let started_at = started_at.map(Timestamp::from_micros);
                     let cell = present(cell).map_or(Ok(0), number)?;
-                    to.machine(machine, (zone, cell, kind), number(ver)?, standing, started);
+                    policy.on_endpoint(EndpointEntry {
+                        name: machine,
+                        zone,
+                        cell,
+                        hardware_class: kind,
+                        build: number(ver)?,
+                        state: standing,
+                        started_at,
+                    });
                 }
             }
             "SCORECARD" => {
@@ -215,46 +265,62 @@
 /// Writes the decisions as lines; a time on the way back is cut, never rounded up past a limit.
 struct Reply<'a>(&'a mut String);
 
-fn ms(us: u64) -> f64 {
-    us as f64 / 1000.0
+fn ms(duration: Duration) -> f64 {
+    whole_micros(duration) as f64 / 1000.0
 }
 
-impl Writer for Reply<'_> {
-    fn upstream_try(&mut self, rq: u64, machine: &str, until: u64) {
-        let _ = writeln!(self.0, "SEND {rq} {machine} {}", ms(until));
+impl DecisionSink for Reply<'_> {
+    fn start_attempt(&mut self, request: u64, endpoint: &str, deadline: Timestamp) {
+        let _ = writeln!(
+            self.0,
+            "SEND {request} {endpoint} {}",
+            ms(deadline - Timestamp::ZERO)
+        );
     }
-    fn cancel_try(&mut self, rq: u64, n: usize) {
-        let _ = writeln!(self.0, "STOP_ATTEMPT {rq} {n}");
+    fn cancel_attempt(&mut self, request: u64, attempt_index: usize) {
+        let _ = writeln!(self.0, "STOP_ATTEMPT {request} {attempt_index}");
     }
-    fn shed(&mut self, rq: u64, come_back: u64) {
-        let _ = writeln!(self.0, "TURN_AWAY {rq} {}", ms(come_back));
+    fn reject_request(&mut self, request: u64, retry_after: Duration) {
+        let _ = writeln!(self.0, "TURN_AWAY {request} {}", ms(retry_after));
     }
-    fn error(&mut self, rq: u64) {
-        let _ = writeln!(self.0, "ERROR {rq}");
+    fn fail_request(&mut self, request: u64) {
+        let _ = writeln!(self.0, "ERROR {request}");
     }
-    fn vote(&mut self, build: u32, stage: u32, verdict: Verdict) {
-        let code = match verdict {
-            Verdict::None => 0,
-            Verdict::On => 1,
-            Verdict::Hold => 2,
-            Verdict::Back => 3,
+    fn cast_vote(&mut self, ballot: Ballot) {
+        let code = match ballot.vote {
+            Vote::Abstain => 0,
+            Vote::Advance => 1,
+            Vote::Hold => 2,
+            Vote::RollBack => 3,
         };
-        let _ = writeln!(self.0, "OPINION {build} {stage} {code}");
+        let _ = writeln!(self.0, "OPINION {} {} {code}", ballot.build, ballot.stage);
     }
-    fn probe(&mut self, machine: &str, _until: u64) {
-        let _ = writeln!(self.0, "HEALTH_CHECK {machine}");
+    fn start_health_check(&mut self, endpoint: &str, _deadline: Timestamp) {
+        let _ = writeln!(self.0, "HEALTH_CHECK {endpoint}");
     }
-    fn watch_list(&mut self) {
+    fn poll_endpoints(&mut self) {
         let _ = writeln!(self.0, "TAIL 1");
     }
-    fn wake(&mut self, after: u64) {
+    fn schedule_wake_up(&mut self, after: Duration) {
         let _ = writeln!(self.0, "SCHEDULE {} 0", ms(after));
     }
-    fn found(&mut self, f: &Finding) {
-        let Finding { build, test, new: [k, n], old: [l, m], .. } = f;
+    fn report_rollback_verdict(&mut self, verdict: &RollbackVerdict) {
+        let RollbackVerdict {
+            build,
+            candidate,
+            baseline,
+            ..
+        } = verdict;
+        let test = match verdict.test {
+            EvidenceTest::Failures => 0,
+            EvidenceTest::Slowness => 1,
+            EvidenceTest::Errors => 2,
+            EvidenceTest::FleetSlowdown => 3,
+        };
         let _ = writeln!(
             self.0,
-            "EMIT build {build} to go back: test {test}, new and old [{k:.1}, {n:.1}, {l:.1}, {m:.1}]"
+            "EMIT build {build} to go back: test {test}, new and old [{:.1}, {:.1}, {:.1}, {:.1}]",
+            candidate.failures, candidate.outcomes, baseline.failures, baseline.outcomes
         );
     }
 }
@@ -268,7 +334,9 @@
     loop {
         let mut next = |line: &mut String| -> Result<bool, Fault> {
             line.clear();
-            let n = input.read_line(line).map_err(|e| format!("cannot read: {e}"))?;
+            let n = input
+                .read_line(line)
+                .map_err(|e| format!("cannot read: {e}"))?;
             line.truncate(line.trim_end_matches(['\n', '\r']).len());
             Ok(n > 0)
         };
@@ -305,7 +373,8 @@
                     lists.insert(list, Rc::new(rows));
                 }
                 name => {
-                    let at = at.ok_or_else(|| format!("an event before any instance was named: {line}"))?;
+                    let at = at
+                        .ok_or_else(|| format!("an event before any instance was named: {line}"))?;
                     let lines = news.entry(at).or_default();
                     if name == "SPAWN" {
                         let mut parts = line.splitn(3, ' ').skip(1);
@@ -315,11 +384,13 @@
                         // What is due is seen in the very round; on sockets 50 ms are added to the slack.
                         let slack = told.time("rules.answer_slack")?;
                         if told.time("tick").is_ok_and(|tick| slack < tick) {
-                            return Err(format!("rules.answer_slack: {slack} us are less than a tick"));
+                            return Err(format!(
+                                "rules.answer_slack: {slack} us are less than a tick"
+                            ));
                         }
                         let settings = tidescale_settings::decode(&told)?;
                         let routes = settings.routes.iter().map(|r| r.name.clone()).collect();
-                        let module = Balancer::new(settings, seed, now);
+                        let module = Balancer::new(settings, seed, Timestamp::from_micros(now));
                         hosts.insert(at, Host { module, routes });
                         lines.clear();
                     } else if name == "DOWN" {
@@ -337,11 +408,21 @@
         }
         let mut reply = String::new();
         for (at, lines) in &news {
-            let Some(host) = hosts.get_mut(at) else { continue };
+            let Some(host) = hosts.get_mut(at) else {
+                continue;
+            };
             let _ = writeln!(reply, "INSTANCE {at}");
             let routes = &host.routes;
-            let mut inbox = Lines { lines, routes, fault: None };
-            host.module.round(now, &mut inbox, &mut Reply(&mut reply));
+            let mut inbox = Lines {
+                lines,
+                routes,
+                fault: None,
+            };
+            host.module.step(
+                Timestamp::from_micros(now),
+                &mut inbox,
+                &mut Reply(&mut reply),
+            );
             if let Some(fault) = inbox.fault {
                 return Err(fault);
             }
--- a/crates/simulator-adapter/tests/input.rs
+++ b/crates/simulator-adapter/tests/input.rs
@@ -20,7 +20,11 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    host.stdin.take().unwrap().write_all(lines.as_bytes()).unwrap();
+    host.stdin
+        .take()
+        .unwrap()
+        .write_all(lines.as_bytes())
+        .unwrap();
     let done = host.wait_with_output().unwrap();
     let [reply, complaint] = [done.stdout, done.stderr].map(|b| String::from_utf8(b).unwrap());
     (done.status.success(), reply, complaint)
@@ -36,21 +40,36 @@
         ("ASK 1 look - - soon - 0 0", "not a time: soon"),
         ("ASK 1 other - - 900.0 - 0 0", "unknown class: other"),
         ("ROSTER_CHANGE 0 1 3", "a list that was never given"),
-        ("INVENTORY 0 2\nROW m1 z1 1 k 0 1 1 -", "a list is shorter than told"),
+        (
+            "INVENTORY 0 2\nROW m1 z1 1 k 0 1 1 -",
+            "a list is shorter than told",
+        ),
     ];
     for (lines, wanted) in table {
-        let (ok, _, complaint) = run(&format!("MARK 1.0 1\nAT 0\n{START}\n{lines}\nOVER_TO_YOU\n"));
-        assert!(!ok && complaint.lines().count() == 1 && complaint.contains(wanted), "{lines}: {complaint}");
+        let (ok, _, complaint) = run(&format!(
+            "MARK 1.0 1\nAT 0\n{START}\n{lines}\nOVER_TO_YOU\n"
+        ));
+        assert!(
+            !ok && complaint.lines().count() == 1 && complaint.contains(wanted),
+            "{lines}: {complaint}"
+        );
     }
 }
 
 #[test]
 fn news_of_what_is_not_known_is_ignored() {
-    for line in
-        ["OUTCOME 9 0 m9 done 18.5 1 -", "WITHDRAWN 9", "ECHO m9 done 1.0 -", "CONTESTED m9 look 900.0"]
-    {
-        let (ok, reply, complaint) = run(&format!("MARK 1.0 1\nAT 0\n{START}\n{line}\nOVER_TO_YOU\n"));
-        assert!(ok && reply.ends_with("ACK 1\n") && complaint.is_empty(), "{line}: {reply}{complaint}");
+    for line in [
+        "OUTCOME 9 0 m9 done 18.5 1 -",
+        "WITHDRAWN 9",
+        "ECHO m9 done 1.0 -",
+        "CONTESTED m9 look 900.0",
+    ] {
+        let (ok, reply, complaint) =
+            run(&format!("MARK 1.0 1\nAT 0\n{START}\n{line}\nOVER_TO_YOU\n"));
+        assert!(
+            ok && reply.ends_with("ACK 1\n") && complaint.is_empty(),
+            "{line}: {reply}{complaint}"
+        );
     }
 }
 
@@ -58,22 +77,61 @@
 fn a_setting_that_cannot_be_kept_is_refused_by_its_name() {
     // What is told in place of another, and what the complaint names.
     let table = [
-        (" policy_limits.second_copies=true", "", "a setting is missing: policy_limits.second_copies"),
-        ("slack=20.0", "slack=0.5 tick=1.0", "rules.answer_slack: 500 us are less than a tick"),
-        ("mode=push", "mode=gossip", "membership_mode: unknown word: gossip"),
-        ("mode=push", "mode=ask", "a setting is missing: rules.must_ask_in"),
-        ("counted_by=all", "counted_by=tenant", "family_info.counted_by: unknown word: tenant"),
-        ("automatic", "later", "family_info.gate_mode: unknown word: later"),
-        ("cap=0.1,1.0", "cap=0.1,1.5", "family_info.stage_cap: out of range: 0.1,1.5"),
-        ("cold_from=0.3", "cold_from=-0.3", "rules.cold_from: out of range: -0.3"),
-        ("max_attempts=3", "max_attempts=0", "policy_limits.max_attempts: out of range: 0"),
+        (
+            " policy_limits.second_copies=true",
+            "",
+            "a setting is missing: policy_limits.second_copies",
+        ),
+        (
+            "slack=20.0",
+            "slack=0.5 tick=1.0",
+            "rules.answer_slack: 500 us are less than a tick",
+        ),
+        (
+            "mode=push",
+            "mode=gossip",
+            "membership_mode: unknown word: gossip",
+        ),
+        (
+            "mode=push",
+            "mode=ask",
+            "a setting is missing: rules.must_ask_in",
+        ),
+        (
+            "counted_by=all",
+            "counted_by=tenant",
+            "family_info.counted_by: unknown word: tenant",
+        ),
+        (
+            "automatic",
+            "later",
+            "family_info.gate_mode: unknown word: later",
+        ),
+        (
+            "cap=0.1,1.0",
+            "cap=0.1,1.5",
+            "family_info.stage_cap: out of range: 0.1,1.5",
+        ),
+        (
+            "cold_from=0.3",
+            "cold_from=-0.3",
+            "rules.cold_from: out of range: -0.3",
+        ),
+        (
+            "max_attempts=3",
+            "max_attempts=0",
+            "policy_limits.max_attempts: out of range: 0",
+        ),
         ("me=0", "me=1", "me: out of range: 1"),
     ];
     for (told, instead, wanted) in table {
         let start = START.replace(told, instead);
         assert_ne!(start, START, "{told}");
         let (ok, _, complaint) = run(&format!("MARK 1.0 1\nAT 0\n{start}\nOVER_TO_YOU\n"));
-        assert!(!ok && complaint.lines().count() == 1 && complaint.contains(wanted), "{told}: {complaint}");
+        assert!(
+            !ok && complaint.lines().count() == 1 && complaint.contains(wanted),
+            "{told}: {complaint}"
+        );
     }
 }
 
@@ -96,6 +154,10 @@
         }
         let (ok, reply, complaint) = run(&lines);
         assert!(ok, "{complaint}");
-        assert_eq!(reply.lines().filter(|l| l.starts_with("SEND 900 ")).count(), wanted, "{told}");
+        assert_eq!(
+            reply.lines().filter(|l| l.starts_with("SEND 900 ")).count(),
+            wanted,
+            "{told}"
+        );
     }
 }
--- a/crates/snapshot/src/disk.rs
+++ b/crates/snapshot/src/disk.rs
@@ -55,8 +55,13 @@
         if !path.is_dir() {
             fs::create_dir_all(path).map_err(NoFolder::Io)?;
             // Its own name must outlive a loss of power, or all that is kept in it goes too.
-            let parent = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-            File::open(parent).and_then(|p| p.sync_all()).map_err(NoFolder::Io)?;
+            let parent = path
+                .parent()
+                .filter(|p| !p.as_os_str().is_empty())
+                .unwrap_or(Path::new("."));
+            File::open(parent)
+                .and_then(|p| p.sync_all())
+                .map_err(NoFolder::Io)?;
         }
         let lock = OpenOptions::new()
             .write(true)
@@ -69,23 +74,35 @@
             Err(fs::TryLockError::WouldBlock) => return Err(NoFolder::Held),
             Err(fs::TryLockError::Error(e)) => return Err(NoFolder::Io(e)),
         }
-        Ok(Folder { path: path.into(), open: BTreeMap::new(), _lock: Some(lock) })
+        Ok(Folder {
+            path: path.into(),
+            open: BTreeMap::new(),
+            _lock: Some(lock),
+        })
     }
 
     /// For a look only, whoever holds it.
     pub fn look(path: &Path) -> Folder {
-        Folder { path: path.into(), open: BTreeMap::new(), _lock: None }
+        Folder {
+            path: path.into(),
+            open: BTreeMap::new(),
+            _lock: None,
+        }
     }
 
     fn file(&mut self, name: &str) -> io::Result<&mut File> {
-        self.open.get_mut(name).ok_or_else(|| ErrorKind::NotFound.into())
+        self.open
+            .get_mut(name)
+            .ok_or_else(|| ErrorKind::NotFound.into())
     }
 }
 
 impl Disk for Folder {
     fn read(&mut self, name: &str, most: usize) -> io::Result<Vec<u8>> {
         let mut bytes = Vec::new();
-        File::open(self.path.join(name))?.take(most as u64 + 1).read_to_end(&mut bytes)?;
+        File::open(self.path.join(name))?
+            .take(most as u64 + 1)
+            .read_to_end(&mut bytes)?;
         Ok(bytes)
     }
     fn create(&mut self, name: &str) -> io::Result<()> {
--- a/crates/snapshot/src/expiry.rs
+++ b/crates/snapshot/src/expiry.rs
@@ -28,7 +28,11 @@
 
 /// Compares what was seen with what the list says now of the same id.
 pub fn listed(seen: &Process, now: Option<&Process>) -> Listed {
-    if now == Some(seen) { Listed::Same } else { Listed::Other }
+    if now == Some(seen) {
+        Listed::Same
+    } else {
+        Listed::Other
+    }
 }
 
 /// Half-life and longest age of a kind of fact.
@@ -39,7 +43,10 @@
 }
 
 const fn halving(seconds: u64) -> Life {
-    Life { half: seconds * SECOND, most: LIVES * seconds * SECOND }
+    Life {
+        half: seconds * SECOND,
+        most: LIVES * seconds * SECOND,
+    }
 }
 
 /// Of suspicion the half-lives are short, of what a fleet is like they are long; what binds does not fade, but ends.
@@ -47,18 +54,31 @@
     match fact {
         Fact::Machine(_) => halving(10),
         Fact::Evidence(_) => halving(15),
-        Fact::Condemned(_) => Life { half: 60 * SECOND, most: 60 * SECOND },
+        Fact::Condemned(_) => Life {
+            half: 60 * SECOND,
+            most: 60 * SECOND,
+        },
         Fact::Calm(_) | Fact::Zones(_) => halving(60),
         Fact::Kind(_) | Fact::Route(_) => halving(600),
-        Fact::Key(_) => Life { half: u64::MAX, most: 3600 * SECOND },
-        Fact::Listed(_) | Fact::News(_) => Life { half: 3600 * SECOND, most: 30 * 24 * 3600 * SECOND },
+        Fact::Key(_) => Life {
+            half: u64::MAX,
+            most: 3600 * SECOND,
+        },
+        Fact::Listed(_) | Fact::News(_) => Life {
+            half: 3600 * SECOND,
+            most: 30 * 24 * 3600 * SECOND,
+        },
     }
 }
 
 /// How long ago; none for what can't be: seen later than now, by more than clocks differ. A leap ahead only makes a
 /// fact older.
 pub fn age(seen: u64, now: u64) -> Option<u64> {
-    if seen > now.saturating_add(SLACK) { None } else { Some(now.saturating_sub(seen)) }
+    if seen > now.saturating_add(SLACK) {
+        None
+    } else {
+        Some(now.saturating_sub(seen))
+    }
 }
 
 /// From 1 for what was just seen down to 0 for what is over.
@@ -90,7 +110,10 @@
     if listed == Listed::Other || weight == 0.0 {
         return None;
     }
-    Some(MachineNow { pace: cut(fact.pace, PACE_ANSWERS, weight), aside: fact.aside && weight >= 0.5 })
+    Some(MachineNow {
+        pace: cut(fact.pace, PACE_ANSWERS, weight),
+        aside: fact.aside && weight >= 0.5,
+    })
 }
 
 /// Load, pace and usual pace of a kind.
@@ -104,7 +127,11 @@
 pub fn kind(fact: &KindFact, now: u64) -> KindNow {
     let weight = weight(&Fact::Kind(fact.clone()), now);
     // What machines held then tells nothing of now but for a few seconds.
-    let fresh = if age(fact.seen, now).is_some_and(|a| a < 5 * SECOND) { weight } else { 0.0 };
+    let fresh = if age(fact.seen, now).is_some_and(|a| a < 5 * SECOND) {
+        weight
+    } else {
+        0.0
+    };
     KindNow {
         load: cut(fact.load, KIND_ANSWERS, fresh),
         pace: cut(fact.pace, KIND_ANSWERS, weight),
@@ -113,7 +140,11 @@
 }
 
 pub fn route(fact: &RouteFact, now: u64) -> Option<[f64; 3]> {
-    cut(fact.usual, USUAL_ANSWERS, weight(&Fact::Route(fact.clone()), now))
+    cut(
+        fact.usual,
+        USUAL_ANSWERS,
+        weight(&Fact::Route(fact.clone()), now),
+    )
 }
 
 /// Outcomes and hits by test, faded from when they were seen; the module bounds what they may do to a verdict.
--- a/crates/snapshot/src/format.rs
+++ b/crates/snapshot/src/format.rs
@@ -158,7 +158,10 @@
 }
 
 fn number<const N: usize>(bytes: &[u8], at: usize) -> Result<[u8; N], Unfit> {
-    bytes.get(at..at + N).and_then(|b| b.try_into().ok()).ok_or(Unfit::Torn)
+    bytes
+        .get(at..at + N)
+        .and_then(|b| b.try_into().ok())
+        .ok_or(Unfit::Torn)
 }
 
 /// The state of a whole file.
@@ -170,7 +173,11 @@
         return Err(Unfit::TooLong);
     }
     if !bytes.starts_with(MAGIC) {
-        return Err(if MAGIC.starts_with(bytes) { Unfit::Torn } else { Unfit::NotOurs });
+        return Err(if MAGIC.starts_with(bytes) {
+            Unfit::Torn
+        } else {
+            Unfit::NotOurs
+        });
     }
     let version = u32::from_be_bytes(number(bytes, 8)?);
     // A newer version may mean anything by what follows, its checksum too.
@@ -206,7 +213,11 @@
         }
         at = end;
     }
-    if at == bytes.len() { Ok(image) } else { Err(Unfit::Record) }
+    if at == bytes.len() {
+        Ok(image)
+    } else {
+        Err(Unfit::Record)
+    }
 }
 
 /// Brings an older version's state to this one's meaning, a step for each version.
--- a/crates/snapshot/src/rate_limit.rs
+++ b/crates/snapshot/src/rate_limit.rs
@@ -11,11 +11,18 @@
 
 impl Budget {
     pub fn new(a_second: f64, now: u64) -> Budget {
-        Budget { a_second, has: a_second, at: now }
+        Budget {
+            a_second,
+            has: a_second,
+            at: now,
+        }
     }
     fn read(&mut self, now: u64) -> f64 {
         let passed = now.saturating_sub(self.at) as f64 / 1e6;
-        (self.has, self.at) = ((self.has + passed * self.a_second).min(self.a_second), now.max(self.at));
+        (self.has, self.at) = (
+            (self.has + passed * self.a_second).min(self.a_second),
+            now.max(self.at),
+        );
         self.has
     }
     fn spend(&mut self, what: f64, now: u64) {
@@ -24,7 +31,11 @@
     /// How long until there is something again.
     fn wait(&mut self, now: u64) -> u64 {
         let missing = -self.read(now);
-        if missing < 0.0 { 0 } else { (missing / self.a_second.max(1e-9) * 1e6).min(1e12) as u64 + 1 }
+        if missing < 0.0 {
+            0
+        } else {
+            (missing / self.a_second.max(1e-9) * 1e6).min(1e12) as u64 + 1
+        }
     }
 }
 
@@ -45,12 +56,20 @@
 impl Schedule {
     /// `time`: microseconds a second; `bytes`: a second.
     pub fn new(time: f64, bytes: f64, now: u64) -> Schedule {
-        Schedule { jobs: Vec::new(), time: Budget::new(time, now), bytes: Budget::new(bytes, now) }
+        Schedule {
+            jobs: Vec::new(),
+            time: Budget::new(time, now),
+            bytes: Budget::new(bytes, now),
+        }
     }
 
     /// Due for the first time after `first`, then each `every` from its last end on.
     pub fn add(&mut self, priority: u8, first: u64, every: u64) -> usize {
-        self.jobs.push(Job { priority, every, due: first });
+        self.jobs.push(Job {
+            priority,
+            every,
+            due: first,
+        });
         self.jobs.len() - 1
     }
 
@@ -60,7 +79,8 @@
             return None;
         }
         let due = self.jobs.iter().enumerate().filter(|(_, j)| j.due <= now);
-        due.max_by_key(|(n, j)| (j.priority, std::cmp::Reverse((j.due, *n)))).map(|(n, _)| n)
+        due.max_by_key(|(n, j)| (j.priority, std::cmp::Reverse((j.due, *n))))
+            .map(|(n, _)| n)
     }
 
     pub fn spent(&mut self, time: u64, bytes: usize, now: u64) {
--- a/crates/snapshot/src/records.rs
+++ b/crates/snapshot/src/records.rs
@@ -147,7 +147,10 @@
     /// The fact's kind in a word, and what it speaks of.
     pub fn subject(&self) -> (&'static str, String) {
         match self {
-            Fact::Machine(f) => ("machine", format!("{} build {}", f.process.id, f.process.build)),
+            Fact::Machine(f) => (
+                "machine",
+                format!("{} build {}", f.process.id, f.process.build),
+            ),
             Fact::Kind(f) => ("kind", f.kind.clone()),
             Fact::Route(f) if f.route.is_empty() => ("route", "all".into()),
             Fact::Route(f) => ("route", f.route.clone()),
--- a/crates/snapshot/src/simulated_disk.rs
+++ b/crates/snapshot/src/simulated_disk.rs
@@ -83,11 +83,19 @@
             return Err(power());
         }
         self.steps += 1;
-        let fault = self.faults.then(|| self.rng.rand_u64()).filter(|r| r % FAULTS == 0).map(|r| r / FAULTS);
+        let fault = self
+            .faults
+            .then(|| self.rng.rand_u64())
+            .filter(|r| r % FAULTS == 0)
+            .map(|r| r / FAULTS);
         if self.fails_at == Some(self.steps) {
             self.lost = true;
             // What was under way may still have come through.
-            return if self.rng.rand_u64().is_multiple_of(2) { Ok(None) } else { Err(power()) };
+            return if self.rng.rand_u64().is_multiple_of(2) {
+                Ok(None)
+            } else {
+                Err(power())
+            };
         }
         Ok(fault)
     }
@@ -128,7 +136,11 @@
                 left.resize(left.len().max(to), 0);
                 left[from..to].copy_from_slice(&c.seen[from..to]);
             }
-            *c = Content { safe: left.clone(), seen: left, ..Content::default() };
+            *c = Content {
+                safe: left.clone(),
+                seen: left,
+                ..Content::default()
+            };
         }
         let named: Vec<usize> = self.safe_names.values().copied().collect();
         if self.pretence == Pretence::Rot && !named.is_empty() {
@@ -143,9 +155,22 @@
         let names = self.safe_names.clone();
         let (safe_names, changes, lost) = (self.safe_names, Vec::new(), false);
         // Two generations stand one bit gone bad, not one in each.
-        let pretence = Some(self.pretence).filter(|p| *p != Pretence::Rot).unwrap_or_default();
+        let pretence = Some(self.pretence)
+            .filter(|p| *p != Pretence::Rot)
+            .unwrap_or_default();
         let (rng, faults) = (Rand64::new(u128::from(seed)), self.faults);
-        Model { contents, names, safe_names, changes, rng, faults, pretence, steps: 0, fails_at, lost }
+        Model {
+            contents,
+            names,
+            safe_names,
+            changes,
+            rng,
+            faults,
+            pretence,
+            steps: 0,
+            fails_at,
+            lost,
+        }
     }
 }
 
@@ -240,7 +265,13 @@
 pub fn state(number: u64) -> Vec<Fact> {
     let mut rng = Rand64::new(u128::from(number));
     let facts = 1 + rng.rand_u64() % 60;
-    let key = |_| Fact::Key(KeyFact { seen: number, key: format!("{:016x}", rng.rand_u64()), build: 1 });
+    let key = |_| {
+        Fact::Key(KeyFact {
+            seen: number,
+            key: format!("{:016x}", rng.rand_u64()),
+            build: 1,
+        })
+    };
     (0..facts).map(key).collect()
 }
 
@@ -284,11 +315,18 @@
     fn check(&self, image: Option<&Image>) -> Result<u64, String> {
         let least = if self.rots { self.before } else { self.saved };
         let Some(image) = image else {
-            return if least == 0 { Ok(0) } else { Err(format!("state {least} is lost")) };
+            return if least == 0 {
+                Ok(0)
+            } else {
+                Err(format!("state {least} is lost"))
+            };
         };
         let number = image.written;
         if !(least.max(1)..=self.begun).contains(&number) {
-            return Err(format!("state {number} where {} was saved last", self.saved));
+            return Err(format!(
+                "state {number} where {} was saved last",
+                self.saved
+            ));
         }
         if image.facts != state(number) {
             return Err(format!("state {number} is a mixture"));
@@ -335,7 +373,10 @@
     loop {
         at += 1;
         let fault = |why: String| format!("seed {seed}, power lost at step {at}: {why}");
-        let mut known = Known { rots: pretence == Pretence::Rot, ..Known::default() };
+        let mut known = Known {
+            rots: pretence == Pretence::Rot,
+            ..Known::default()
+        };
         let disk = Model::new(seed, faults, pretence, Some(at));
         let disk = life(disk, decode, saves, &mut known, &mut seen).map_err(fault)?;
         let ended = !disk.lost;
@@ -357,5 +398,9 @@
 
 /// A reader that looks at the header alone, as one would that trusts its checksum with no more: to be caught.
 pub fn trusting(bytes: &[u8]) -> Result<Image, Unfit> {
-    if bytes.len() < crate::format::HEADER { Err(Unfit::Torn) } else { crate::format::records(bytes) }
+    if bytes.len() < crate::format::HEADER {
+        Err(Unfit::Torn)
+    } else {
+        crate::format::records(bytes)
+    }
 }
--- a/crates/snapshot/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -51,28 +51,47 @@
             match read {
                 Ok(image) => {
                     sequences[slot] = image.sequence;
-                    if opened.image.as_ref().is_none_or(|best| image.sequence > best.sequence) {
+                    if opened
+                        .image
+                        .as_ref()
+                        .is_none_or(|best| image.sequence > best.sequence)
+                    {
                         opened.image = Some(image);
                     }
                 }
                 Err((word, why)) => {
                     let kept = set_aside(&mut disk, name, word);
-                    let kept = kept.map_or_else(|e| format!("left where it is, {e}"), |n| format!("now {n}"));
-                    opened.notes.push(format!("{name} is not read: {why}; {kept}"));
+                    let kept = kept
+                        .map_or_else(|e| format!("left where it is, {e}"), |n| format!("now {n}"));
+                    opened
+                        .notes
+                        .push(format!("{name} is not read: {why}; {kept}"));
                 }
             }
         }
         // Broken off before it took a slot: never complete, as far as anyone was told.
         let _ = disk.remove(NEW);
         let next = usize::from(sequences[0] > sequences[1]);
-        (Store { disk, next, sequence: sequences[0].max(sequences[1]) }, opened)
+        (
+            Store {
+                disk,
+                next,
+                sequence: sequences[0].max(sequences[1]),
+            },
+            opened,
+        )
     }
 
     /// Once this returns without a fault, the state outlives a loss of power; after a fault the last one still does.
     pub fn save(&mut self, written: u64, facts: Vec<Fact>) -> io::Result<usize> {
         // One that failed may be on the disk all the same: its number is not used again.
         self.sequence += 1;
-        let bytes = format::encode(&Image { sequence: self.sequence, written, facts, unknown: 0 });
+        let bytes = format::encode(&Image {
+            sequence: self.sequence,
+            written,
+            facts,
+            unknown: 0,
+        });
         let done = self.write(&bytes).and_then(|()| {
             self.disk.rename(NEW, SLOTS[self.next])?;
             self.disk.sync_names()
@@ -93,7 +112,9 @@
         while done.is_ok() && !rest.is_empty() {
             match self.disk.write(NEW, rest) {
                 Ok(n) => (rest, interrupted) = (&rest[n..], 0),
-                Err(e) if e.kind() == ErrorKind::Interrupted && interrupted < PATIENCE => interrupted += 1,
+                Err(e) if e.kind() == ErrorKind::Interrupted && interrupted < PATIENCE => {
+                    interrupted += 1
+                }
                 Err(e) => done = Err(e),
             }
         }
@@ -114,8 +135,15 @@
 /// Keeps a file that can't be used under another name, and only so many of them.
 fn set_aside<D: Disk>(disk: &mut D, name: &str, word: &str) -> io::Result<String> {
     let names = disk.names()?;
-    let number = |n: &str| n.strip_prefix(ASIDE)?.split('.').next()?.parse::<u64>().ok();
-    let mut kept: Vec<(u64, &String)> = names.iter().filter_map(|n| Some((number(n)?, n))).collect();
+    let number = |n: &str| {
+        n.strip_prefix(ASIDE)?
+            .split('.')
+            .next()?
+            .parse::<u64>()
+            .ok()
+    };
+    let mut kept: Vec<(u64, &String)> =
+        names.iter().filter_map(|n| Some((number(n)?, n))).collect();
     kept.sort_unstable();
     let to = format!("{ASIDE}{}.{word}", kept.last().map_or(1, |(n, _)| n + 1));
     let over = (kept.len() + 1).saturating_sub(MOST_ASIDE);
@@ -149,7 +177,12 @@
             Err(e) => opened.notes.push(format!("{name}: {e}")),
             Ok(bytes) => match format::decode(&bytes) {
                 Err(unfit) => opened.notes.push(format!("{name}: {unfit}")),
-                Ok(image) if opened.image.as_ref().is_none_or(|best| image.sequence > best.sequence) => {
+                Ok(image)
+                    if opened
+                        .image
+                        .as_ref()
+                        .is_none_or(|best| image.sequence > best.sequence) =>
+                {
                     opened.image = Some(image);
                 }
                 Ok(_) => {}
--- a/crates/snapshot/tests/common/mod.rs
+++ b/crates/snapshot/tests/common/mod.rs
@@ -17,26 +17,50 @@
 
 /// A path at which nothing is yet.
 pub fn folder(name: &str) -> (PathBuf, Guard) {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+    let path =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
     let guard = Guard(path.clone());
     let _ = std::fs::remove_dir_all(&path);
     (path, guard)
 }
 
 pub fn process(id: &str, build: u32, started: u64) -> Process {
-    Process { id: id.into(), addr: "127.0.0.1:5432".into(), build, started }
+    Process {
+        id: id.into(),
+        addr: "127.0.0.1:5432".into(),
+        build,
+        started,
+    }
 }
 
 pub fn machine_fact(seen: u64, pace: [f64; 2], aside: bool) -> MachineFact {
     let process = process("m1", 7, 5);
-    MachineFact { seen, process, kind: "k".into(), pace, load: (3.0, seen), aside }
+    MachineFact {
+        seen,
+        process,
+        kind: "k".into(),
+        pace,
+        load: (3.0, seen),
+        aside,
+    }
 }
 
 pub fn image_of_all_kinds() -> Image {
     let seen = 1_700_000_000_000_000;
     let facts = vec![
-        Fact::News(NewsFact { seen, build: 7, stage: 1, phase: "trial".into(), cap: 0.25, since: 9 }),
-        Fact::Key(KeyFact { seen, key: "k1".into(), build: 7 }),
+        Fact::News(NewsFact {
+            seen,
+            build: 7,
+            stage: 1,
+            phase: "trial".into(),
+            cap: 0.25,
+            since: 9,
+        }),
+        Fact::Key(KeyFact {
+            seen,
+            key: "k1".into(),
+            build: 7,
+        }),
         Fact::Condemned(CondemnedFact { seen, build: 6 }),
         Fact::Machine(machine_fact(seen, [8.5, 4.0], true)),
         Fact::Kind(KindFact {
@@ -46,7 +70,11 @@
             pace: [1.0, 1.5],
             usual: [1.0, 2.0, 3.0],
         }),
-        Fact::Route(RouteFact { seen, route: "look".into(), usual: [9000.0, 4.0, 4.0] }),
+        Fact::Route(RouteFact {
+            seen,
+            route: "look".into(),
+            usual: [9000.0, 4.0, 4.0],
+        }),
         Fact::Evidence(EvidenceFact {
             seen,
             process: process("m1", 7, 5),
@@ -62,7 +90,10 @@
             machines: 9,
             sends: 80.0,
         }),
-        Fact::Zones(ZonesFact { seen, paces: [[1.0, 2.0], [3.0, 4.0]] }),
+        Fact::Zones(ZonesFact {
+            seen,
+            paces: [[1.0, 2.0], [3.0, 4.0]],
+        }),
         Fact::Listed(ListedFact {
             seen,
             version: 41,
@@ -73,5 +104,10 @@
             state: "leaving".into(),
         }),
     ];
-    Image { sequence: 5, written: seen + 1, facts, unknown: 0 }
+    Image {
+        sequence: 5,
+        written: seen + 1,
+        facts,
+        unknown: 0,
+    }
 }
--- a/crates/snapshot/tests/expiry.rs
+++ b/crates/snapshot/tests/expiry.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{machine_fact, process};
-use tidescale_snapshot::expiry::{self, Listed, PACE_ANSWERS, USUAL_ANSWERS, age, life, listed, weight};
+use tidescale_snapshot::expiry::{
+    self, Listed, PACE_ANSWERS, USUAL_ANSWERS, age, life, listed, weight,
+};
 use tidescale_snapshot::rate_limit::Schedule;
 use tidescale_snapshot::records::*;
 
@@ -18,7 +20,11 @@
         let mut last = 1.0;
         for passed in (0..40 * 24 * 60).map(|minutes| minutes * 60 * SECOND) {
             let now = weight(&fact, seen + passed);
-            assert!((0.0..=last).contains(&now), "{:?} after {passed}", fact.subject());
+            assert!(
+                (0.0..=last).contains(&now),
+                "{:?} after {passed}",
+                fact.subject()
+            );
             last = now;
         }
         assert_eq!(last, 0.0, "{:?} is immortal", fact.subject());
@@ -43,7 +49,11 @@
         assert_eq!(age(seen, NOW), wanted, "{seen}");
         let fact = Fact::Machine(machine_fact(seen, [8.0, 4.0], true));
         let counts = weight(&fact, NOW) > 0.0;
-        assert_eq!(counts, wanted.is_some_and(|age| age < 80 * SECOND), "{seen}");
+        assert_eq!(
+            counts,
+            wanted.is_some_and(|age| age < 80 * SECOND),
+            "{seen}"
+        );
     }
 }
 
@@ -59,7 +69,10 @@
         (Some(seen.clone()), Listed::Same),
         (Some(other(|p| p.build = 8)), Listed::Other),
         (Some(other(|p| p.started = 6)), Listed::Other),
-        (Some(other(|p| p.addr = "127.0.0.2:5432".into())), Listed::Other),
+        (
+            Some(other(|p| p.addr = "127.0.0.2:5432".into())),
+            Listed::Other,
+        ),
         (None, Listed::Other),
     ];
     for (now, wanted) in table {
@@ -83,43 +96,88 @@
         let fact = machine_fact(NOW - passed * SECOND, [5.0 * answers, answers], true);
         let told = expiry::machine(&fact, NOW, Listed::Same).unwrap();
         let [sum, n] = told.pace.unwrap();
-        assert!((n - wanted).abs() < 0.01 && (sum / n - 5.0).abs() < 1e-9, "{answers} {passed}: {n}");
+        assert!(
+            (n - wanted).abs() < 0.01 && (sum / n - 5.0).abs() < 1e-9,
+            "{answers} {passed}: {n}"
+        );
         assert_eq!(told.aside, aside, "{passed}");
     }
-    assert_eq!(expiry::machine(&machine_fact(NOW - 80 * SECOND, [8.0, 4.0], true), NOW, Listed::Same), None);
+    assert_eq!(
+        expiry::machine(
+            &machine_fact(NOW - 80 * SECOND, [8.0, 4.0], true),
+            NOW,
+            Listed::Same
+        ),
+        None
+    );
 }
 
 #[test]
 fn what_makes_no_sense_tells_nothing() {
-    for pace in [[f64::NAN, 4.0], [f64::INFINITY, 4.0], [-1.0, 4.0], [1.0, 0.0], [1.0, -2.0]] {
+    for pace in [
+        [f64::NAN, 4.0],
+        [f64::INFINITY, 4.0],
+        [-1.0, 4.0],
+        [1.0, 0.0],
+        [1.0, -2.0],
+    ] {
         let told = expiry::machine(&machine_fact(NOW, pace, false), NOW, Listed::Same).unwrap();
         assert_eq!(told.pace, None, "{pace:?}");
     }
     let evidence = |all: Vec<f64>, hits: Vec<f64>| {
-        let fact = EvidenceFact { seen: NOW, process: process("m1", 7, 5), build: 7, all, hits };
+        let fact = EvidenceFact {
+            seen: NOW,
+            process: process("m1", 7, 5),
+            build: 7,
+            all,
+            hits,
+        };
         expiry::evidence(&fact, NOW, Listed::Same)
     };
     assert!(evidence(vec![4.0], vec![1.0]).is_some());
-    for (all, hits) in [(vec![4.0], vec![9.0]), (vec![f64::NAN], vec![0.0]), (vec![4.0], vec![])] {
+    for (all, hits) in [
+        (vec![4.0], vec![9.0]),
+        (vec![f64::NAN], vec![0.0]),
+        (vec![4.0], vec![]),
+    ] {
         assert!(evidence(all, hits).is_none());
     }
-    let route = RouteFact { seen: NOW, route: "look".into(), usual: [9e6, 1e4, 1e4] };
+    let route = RouteFact {
+        seen: NOW,
+        route: "look".into(),
+        usual: [9e6, 1e4, 1e4],
+    };
     assert_eq!(expiry::route(&route, NOW).unwrap()[2], USUAL_ANSWERS);
 }
 
 #[test]
 fn what_is_seen_ten_times_ages_from_when_it_was_seen() {
     // Ten restarts a second apart, each writing what it read: the tenth counts no more than one read ten seconds on.
-    let seen =
-        EvidenceFact { seen: NOW, process: process("m1", 7, 5), build: 7, all: vec![40.0], hits: vec![10.0] };
+    let seen = EvidenceFact {
+        seen: NOW,
+        process: process("m1", 7, 5),
+        build: 7,
+        all: vec![40.0],
+        hits: vec![10.0],
+    };
     let mut kept = seen.clone();
     for n in 1..=10 {
         let now = NOW + n * SECOND;
         let (all, hits) = expiry::evidence(&kept, now, Listed::Same).unwrap();
-        kept = EvidenceFact { seen: now, all, hits, ..kept };
+        kept = EvidenceFact {
+            seen: now,
+            all,
+            hits,
+            ..kept
+        };
     }
     let (once, _) = expiry::evidence(&seen, NOW + 10 * SECOND, Listed::Same).unwrap();
-    assert!((kept.all[0] - once[0]).abs() < 1e-6, "{} {}", kept.all[0], once[0]);
+    assert!(
+        (kept.all[0] - once[0]).abs() < 1e-6,
+        "{} {}",
+        kept.all[0],
+        once[0]
+    );
 }
 
 #[test]
