--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -186,8 +186,3 @@
     let age = Duration::from_micros(micros);
     policy.on_rollout_status(RolloutStatus { build, stage, phase, traffic_cap, age });
 }
-
-/// A complaint of an answer given so many microseconds ago.
-pub fn flagged(policy: &mut Balancer, name: &str, micros: u64) {
-    policy.on_answer_flagged(name, Duration::from_micros(micros));
-}
--- a/crates/policy/tests/limits/mod.rs
+++ b/crates/policy/tests/limits/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::common::{MS, endpoint, flagged, outcome, request, rollout_status, settings};
+use crate::common::{MS, endpoint, outcome, request, rollout_status, settings};
 use oorandom::Rand64;
 use tidescale_policy::Balancer;
 use tidescale_policy::decide::SWEEP;
@@ -480,6 +480,11 @@
     fn report_rollback_verdict(&mut self, _verdict: &RollbackVerdict) {}
 }
 
+/// A complaint of an answer given so many microseconds ago.
+fn flagged(policy: &mut Balancer, name: &str, micros: u64) {
+    policy.on_answer_flagged(name, Duration::from_micros(micros));
+}
+
 const FLAGS: usize = 9;
 
 fn combination(bits: usize) -> Settings {
