--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -1,7 +1,9 @@
-//! The two traits that a host implements: one delivers events to the policy, the other takes its decisions.
+//! The two traits that a host implements: one delivers events to the policy, the other takes its
+//! decisions.
 //!
 //! A host decodes [`Settings`](crate::settings::Settings) once and calls
-//! [`Balancer::step`](crate::Balancer::step) whenever there are events or the wake-up that was asked for is due.
+//! [`Balancer::step`](crate::Balancer::step) whenever there are events or the wake-up that was
+//! asked for is due.
 
 use std::time::Duration;
 
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -7,7 +7,8 @@
 pub enum Idempotency {
     /// Any number of executions has the effect of one.
     Idempotent,
-    /// Endpoints of one scope drop repeats of a key, for a window from the first attempt that may have executed.
+    /// Endpoints of one scope drop repeats of a key, for a window from the first attempt that may
+    /// have executed.
     IdempotencyKey {
         /// Which endpoints share what they know of a key.
         scope: KeyScope,
@@ -18,6 +19,17 @@
     NotIdempotent,
 }
 
+impl Idempotency {
+    /// A client may repeat the request at any endpoint without harm.
+    pub fn is_safe_everywhere(self) -> bool {
+        match self {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey { scope, .. } => scope == KeyScope::Fleet,
+            Idempotency::NotIdempotent => false,
+        }
+    }
+}
+
 /// Which endpoints share what they know of an idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyScope {
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -1,11 +1,14 @@
-//! What a balancer keeps over a restart: out to a [`SnapshotSink`], and in again as plain calls, already weighed by
-//! age. Open reqs, exposure, credits of cold machines, room and votes are neither told nor taken: a front that
-//! restarts has taken nothing yet, and may send no more than one that knows nothing.
+//! What an instance keeps over a restart: saved to a [`SnapshotSink`], and restored by plain calls,
+//! already weighed by age. Open requests, exposure, slow starts, concurrency limits and votes are
+//! neither saved nor restored: an instance that restarts has taken nothing yet, and may send no
+//! more than one that knows nothing.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use crate::decide::{Balancer, EVIDENCE_FADE, RATE_FADE, USUAL_FADE};
-use crate::state::{Arm, Fading, TESTS, Tally};
+use crate::Balancer;
+use crate::evidence::{FleetBaseline, RestoredRejection};
+use crate::statistics::{Arm, CountKey, OutcomeCounts};
 use crate::types::{EndpointState, RolloutPhase, Timestamp};
 
 /// An endpoint as it is listed, and what was learned of it.
@@ -35,7 +38,8 @@
     pub ejected: bool,
 }
 
-/// What was learned of the endpoints of one hardware class. Sums decay; none is left out or unknown.
+/// What was learned of the endpoints of one hardware class. Sums decay; none is left out or
+/// unknown.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HardwareClassRecord<'a> {
     /// Its name in the endpoint list.
@@ -44,7 +48,8 @@
     pub load: Option<[f64; 2]>,
     /// Times to answer against the route's baseline, and answers.
     pub slowdown: Option<[f64; 2]>,
-    /// The same before a rollout: times against the baseline, requests in flight with the one answered, answers.
+    /// The same before a rollout: times against the baseline, requests in flight with the one
+    /// answered, answers.
     pub baseline: Option<[f64; 3]>,
 }
 
@@ -124,182 +129,267 @@
     fn rollout(&mut self, record: RolloutRecord);
 }
 
-/// For so long the fact that a build was condemned holds it on a restarted front, where it is on trial still.
-pub const SUSPECT_FOR: u64 = 60_000_000;
+/// So long a build that was rejected is held by a restarted instance, where it is under evaluation
+/// still.
+pub const REJECTION_MEMORY: Duration = Duration::from_secs(60);
 
 impl Balancer {
-    /// Machines from this number on, so many at most; the number to go on with, none after the last.
-    pub fn save_endpoints(&mut self, from: usize, most: usize, out: &mut dyn SnapshotSink) -> Option<usize> {
-        let (now, end) = (self.now, self.machines.len().min(from + most));
-        for i in from..end {
-            let pace = self.machines[i].pace.read(now, RATE_FADE);
-            let m = &self.machines[i];
-            if m.standing == EndpointState::Removed || self.find(&m.name) != Some(i) {
+    /// Saves up to `limit` endpoints from index `from` on; the index to go on with, none after the
+    /// last.
+    pub fn save_endpoints(
+        &mut self,
+        from: usize,
+        limit: usize,
+        sink: &mut dyn SnapshotSink,
+    ) -> Option<usize> {
+        let now = self.clock.now;
+        let end = self.endpoints.len().min(from + limit);
+        for index in from..end {
+            let slowdown = self.endpoints[index].slowdown.read(now);
+            let endpoint = &self.endpoints[index];
+            if endpoint.state == EndpointState::Removed || !self.endpoints.is_named(index) {
                 continue;
             }
-            let started_at = (m.started > 0).then(|| Timestamp::from_micros(m.started));
-            out.endpoint(EndpointRecord {
-                name: &m.name,
-                zone: &m.zone,
-                cell: m.cell,
-                hardware_class: &self.kinds[m.kind].name,
-                build: m.build,
-                state: m.standing,
-                started_at,
-                slowdown: pace,
-                reported_load: m.load.0,
-                reported_at: Timestamp::from_micros(m.load.1),
-                ejected: m.aside,
+            sink.endpoint(EndpointRecord {
+                name: &endpoint.name,
+                zone: &endpoint.zone,
+                cell: endpoint.cell,
+                hardware_class: &self.endpoints.classes[endpoint.hardware_class].name,
+                build: endpoint.build,
+                state: endpoint.state,
+                started_at: endpoint.started_at,
+                slowdown,
+                reported_load: endpoint.reported_load.in_flight,
+                reported_at: endpoint.reported_load.at,
+                ejected: endpoint.health.ejected,
             });
         }
-        (end < self.machines.len()).then_some(end)
+        (end < self.endpoints.len()).then_some(end)
+    }
+
+    /// Saves outcomes of up to `limit` pairs of build and endpoint from this one on; where to go
+    /// on, none after the last.
+    pub fn save_outcomes(
+        &mut self,
+        from: CountKey,
+        limit: usize,
+        sink: &mut dyn SnapshotSink,
+    ) -> Option<CountKey> {
+        let next = |counts: &BTreeMap<CountKey, OutcomeCounts>| -> Vec<CountKey> {
+            counts
+                .range(from..)
+                .take(limit)
+                .map(|(key, _)| *key)
+                .collect()
+        };
+        let evaluation = &self.evaluation;
+        let mut keys = [next(&evaluation.counts), next(&evaluation.restored_counts)].concat();
+        keys.sort_unstable();
+        keys.dedup();
+        let is_last = keys.len() < limit;
+        keys.truncate(limit);
+        for key in &keys {
+            self.save_outcomes_of(*key, sink);
+        }
+        let last = keys.last().filter(|_| !is_last);
+        last.map(|key| CountKey {
+            endpoint: key.endpoint + 1,
+            ..*key
+        })
     }
 
-    /// All but machines and evidence.
-    pub fn save_rest(&mut self, out: &mut dyn SnapshotSink) {
-        let now = self.now;
-        if let Some(n) = self.rollout {
-            out.rollout(RolloutRecord {
-                build: n.build,
-                stage: n.stage,
-                phase: n.phase,
-                traffic_cap: n.traffic_cap,
-                since: Timestamp::from_micros(n.since),
+    /// Own and restored outcomes are apart and never of the same attempt.
+    fn save_outcomes_of(&mut self, key: CountKey, sink: &mut dyn SnapshotSink) {
+        let total = self.evaluation.total(key, self.clock.now);
+        sink.outcomes(OutcomeRecord {
+            endpoint: &self.endpoints[key.endpoint].name,
+            build: key.build,
+            outcomes: &total.outcomes,
+            failures: &total.failures,
+        });
+    }
+
+    /// Saves all but endpoints and outcomes.
+    pub fn save_rest(&mut self, sink: &mut dyn SnapshotSink) {
+        if let Some(rollout) = self.rollout {
+            sink.rollout(RolloutRecord {
+                build: rollout.build,
+                stage: rollout.stage,
+                phase: rollout.phase,
+                traffic_cap: rollout.traffic_cap,
+                since: rollout.since,
             });
         }
-        for (key, build) in &self.keys {
-            out.key_build(key, *build);
+        for (key, build) in &self.key_builds {
+            sink.key_build(key, *build);
+        }
+        self.save_rejection(sink);
+        self.save_latencies(sink);
+        let baseline = self.evaluation.fleet_baseline;
+        if baseline.arm.outcomes > 0.0 {
+            sink.fleet_baseline(FleetBaselineRecord {
+                taken_at: baseline.taken_at,
+                outcomes: baseline.arm.outcomes,
+                failures: baseline.arm.failures,
+                spread: baseline.arm.spread,
+                endpoints: baseline.endpoints,
+                attempts_per_second: baseline.attempts_per_second,
+            });
         }
-        let suspect = self.suspect.filter(|(_, until)| now < *until);
-        let suspect = suspect.map(|(build, until)| (build, until - SUSPECT_FOR));
-        if let Some((build, seen)) = self.condemned.map(|build| (build, self.condemned_at)).or(suspect) {
-            out.rejected_build(build, Timestamp::from_micros(seen));
+        let now = self.clock.now;
+        let zones = &mut self.zone_slowdowns;
+        sink.zones([zones.own.read(now), zones.other.read(now)]);
+    }
+
+    fn save_rejection(&self, sink: &mut dyn SnapshotSink) {
+        let evaluation = &self.evaluation;
+        if let Some(build) = evaluation.rejected_build {
+            sink.rejected_build(build, evaluation.rejected_at);
+        } else if let Some(restored) = evaluation.restored_rejection
+            && self.clock.now < restored.until
+        {
+            sink.rejected_build(restored.build, restored.until - REJECTION_MEMORY);
         }
-        for k in &mut self.kinds {
-            let (load, pace) = (k.load.read(now, RATE_FADE), k.pace.read(now, RATE_FADE));
-            let baseline = Some(k.usual.read(now, USUAL_FADE));
-            out.hardware_class(HardwareClassRecord {
-                name: &k.name,
-                load: Some(load),
-                slowdown: Some(pace),
+    }
+
+    fn save_latencies(&mut self, sink: &mut dyn SnapshotSink) {
+        let now = self.clock.now;
+        for class in &mut self.endpoints.classes {
+            let load = Some(class.load.read(now));
+            let slowdown = Some(class.slowdown.read(now));
+            let baseline = Some(class.baseline.read(now));
+            let name = &class.name;
+            sink.hardware_class(HardwareClassRecord {
+                name,
+                load,
+                slowdown,
                 baseline,
             });
         }
-        for (r, usual) in self.usual.iter_mut().enumerate() {
-            let name = self.settings.routes.get(r).map(|route| route.name.as_str());
-            out.route(RouteRecord { route: name, baseline: usual.read(now, USUAL_FADE) });
+        for (index, route) in self.settings.routes.iter().enumerate() {
+            if let Some(sums) = self.latency.sums(Some(index)) {
+                let baseline = sums.read(now);
+                sink.route(RouteRecord {
+                    route: Some(&route.name),
+                    baseline,
+                });
+            }
         }
-        if self.calm.outcomes > 0.0 {
-            let c = self.calm;
-            out.fleet_baseline(FleetBaselineRecord {
-                taken_at: Timestamp::from_micros(self.calm_at),
-                outcomes: c.outcomes,
-                failures: c.hits,
-                spread: c.spread,
-                endpoints: self.fleet,
-                attempts_per_second: self.calm_sends,
+        if let Some(sums) = self.latency.sums(None) {
+            sink.route(RouteRecord {
+                route: None,
+                baseline: sums.read(now),
             });
         }
-        out.zones(self.zones.each_mut().map(|z| z.read(now, RATE_FADE)));
     }
 
-    /// Evidence from this build and machine on, so much at most; where to go on, none after the last.
-    pub fn save_outcomes(
-        &mut self,
-        from: (u32, usize),
-        most: usize,
-        out: &mut dyn SnapshotSink,
-    ) -> Option<(u32, usize)> {
-        let next = |of: &BTreeMap<(u32, usize), Tally>| -> Vec<(u32, usize)> {
-            of.range(from..).take(most).map(|(key, _)| *key).collect()
+    /// An endpoint's slowdown, and whether it is ejected until health checks say otherwise.
+    pub fn restore_endpoint(&mut self, name: &str, slowdown: Option<[f64; 2]>, ejected: bool) {
+        let Some(index) = self.endpoints.find(name) else {
+            return;
         };
-        let mut keys = [next(&self.evidence), next(&self.recalled)].concat();
-        keys.sort_unstable();
-        keys.dedup();
-        let whole = keys.len() < most;
-        keys.truncate(most);
-        for (build, i) in &keys {
-            // Own and recalled outcomes are apart and never of the same try.
-            let (mut all, mut hits) = ([0.0; TESTS], [0.0; TESTS]);
-            for tallies in [&mut self.evidence, &mut self.recalled] {
-                let Some(t) = tallies.get_mut(&(*build, *i)) else { continue };
-                t.read(self.now, EVIDENCE_FADE);
-                all.iter_mut().zip(t.all).for_each(|(sum, x)| *sum += x);
-                hits.iter_mut().zip(t.hits).for_each(|(sum, x)| *sum += x);
-            }
-            let endpoint = &self.machines[*i].name;
-            out.outcomes(OutcomeRecord { endpoint, build: *build, outcomes: &all, failures: &hits });
-        }
-        keys.last().filter(|_| !whole).map(|(build, i)| (*build, i + 1))
-    }
-
-    /// A machine's pace, and whether it is set aside until probes say otherwise.
-    pub fn restore_endpoint(&mut self, name: &str, pace: Option<[f64; 2]>, aside: bool) {
-        let Some(i) = self.find(name) else { return };
-        let (now, probes) = (self.now, self.settings.health_checks);
-        let m = &mut self.machines[i];
-        if let Some(sums) = pace {
-            m.pace = Fading { at: now, sums };
+        let now = self.clock.now;
+        let endpoint = &mut self.endpoints[index];
+        if let Some(sums) = slowdown {
+            endpoint.slowdown.set(sums, now);
         }
-        // Where nothing may be probed, nothing would bring it back.
-        if aside && probes && m.standing == EndpointState::Ready {
-            (m.aside, m.answered, m.probed, m.risked) = (true, 0, 0, self.now);
+        // Where health checks are not allowed, nothing would bring it back.
+        if ejected && self.settings.health_checks && endpoint.is_ready() {
+            endpoint.health.eject(now);
+            // It is checked at once.
+            endpoint.health.last_check_at = Timestamp::ZERO;
         }
     }
 
     /// What was learned of a hardware class.
     pub fn restore_hardware_class(&mut self, record: HardwareClassRecord<'_>) {
-        let HardwareClassRecord { name, load, slowdown: pace, baseline: usual } = record;
-        let (now, kind) = (self.now, self.kind(name));
-        let k = &mut self.kinds[kind];
-        load.into_iter().for_each(|sums| k.load = Fading { at: now, sums });
-        pace.into_iter().for_each(|sums| k.pace = Fading { at: now, sums });
-        usual.into_iter().for_each(|sums| k.usual = Fading { at: now, sums });
+        let now = self.clock.now;
+        let index = self.endpoints.find_or_insert_class(record.name);
+        let class = &mut self.endpoints.classes[index];
+        if let Some(sums) = record.load {
+            class.load.set(sums, now);
+        }
+        if let Some(sums) = record.slowdown {
+            class.slowdown.set(sums, now);
+        }
+        if let Some(sums) = record.baseline {
+            class.baseline.set(sums, now);
+        }
     }
 
-    /// Of all routes where none is named.
+    /// Baseline latency of a route, or of all together where none is named. A route that is not
+    /// known is left out.
     pub fn restore_route(&mut self, record: RouteRecord<'_>) {
-        let (name, sums) = (record.route, record.baseline);
-        let all = self.settings.routes.len();
-        let of = |name: &str| self.settings.routes.iter().position(|r| r.name == name);
-        if let Some(r) = name.map_or(Some(all), of) {
-            self.usual[r] = Fading { at: self.now, sums };
+        let routes = &self.settings.routes;
+        let position = |name: &str| routes.iter().position(|route| route.name == name);
+        let route = match record.route {
+            None => None,
+            Some(name) => match position(name) {
+                Some(index) => Some(index),
+                None => return,
+            },
+        };
+        if let Some(sums) = self.latency.sums(route) {
+            sums.set(record.baseline, self.clock.now);
         }
     }
 
-    /// The fleet as it was before a trial that goes on.
+    /// The fleet as it was before a rollout that goes on.
     pub fn restore_fleet_baseline(&mut self, record: FleetBaselineRecord) {
-        let FleetBaselineRecord { outcomes, failures: hits, spread, .. } = record;
-        self.calm = Arm { outcomes, hits, spread };
-        self.calm_at = record.taken_at.as_micros();
-        (self.fleet, self.calm_sends) = (record.endpoints, record.attempts_per_second);
+        let FleetBaselineRecord {
+            outcomes,
+            failures,
+            spread,
+            ..
+        } = record;
+        self.evaluation.fleet_baseline = FleetBaseline {
+            arm: Arm {
+                outcomes,
+                failures,
+                spread,
+            },
+            taken_at: record.taken_at,
+            endpoints: record.endpoints,
+            attempts_per_second: record.attempts_per_second,
+        };
     }
 
-    /// How the zones compare.
-    pub fn restore_zones(&mut self, paces: [[f64; 2]; 2]) {
-        self.zones = paces.map(|sums| Fading { at: self.now, sums });
+    /// How the zones compare: this instance's own, then others.
+    pub fn restore_zones(&mut self, [own, other]: [[f64; 2]; 2]) {
+        let now = self.clock.now;
+        self.zone_slowdowns.own.set(own, now);
+        self.zone_slowdowns.other.set(other, now);
     }
 
-    /// A key that goes no lower: where keys go one way, a front that has forgotten them would break the rule.
+    /// The latest build that has answered a key: where keys must not go back, an instance that has
+    /// forgotten them would break the rule.
     pub fn restore_key_build(&mut self, key: &str, build: u32) {
         if self.settings.monotonic_key_builds {
-            self.keys.insert(key.into(), build);
+            self.key_builds.insert(key.into(), build);
         }
     }
 
-    /// Outcomes of before the restart, by test; what they may do to a verdict is decided where verdicts are.
+    /// Outcomes from before the restart; what they may do to a verdict is decided where verdicts
+    /// are.
     pub fn restore_outcomes(&mut self, record: OutcomeRecord<'_>) {
+        let Some(endpoint) = self.endpoints.find(record.endpoint) else {
+            return;
+        };
+        let (Ok(outcomes), Ok(failures)) = (record.outcomes.try_into(), record.failures.try_into())
+        else {
+            return;
+        };
         let build = record.build;
-        let (all, hits) = (record.outcomes.try_into(), record.failures.try_into());
-        let (Some(i), Ok(all), Ok(hits)) = (self.find(record.endpoint), all, hits) else { return };
-        if self.machines[i].build == build {
-            self.recalled.insert((build, i), Tally { at: self.now, all, hits });
+        if self.endpoints[endpoint].build == build {
+            let counts = OutcomeCounts::new(outcomes, failures, self.clock.now);
+            let key = CountKey { build, endpoint };
+            self.evaluation.restored_counts.insert(key, counts);
         }
     }
 
-    /// A build that was condemned then.
+    /// A build that was rejected then.
     pub fn restore_rejected_build(&mut self, build: u32, rejected_at: Timestamp) {
-        let seen = rejected_at.as_micros();
-        self.suspect = Some((build, seen.min(self.now) + SUSPECT_FOR));
+        let until = rejected_at.min(self.clock.now) + REJECTION_MEMORY;
+        self.evaluation.restored_rejection = Some(RestoredRejection { build, until });
     }
 }
--- a/crates/policy/src/types.rs
+++ b/crates/policy/src/types.rs
@@ -3,7 +3,8 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
-/// A point in time, in whole microseconds since an origin that the host chooses (the proxy: the Unix epoch).
+/// A point in time, in whole microseconds since an origin that the host chooses (the proxy: the
+/// Unix epoch).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Timestamp(u64);
 
@@ -127,6 +128,32 @@
     NotSent,
 }
 
+impl AttemptOutcome {
+    /// The endpoint answered, if only with an error.
+    pub fn is_response(self) -> bool {
+        use AttemptOutcome::{Failed, InvalidRequest, Malformed, Succeeded};
+        matches!(self, Succeeded | Failed | Malformed | InvalidRequest)
+    }
+
+    /// Something broke, whatever time it took.
+    pub fn is_error(self) -> bool {
+        use AttemptOutcome::{ConnectionReset, Failed, Malformed};
+        matches!(self, Failed | ConnectionReset | Malformed)
+    }
+
+    /// The time that it took tells how fast the endpoint is.
+    pub fn is_timed(self) -> bool {
+        use AttemptOutcome::{Succeeded, TimedOut};
+        matches!(self, Succeeded | TimedOut)
+    }
+
+    /// The request has certainly not been executed.
+    pub fn never_executed(self) -> bool {
+        use AttemptOutcome::{NotSent, Overloaded, Refused};
+        matches!(self, Overloaded | Refused | NotSent)
+    }
+}
+
 /// The end of an attempt, as the host tells it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AttemptResult {
@@ -162,6 +189,23 @@
     Withdrawn,
 }
 
+impl RolloutPhase {
+    /// The build serves, and goes on to.
+    pub fn is_serving(self) -> bool {
+        matches!(self, RolloutPhase::Canary | RolloutPhase::Released)
+    }
+
+    /// The build is being taken out, or has been.
+    pub fn is_ending(self) -> bool {
+        matches!(self, RolloutPhase::RollingBack | RolloutPhase::Withdrawn)
+    }
+
+    /// Nothing changes any more until the next build.
+    pub fn has_ended(self) -> bool {
+        matches!(self, RolloutPhase::Released | RolloutPhase::Withdrawn)
+    }
+}
+
 /// State of the newest build's rollout, as the platform announces it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutStatus {
@@ -229,6 +273,21 @@
     FleetSlowdown,
 }
 
+impl EvidenceTest {
+    /// All tests, in the order of [`EvidenceTest::index`].
+    pub const ALL: [EvidenceTest; 4] = [
+        EvidenceTest::Failures,
+        EvidenceTest::Slowness,
+        EvidenceTest::Errors,
+        EvidenceTest::FleetSlowdown,
+    ];
+
+    /// Place of the test in arrays by test.
+    pub const fn index(self) -> usize {
+        self as usize
+    }
+}
+
 /// Failures among outcomes; both decay, so that they need not be whole.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct FailureShare {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/policy/harness.rs
@@ -6,37 +6,37 @@
 use tidescale_policy::host::{DecisionSink, EventSource};
 use tidescale_policy::settings::{Idempotency, KeyScope, Route, Settings};
 use tidescale_policy::types::{
-    AttemptOutcome, AttemptResult, Ballot, EndpointEntry, EndpointState, IncomingRequest, LoadReport,
-    RollbackVerdict, RolloutPhase, RolloutStatus, Timestamp,
+    AttemptOutcome, AttemptResult, Ballot, EndpointEntry, EndpointState, IncomingRequest,
+    LoadReport, RollbackVerdict, RolloutPhase, RolloutStatus, Timestamp,
 };
 
 pub const MS: u64 = 1_000;
 
-/// What was decided, a line each: `try 7 m1`, `shed 7`, `error 7`, `vote 2 0 RollBack`, ...
+/// What was decided, a line each: `attempt 7 m1`, `reject 7`, `error 7`, `vote 2 0 RollBack`, ...
 #[derive(Default)]
 pub struct Record(pub Vec<String>);
 
 impl DecisionSink for Record {
     fn start_attempt(&mut self, request: u64, endpoint: &str, _deadline: Timestamp) {
-        self.0.push(format!("try {request} {endpoint}"));
+        self.0.push(format!("attempt {request} {endpoint}"));
     }
     fn cancel_attempt(&mut self, request: u64, attempt_index: usize) {
         self.0.push(format!("cancel {request} {attempt_index}"));
     }
     fn reject_request(&mut self, request: u64, _retry_after: Duration) {
-        self.0.push(format!("shed {request}"));
+        self.0.push(format!("reject {request}"));
     }
     fn fail_request(&mut self, request: u64) {
-        self.0.push(format!("error {request}"));
+        self.0.push(format!("fail {request}"));
     }
     fn cast_vote(&mut self, Ballot { build, stage, vote }: Ballot) {
         self.0.push(format!("vote {build} {stage} {vote:?}"));
     }
     fn start_health_check(&mut self, endpoint: &str, _deadline: Timestamp) {
-        self.0.push(format!("probe {endpoint}"));
+        self.0.push(format!("check {endpoint}"));
     }
     fn poll_endpoints(&mut self) {
-        self.0.push("watch".into());
+        self.0.push("poll".into());
     }
     fn schedule_wake_up(&mut self, _after: Duration) {}
     fn report_rollback_verdict(&mut self, _verdict: &RollbackVerdict) {}
@@ -52,9 +52,9 @@
     }
 }
 
-pub struct Bench {
+pub struct Instance {
     pub now: u64,
-    pub module: Balancer,
+    pub policy: Balancer,
 }
 
 pub fn settings() -> Settings {
@@ -71,7 +71,13 @@
         zone: "z1".into(),
         routes: vec![
             route("look", Idempotency::Idempotent),
-            route("hold", Idempotency::IdempotencyKey { scope: KeyScope::Zone, window }),
+            route(
+                "hold",
+                Idempotency::IdempotencyKey {
+                    scope: KeyScope::Zone,
+                    window,
+                },
+            ),
             route("pay", Idempotency::NotIdempotent),
         ],
         poll_endpoints: false,
@@ -102,23 +108,26 @@
     }
 }
 
-impl Bench {
+impl Instance {
     pub fn new(set: Settings) -> Self {
-        Bench { now: 100_000 * MS, module: Balancer::new(set, 1, Timestamp::from_micros(100_000 * MS)) }
+        Instance {
+            now: 100_000 * MS,
+            policy: Balancer::new(set, 1, Timestamp::from_micros(100_000 * MS)),
+        }
     }
-    /// One round after `pass` microseconds, with these calls as its news.
-    pub fn round(&mut self, pass: u64, calls: impl FnOnce(&mut Balancer)) -> Vec<String> {
+    /// One step after `pass` microseconds, with these calls as its news.
+    pub fn step(&mut self, pass: u64, calls: impl FnOnce(&mut Balancer)) -> Vec<String> {
         self.now += pass;
         let mut out = Record::default();
         let now = Timestamp::from_micros(self.now);
-        self.module.step(now, &mut Calls(Some(calls)), &mut out);
+        self.policy.step(now, &mut Calls(Some(calls)), &mut out);
         out.0
     }
 }
 
-/// A ready machine that has run for long.
-pub fn warm(to: &mut Balancer, name: &str, zone: &str, build: u32) {
-    endpoint(to, name, (zone, 0, "k"), build, EndpointState::Ready, 0);
+/// A ready endpoint that has run for long.
+pub fn warm(policy: &mut Balancer, name: &str, zone: &str, build: u32) {
+    endpoint(policy, name, (zone, 0, "k"), build, EndpointState::Ready, 0);
 }
 
 pub fn count(lines: &[String], start: &str) -> usize {
@@ -135,7 +144,15 @@
     started: u64,
 ) {
     let started_at = (started > 0).then(|| Timestamp::from_micros(started));
-    policy.on_endpoint(EndpointEntry { name, zone, cell, hardware_class, build, state, started_at });
+    policy.on_endpoint(EndpointEntry {
+        name,
+        zone,
+        cell,
+        hardware_class,
+        build,
+        state,
+        started_at,
+    });
 }
 
 /// The begin of a list; a complete one names all that are there.
@@ -156,7 +173,15 @@
 ) {
     let time_remaining = Duration::from_micros(micros_remaining);
     let cost_hint = (cost > 0.0).then_some(cost);
-    policy.on_request(id, IncomingRequest { route, idempotency_key, time_remaining, cost_hint });
+    policy.on_request(
+        id,
+        IncomingRequest {
+            route,
+            idempotency_key,
+            time_remaining,
+            cost_hint,
+        },
+    );
 }
 
 /// The end of an attempt after so many microseconds.
@@ -170,7 +195,12 @@
     load: Option<LoadReport>,
 ) {
     let duration = Duration::from_micros(micros);
-    let result = AttemptResult { outcome, duration, request_finished, load };
+    let result = AttemptResult {
+        outcome,
+        duration,
+        request_finished,
+        load,
+    };
     policy.on_attempt_result(id, attempt_index, result);
 }
 
@@ -184,5 +214,11 @@
     micros: u64,
 ) {
     let age = Duration::from_micros(micros);
-    policy.on_rollout_status(RolloutStatus { build, stage, phase, traffic_cap, age });
+    policy.on_rollout_status(RolloutStatus {
+        build,
+        stage,
+        phase,
+        traffic_cap,
+        age,
+    });
 }
