--- /dev/null
+++ b/crates/settings/src/connections.rs
@@ -0,0 +1,49 @@
+//! The settings that the proxy needs for its connections, and the policy does not.
+
+use std::time::Duration;
+
+use crate::error::SettingsError;
+use crate::raw::RawSettings;
+use crate::routes::{route_count, route_path};
+
+/// Time-outs of connections, and how endpoints report their load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConnectionSettings {
+    /// A connection that is not up after this time has failed; never zero.
+    pub connect_timeout: Duration,
+    /// The other side closes a connection that has been idle for this long.
+    pub idle_timeout: Duration,
+    /// The longest deadline of any route; zero without routes.
+    pub longest_deadline: Duration,
+    /// Endpoints report their load only when asked.
+    pub load_on_demand: bool,
+}
+
+/// Decodes the settings for connections.
+///
+/// # Errors
+///
+/// The first setting that is missing or unusable; [`SettingsError::ZeroConnectTimeout`] among others.
+pub fn connection_settings(raw: &RawSettings) -> Result<ConnectionSettings, SettingsError> {
+    let longest_deadline = longest_deadline(raw)?;
+    let connect_timeout = raw.duration("policy_limits.connect_timeout")?;
+    if connect_timeout.is_zero() {
+        return Err(SettingsError::ZeroConnectTimeout);
+    }
+    let load_report_modes = [("piggyback", false), ("pull", true), ("silent", false)];
+    Ok(ConnectionSettings {
+        connect_timeout,
+        idle_timeout: raw.duration("policy_limits.conn_idle")?,
+        longest_deadline,
+        load_on_demand: raw.one_of("stats.how", &load_report_modes)?,
+    })
+}
+
+fn longest_deadline(raw: &RawSettings) -> Result<Duration, SettingsError> {
+    let mut longest = Duration::ZERO;
+    for route_index in 0..route_count(raw)? {
+        let deadline = raw.duration(&route_path(route_index, "deadline"))?;
+        longest = longest.max(deadline);
+    }
+    Ok(longest)
+}
--- /dev/null
+++ b/crates/settings/src/decode.rs
@@ -0,0 +1,138 @@
+//! Decodes the policy's settings, group by group.
+//!
+//! Of several unusable settings the first one is reported, in the order in which they stand here.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use tidescale_policy::settings::Settings;
+
+use crate::error::SettingsError;
+use crate::raw::RawSettings;
+use crate::routes::decode_routes;
+use crate::values::parse_number;
+
+/// A share of a whole: of capacity, of traffic.
+const SHARE: RangeInclusive<f64> = 0.0..=1.0;
+
+/// A request has one attempt at least. The upper end only rejects slips of the pen; it converts to an integer exactly.
+const ATTEMPTS: RangeInclusive<f64> = 1.0..=1e6;
+
+/// Multiples of a capacity; the upper end only rejects slips of the pen.
+const MULTIPLE: RangeInclusive<f64> = 0.0..=1e6;
+
+/// Attempts allowed beside the traffic cap; the upper end only rejects slips of the pen.
+const ALLOWANCE: RangeInclusive<f64> = 0.0..=1e9;
+
+/// Decodes all settings that the policy reads.
+///
+/// # Errors
+///
+/// The first setting that is missing or unusable.
+pub fn decode(raw: &RawSettings) -> Result<Settings, SettingsError> {
+    let routes = decode_routes(raw)?;
+    let stage_caps = decode_stage_caps(raw)?;
+    let poll_endpoints = raw.one_of("membership_mode", &[("push", false), ("ask", true)])?;
+    let instance = decode_instance(raw)?;
+    Ok(Settings {
+        instance_index: instance.index,
+        instance_count: instance.count,
+        zone: raw.text("zone")?.to_string(),
+        routes,
+        // Endpoint list and routing.
+        poll_endpoints,
+        max_poll_interval: if poll_endpoints {
+            raw.duration("rules.must_ask_in")?
+        } else {
+            Duration::MAX
+        },
+        cross_zone_price: raw.number("tariffs.cross_zone")?,
+        // Attempts.
+        health_checks: raw.flag("policy_limits.probes")?,
+        cancel_attempts: raw.flag("policy_limits.may_cancel")?,
+        hedging: raw.flag("policy_limits.second_copies")?,
+        max_attempts: raw.number_in("policy_limits.max_attempts", ATTEMPTS)? as usize,
+        max_retry_after: decode_max_retry_after(raw)?,
+        // Starts and ends of endpoints.
+        grace_period: raw.duration("rules.drain_grace")?,
+        warm_up_start: raw.number_in("rules.cold_from", SHARE)?,
+        warm_up_time: raw.duration("rules.cold")?,
+        overload_multiple: raw.number_in("rules.fall_multiple", MULTIPLE)?,
+        overload_window: raw.duration("rules.fall")?,
+        // Exposure to a build under evaluation.
+        stage_caps,
+        exposure_allowance: raw.number_in("family_info.allowance", ALLOWANCE)?,
+        exposure_window: raw.duration("family_info.exposure_window")?,
+        exposure_by_route: decode_exposure_by_route(raw)?,
+        guarded_stages: raw.number("family_info.guarded_stages")?,
+        monotonic_key_builds: raw.flag("family_info.forward_only")?,
+        // Stages and votes.
+        automatic_stages: decode_automatic_stages(raw)?,
+        min_stage_time: raw.duration("family_info.min_dwell")?,
+        rollback_votes: raw.number("family_info.to_abort")?,
+        votes_per_second: raw.number("family_info.api_rate")?,
+        vote_lifetime: raw.duration("family_info.vote_life")?,
+        vote_timeout: raw.duration("family_info.vote_wait")?,
+    })
+}
+
+/// Which proxy instance this is, of how many.
+struct Instance {
+    index: u32,
+    count: u32,
+}
+
+fn decode_instance(raw: &RawSettings) -> Result<Instance, SettingsError> {
+    let index: u32 = raw.number("me")?;
+    let given_count: u32 = raw.number("balancers")?;
+    let count = given_count.max(1);
+    if index >= count {
+        return Err(SettingsError::OutOfRange {
+            path: "me".to_string(),
+            value: index.to_string(),
+        });
+    }
+    Ok(Instance { index, count })
+}
+
+/// The traffic cap of each stage, separated by commas.
+fn decode_stage_caps(raw: &RawSettings) -> Result<Vec<f64>, SettingsError> {
+    let path = "family_info.stage_cap";
+    let list = raw.text(path)?;
+    let stage_caps = list
+        .split(',')
+        .filter(|item| !item.is_empty())
+        .map(parse_number)
+        .collect::<Result<Vec<f64>, _>>()
+        .map_err(SettingsError::InvalidStageCap)?;
+    if stage_caps.iter().any(|cap| !SHARE.contains(cap)) {
+        return Err(SettingsError::OutOfRange {
+            path: path.to_string(),
+            value: list.to_string(),
+        });
+    }
+    Ok(stage_caps)
+}
+
+/// Zero where clients are not told when to come back.
+fn decode_max_retry_after(raw: &RawSettings) -> Result<Duration, SettingsError> {
+    if raw.flag("policy_limits.retry_after")? {
+        raw.duration("policy_limits.max_retry_after")
+    } else {
+        Ok(Duration::ZERO)
+    }
+}
+
+fn decode_exposure_by_route(raw: &RawSettings) -> Result<bool, SettingsError> {
+    let countings = [("all", false), ("each_class", true)];
+    raw.one_of("family_info.counted_by", &countings)
+}
+
+fn decode_automatic_stages(raw: &RawSettings) -> Result<bool, SettingsError> {
+    let gate_modes = [
+        ("first_voice", false),
+        ("by_count", false),
+        ("automatic", true),
+    ];
+    raw.one_of("family_info.gate_mode", &gate_modes)
+}
--- /dev/null
+++ b/crates/settings/src/raw.rs
@@ -0,0 +1,122 @@
+//! Settings as texts by dotted path, and typed look-ups in them.
+//!
+//! A list `NAME` has its length under `NAME.count` and its items' fields under `NAME.INDEX.FIELD`.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::error::SettingsError;
+use crate::values::{ParseNumberError, ValueError, parse_duration, parse_flag, parse_number};
+
+/// The text of each setting, by its path.
+#[derive(Debug, Default)]
+pub struct RawSettings(BTreeMap<String, String>);
+
+impl FromIterator<(String, String)> for RawSettings {
+    /// Collects paths and their texts; of several texts for one path, the last one counts.
+    fn from_iter<I: IntoIterator<Item = (String, String)>>(pairs: I) -> Self {
+        RawSettings(pairs.into_iter().collect())
+    }
+}
+
+impl RawSettings {
+    /// The text as it was given.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Missing`].
+    pub fn text(&self, path: &str) -> Result<&str, SettingsError> {
+        match self.0.get(path) {
+            Some(text) => Ok(text),
+            None => Err(SettingsError::Missing {
+                path: path.to_string(),
+            }),
+        }
+    }
+
+    /// A number of any size that its type can hold.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Missing`] or [`SettingsError::InvalidValue`].
+    pub fn number<T>(&self, path: &str) -> Result<T, SettingsError>
+    where
+        T: FromStr,
+        ParseNumberError: From<T::Err>,
+    {
+        parse_number(self.text(path)?).map_err(|source| invalid_value(path, source))
+    }
+
+    /// A number within a range.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Missing`], [`SettingsError::InvalidValue`] or [`SettingsError::OutOfRange`].
+    pub fn number_in(&self, path: &str, range: RangeInclusive<f64>) -> Result<f64, SettingsError> {
+        let value: f64 = self.number(path)?;
+        if !range.contains(&value) {
+            return Err(SettingsError::OutOfRange {
+                path: path.to_string(),
+                value: value.to_string(),
+            });
+        }
+        Ok(value)
+    }
+
+    /// A time, given in milliseconds and rounded to whole microseconds.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Missing`] or [`SettingsError::InvalidValue`].
+    pub fn duration(&self, path: &str) -> Result<Duration, SettingsError> {
+        parse_duration(self.text(path)?).map_err(|source| invalid_value(path, source))
+    }
+
+    /// A yes or no.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Missing`] or [`SettingsError::InvalidValue`].
+    pub fn flag(&self, path: &str) -> Result<bool, SettingsError> {
+        parse_flag(self.text(path)?).map_err(|source| invalid_value(path, source))
+    }
+
+    /// What the setting's word stands for, by a table of all its words.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Missing`] or [`SettingsError::UnknownWord`].
+    pub fn one_of<T: Copy>(&self, path: &str, words: &[(&str, T)]) -> Result<T, SettingsError> {
+        let given = self.text(path)?;
+        match words.iter().find(|(word, _)| *word == given) {
+            Some((_, meaning)) => Ok(*meaning),
+            None => Err(SettingsError::UnknownWord {
+                path: path.to_string(),
+                word: given.to_string(),
+            }),
+        }
+    }
+
+    /// Length of the list at this path; 0 where there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::InvalidValue`] where the length is no number.
+    pub fn count(&self, path: &str) -> Result<usize, SettingsError> {
+        let count_path = format!("{path}.count");
+        if self.0.contains_key(&count_path) {
+            self.number(&count_path)
+        } else {
+            Ok(0)
+        }
+    }
+}
+
+fn invalid_value(path: &str, source: ValueError) -> SettingsError {
+    SettingsError::InvalidValue {
+        path: path.to_string(),
+        source,
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/adapter.rs
@@ -0,0 +1,166 @@
+//! The loop over batches: reads one, steps every instance that it names, and writes the reply.
+//!
+//! Starts and stops of instances and endpoint lists take effect as they are read; events are kept until the batch is
+//! complete. Nothing of a reply is written unless all of the batch could be understood.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::rc::Rc;
+
+use tidescale_settings::parse_number;
+
+use crate::batch::{Batch, EventLine};
+use crate::endpoint_list::{EndpointRows, announced_list_number};
+use crate::error::AdapterError;
+use crate::fields::{fields, message_name};
+use crate::instance::Instance;
+
+/// The bench's side of all instances.
+pub struct Adapter<R, W> {
+    input: R,
+    output: W,
+    /// Running instances, by the bench's numbers.
+    instances: BTreeMap<u64, Instance>,
+    /// Endpoint lists, by the bench's numbers; a number may be given again.
+    endpoint_lists: BTreeMap<u32, EndpointRows>,
+}
+
+impl<R: BufRead, W: Write> Adapter<R, W> {
+    /// An adapter without instances.
+    pub fn new(input: R, output: W) -> Self {
+        Adapter {
+            input,
+            output,
+            instances: BTreeMap::new(),
+            endpoint_lists: BTreeMap::new(),
+        }
+    }
+
+    /// Handles batch after batch, until the input ends between two of them.
+    pub fn run(&mut self) -> Result<(), AdapterError> {
+        while let Some(line) = self.read_line()? {
+            if line.is_empty() {
+                continue;
+            }
+            let mut batch = Batch::begin(&line)?;
+            self.read_batch(&mut batch)?;
+            let reply = self.step_instances(&batch)?;
+            self.write_reply(&reply)?;
+        }
+        Ok(())
+    }
+
+    /// The next line without its end; none at the end of input.
+    fn read_line(&mut self) -> Result<Option<String>, AdapterError> {
+        let mut line = String::new();
+        let length = self
+            .input
+            .read_line(&mut line)
+            .map_err(AdapterError::Read)?;
+        if length == 0 {
+            return Ok(None);
+        }
+        line.truncate(line.trim_end_matches(['\n', '\r']).len());
+        Ok(Some(line))
+    }
+
+    /// Reads a batch up to its last line.
+    fn read_batch(&mut self, batch: &mut Batch) -> Result<(), AdapterError> {
+        let mut instance = None;
+        loop {
+            let line = self.read_line()?.ok_or(AdapterError::EndInsideBatch)?;
+            match message_name(&line) {
+                "OVER_TO_YOU" => return Ok(()),
+                "AT" => {
+                    let [number] = fields(&line)?;
+                    instance = Some(parse_number(number)?);
+                }
+                "INVENTORY" => self.read_endpoint_list(&line)?,
+                _ => {
+                    let Some(instance) = instance else {
+                        return Err(AdapterError::EventWithoutInstance { line });
+                    };
+                    self.take_event(instance, line, batch)?;
+                }
+            }
+        }
+    }
+
+    /// Reads the rows of an endpoint list that starts with `INVENTORY <list number> <rows>`.
+    fn read_endpoint_list(&mut self, line: &str) -> Result<(), AdapterError> {
+        let [list_number, row_count] = fields(line)?;
+        let list_number = parse_number(list_number)?;
+        let row_count: usize = parse_number(row_count)?;
+        let mut rows = Vec::new();
+        for _ in 0..row_count {
+            let row = self.read_line()?.unwrap_or_default();
+            if !row.starts_with("ROW ") {
+                return Err(AdapterError::ListTooShort { line: row });
+            }
+            rows.push(row);
+        }
+        self.endpoint_lists.insert(list_number, Rc::new(rows));
+        Ok(())
+    }
+
+    /// Starts or stops an instance, or keeps its event for the step.
+    fn take_event(
+        &mut self,
+        instance: u64,
+        line: String,
+        batch: &mut Batch,
+    ) -> Result<(), AdapterError> {
+        match message_name(&line) {
+            "SPAWN" => {
+                let spawned = Instance::spawn(&line, batch.now)?;
+                self.instances.insert(instance, spawned);
+                batch.clear(instance);
+            }
+            "DOWN" => {
+                self.instances.remove(&instance);
+                batch.clear(instance);
+            }
+            "ROSTER_CHANGE" => {
+                let list_number = announced_list_number(&line);
+                let endpoint_rows = list_number
+                    .and_then(|list_number| self.endpoint_lists.get(&list_number))
+                    .cloned();
+                let event_line = EventLine {
+                    line,
+                    endpoint_rows,
+                };
+                batch.push(instance, event_line);
+            }
+            _ => {
+                let event_line = EventLine {
+                    line,
+                    endpoint_rows: None,
+                };
+                batch.push(instance, event_line);
+            }
+        }
+        Ok(())
+    }
+
+    /// Steps the instances that the batch names, in the order of their numbers. Events for one that does not run are
+    /// ignored, unread.
+    fn step_instances(&mut self, batch: &Batch) -> Result<String, AdapterError> {
+        let mut reply = String::new();
+        for (number, event_lines) in &batch.events {
+            let Some(instance) = self.instances.get_mut(number) else {
+                continue;
+            };
+            reply += &format!("INSTANCE {number}\n");
+            instance.step(batch.now, event_lines, &mut reply)?;
+        }
+        reply += &format!("ACK {}\n", batch.number);
+        Ok(reply)
+    }
+
+    fn write_reply(&mut self, reply: &str) -> Result<(), AdapterError> {
+        self.output
+            .write_all(reply.as_bytes())
+            .and_then(|()| self.output.flush())
+            .map_err(AdapterError::Write)
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/decision_writer.rs
@@ -0,0 +1,95 @@
+//! Writes the policy's decisions as lines of the reply.
+
+use std::fmt::{Arguments, Write as _};
+use std::time::Duration;
+
+use tidescale_policy::host::DecisionSink;
+use tidescale_policy::types::{
+    Ballot, EvidenceTest, RollbackVerdict, Timestamp, Vote, whole_micros,
+};
+
+/// Appends one line for each decision to the reply.
+pub struct DecisionWriter<'a> {
+    reply: &'a mut String,
+}
+
+impl<'a> DecisionWriter<'a> {
+    /// Appends to this reply.
+    pub fn new(reply: &'a mut String) -> Self {
+        DecisionWriter { reply }
+    }
+
+    fn write_line(&mut self, line: Arguments<'_>) {
+        // Writing to a String does not fail.
+        let _ = writeln!(self.reply, "{line}");
+    }
+}
+
+/// Milliseconds with as many decimals as whole microseconds need. What is finer is cut off, never rounded up past a
+/// limit.
+fn milliseconds(duration: Duration) -> f64 {
+    whole_micros(duration) as f64 / 1000.0
+}
+
+impl DecisionSink for DecisionWriter<'_> {
+    fn start_attempt(&mut self, request: u64, endpoint: &str, deadline: Timestamp) {
+        let deadline = milliseconds(deadline - Timestamp::ZERO);
+        self.write_line(format_args!("SEND {request} {endpoint} {deadline}"));
+    }
+
+    fn cancel_attempt(&mut self, request: u64, attempt_index: usize) {
+        self.write_line(format_args!("STOP_ATTEMPT {request} {attempt_index}"));
+    }
+
+    fn reject_request(&mut self, request: u64, retry_after: Duration) {
+        let retry_after = milliseconds(retry_after);
+        self.write_line(format_args!("TURN_AWAY {request} {retry_after}"));
+    }
+
+    fn fail_request(&mut self, request: u64) {
+        self.write_line(format_args!("ERROR {request}"));
+    }
+
+    fn cast_vote(&mut self, ballot: Ballot) {
+        let Ballot { build, stage, vote } = ballot;
+        let code = match vote {
+            Vote::Abstain => 0,
+            Vote::Advance => 1,
+            Vote::Hold => 2,
+            Vote::RollBack => 3,
+        };
+        self.write_line(format_args!("OPINION {build} {stage} {code}"));
+    }
+
+    fn start_health_check(&mut self, endpoint: &str, _deadline: Timestamp) {
+        self.write_line(format_args!("HEALTH_CHECK {endpoint}"));
+    }
+
+    fn poll_endpoints(&mut self) {
+        self.write_line(format_args!("TAIL 1"));
+    }
+
+    fn schedule_wake_up(&mut self, after: Duration) {
+        let after = milliseconds(after);
+        self.write_line(format_args!("SCHEDULE {after} 0"));
+    }
+
+    fn report_rollback_verdict(&mut self, verdict: &RollbackVerdict) {
+        let RollbackVerdict {
+            build,
+            candidate,
+            baseline,
+            ..
+        } = verdict;
+        let test = match verdict.test {
+            EvidenceTest::Failures => 0,
+            EvidenceTest::Slowness => 1,
+            EvidenceTest::Errors => 2,
+            EvidenceTest::FleetSlowdown => 3,
+        };
+        self.write_line(format_args!(
+            "EMIT build {build} to go back: test {test}, new and old [{:.1}, {:.1}, {:.1}, {:.1}]",
+            candidate.failures, candidate.outcomes, baseline.failures, baseline.outcomes
+        ));
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/endpoint_list.rs
@@ -0,0 +1,97 @@
+//! Parses endpoint lists: the rows of an `INVENTORY`, as a `ROSTER_CHANGE` announces them.
+
+use std::rc::Rc;
+
+use tidescale_policy::types::{EndpointEntry, EndpointState, Timestamp};
+use tidescale_settings::{parse_duration, parse_number};
+
+use crate::error::AdapterError;
+use crate::fields::{fields, optional};
+
+/// The `ROW` lines of one `INVENTORY`, shared by the events that refer to it.
+pub type EndpointRows = Rc<Vec<String>>;
+
+/// What a `ROSTER_CHANGE` says; names borrow from the rows.
+pub enum EndpointListUpdate<'a> {
+    /// The whole list: an endpoint that it does not name is gone.
+    Complete(Vec<EndpointEntry<'a>>),
+    /// The endpoints that have changed.
+    Changes(Vec<EndpointEntry<'a>>),
+    /// The list could not be fetched.
+    Failed,
+}
+
+/// Parses a `ROSTER_CHANGE` with the rows of the list that it names, if that list was given.
+pub fn parse_endpoint_list<'a>(
+    line: &str,
+    rows: Option<&'a EndpointRows>,
+) -> Result<EndpointListUpdate<'a>, AdapterError> {
+    let [kind, revision, _list_number] = fields(line)?;
+    parse_number::<u64>(revision)?;
+    match kind {
+        "0" | "1" => Ok(EndpointListUpdate::Complete(parse_entries(rows)?)),
+        "2" => Ok(EndpointListUpdate::Failed),
+        "3" => Ok(EndpointListUpdate::Changes(parse_entries(rows)?)),
+        unknown => Err(AdapterError::UnknownListKind {
+            text: unknown.to_string(),
+        }),
+    }
+}
+
+/// Number of the list that a `ROSTER_CHANGE` names, if its line has one.
+pub fn announced_list_number(line: &str) -> Option<u32> {
+    line.split(' ').nth(3)?.parse().ok()
+}
+
+fn parse_entries(rows: Option<&EndpointRows>) -> Result<Vec<EndpointEntry<'_>>, AdapterError> {
+    let rows = rows.ok_or(AdapterError::ListNeverGiven)?;
+    rows.iter().map(|row| parse_entry(row)).collect()
+}
+
+fn parse_entry(row: &str) -> Result<EndpointEntry<'_>, AdapterError> {
+    let [
+        name,
+        zone,
+        build,
+        hardware_class,
+        cell,
+        state,
+        weight,
+        started_at,
+    ] = fields(row)?;
+    if let Some(weight) = optional(weight) {
+        parse_number::<f64>(weight)?;
+    }
+    let state = parse_state(state, row)?;
+    let started_at = parse_started_at(started_at)?;
+    let cell = optional(cell).map_or(Ok(0), parse_number)?;
+    Ok(EndpointEntry {
+        name,
+        zone,
+        cell,
+        hardware_class,
+        build: parse_number(build)?,
+        state,
+        started_at,
+    })
+}
+
+fn parse_state(text: &str, row: &str) -> Result<EndpointState, AdapterError> {
+    match text {
+        "0" => Ok(EndpointState::Removed),
+        "1" => Ok(EndpointState::Ready),
+        "2" => Ok(EndpointState::Draining),
+        _ => Err(AdapterError::UnknownEndpointState {
+            row: row.to_string(),
+        }),
+    }
+}
+
+/// An endpoint that started at 0 has been up since before the bench's clock began.
+fn parse_started_at(text: &str) -> Result<Option<Timestamp>, AdapterError> {
+    let Some(text) = optional(text) else {
+        return Ok(None);
+    };
+    let started_at = Timestamp::ZERO + parse_duration(text)?;
+    Ok((started_at > Timestamp::ZERO).then_some(started_at))
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/event_source.rs
@@ -0,0 +1,104 @@
+//! Delivers one instance's events of one batch to its policy.
+
+use tidescale_policy::Balancer;
+use tidescale_policy::host::EventSource;
+
+use crate::batch::EventLine;
+use crate::endpoint_list::EndpointListUpdate;
+use crate::error::AdapterError;
+use crate::event::Event;
+
+/// Parses and delivers lines in order, up to the first that cannot be understood.
+pub struct LineEvents<'a> {
+    event_lines: &'a [EventLine],
+    route_names: &'a [String],
+    error: Option<AdapterError>,
+}
+
+impl<'a> LineEvents<'a> {
+    /// Events for an instance whose settings name these routes.
+    pub fn new(event_lines: &'a [EventLine], route_names: &'a [String]) -> Self {
+        LineEvents {
+            event_lines,
+            route_names,
+            error: None,
+        }
+    }
+
+    /// To be called after delivery: the error that ended it early, if one did.
+    pub fn finish(self) -> Result<(), AdapterError> {
+        match self.error {
+            Some(error) => Err(error),
+            None => Ok(()),
+        }
+    }
+
+    fn deliver_all(&self, policy: &mut Balancer) -> Result<(), AdapterError> {
+        for event_line in self.event_lines {
+            let event = Event::parse(event_line, self.route_names)?;
+            deliver_event(event, policy);
+        }
+        Ok(())
+    }
+}
+
+impl EventSource for LineEvents<'_> {
+    fn deliver(&mut self, policy: &mut Balancer) {
+        self.error = self.deliver_all(policy).err();
+    }
+}
+
+fn deliver_event(event: Event<'_>, policy: &mut Balancer) {
+    match event {
+        Event::Request {
+            request_id,
+            request,
+        } => policy.on_request(request_id, request),
+        Event::AttemptFinished {
+            request_id,
+            attempt_index,
+            result,
+        } => policy.on_attempt_result(request_id, attempt_index, result),
+        Event::ClientDisconnected { request_id } => policy.on_client_disconnected(request_id),
+        Event::ResponseStarted {
+            request_id,
+            attempt_index,
+        } => policy.on_response_started(request_id, attempt_index),
+        Event::HealthCheckFinished {
+            endpoint,
+            outcome,
+            load,
+        } => policy.on_health_check(endpoint, outcome, load),
+        Event::AnswerFlagged { endpoint, age } => policy.on_answer_flagged(endpoint, age),
+        Event::Rollout {
+            vote_result,
+            status,
+        } => {
+            if let Some(vote_result) = vote_result {
+                policy.on_vote_result(vote_result);
+            }
+            if let Some(status) = status {
+                policy.on_rollout_status(status);
+            }
+        }
+        Event::EndpointList(update) => deliver_endpoint_list(update, policy),
+        Event::Unused => {}
+    }
+}
+
+fn deliver_endpoint_list(update: EndpointListUpdate<'_>, policy: &mut Balancer) {
+    let entries = match update {
+        EndpointListUpdate::Complete(entries) => {
+            policy.on_complete_endpoint_list();
+            entries
+        }
+        EndpointListUpdate::Changes(entries) => entries,
+        EndpointListUpdate::Failed => {
+            policy.on_endpoint_list_failed();
+            return;
+        }
+    };
+    for entry in entries {
+        policy.on_endpoint(entry);
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/fields.rs
@@ -0,0 +1,74 @@
+//! Splits a line into its fields and parses fields that several messages share.
+//!
+//! Fields are separated by exactly one space; the first is the message's name. A field without a value holds `-`.
+
+use tidescale_policy::types::{AttemptOutcome, LoadReport};
+use tidescale_settings::parse_number;
+
+use crate::error::AdapterError;
+
+/// The first field of a line, which may be empty.
+pub fn message_name(line: &str) -> &str {
+    line.split(' ').next().unwrap_or_default()
+}
+
+/// The fields after the message's name, of which there must be exactly `N`.
+pub fn fields<const N: usize>(line: &str) -> Result<[&str; N], AdapterError> {
+    let mut remaining = line.split(' ').skip(1);
+    let mut fields = [""; N];
+    for field in &mut fields {
+        *field = remaining.next().ok_or_else(|| AdapterError::TooFewValues {
+            line: line.to_string(),
+        })?;
+    }
+    if remaining.next().is_some() {
+        return Err(AdapterError::TooManyValues {
+            line: line.to_string(),
+        });
+    }
+    Ok(fields)
+}
+
+/// The field's text, unless it is without a value.
+pub fn optional(text: &str) -> Option<&str> {
+    (text != "-").then_some(text)
+}
+
+/// How an attempt or a health check ended.
+pub fn parse_outcome(text: &str) -> Result<AttemptOutcome, AdapterError> {
+    match text {
+        "done" => Ok(AttemptOutcome::Succeeded),
+        "err" => Ok(AttemptOutcome::Failed),
+        "busy" => Ok(AttemptOutcome::Overloaded),
+        "etimedout" => Ok(AttemptOutcome::TimedOut),
+        "econnrefused" => Ok(AttemptOutcome::Refused),
+        "econnreset" => Ok(AttemptOutcome::ConnectionReset),
+        "ecanceled" => Ok(AttemptOutcome::Cancelled),
+        "skipped" => Ok(AttemptOutcome::NotSent),
+        unknown => Err(AdapterError::UnknownOutcome {
+            text: unknown.to_string(),
+        }),
+    }
+}
+
+/// An endpoint's load report, `NAME:VALUE,NAME:VALUE…`; values that the policy does not use are only checked.
+pub fn parse_load_report(text: &str) -> Result<Option<LoadReport>, AdapterError> {
+    let Some(text) = optional(text) else {
+        return Ok(None);
+    };
+    let mut report = LoadReport::default();
+    for pair in text.split(',') {
+        let Some((name, value)) = pair.split_once(':') else {
+            return Err(AdapterError::NotALoadReport {
+                text: text.to_string(),
+            });
+        };
+        let value: f64 = parse_number(value)?;
+        match name {
+            "inflight" => report.in_flight = Some(value),
+            "queue" => report.queued = Some(value),
+            _ => {}
+        }
+    }
+    Ok(Some(report))
+}
