Wrap comments of settings and simulator adapter at 100 columns; say why a short slack is refused

Need: comments stood wider than the formatter's lines, and one claimed more than is known of the bench's ticks. Change: comments only, and the words of one: no code.

--- a/crates/settings/src/connections.rs
+++ b/crates/settings/src/connections.rs
@@ -23,7 +23,8 @@
 ///
 /// # Errors
 ///
-/// The first setting that is missing or unusable; [`SettingsError::ZeroConnectTimeout`] among others.
+/// The first setting that is missing or unusable; [`SettingsError::ZeroConnectTimeout`] among
+/// others.
 pub fn connection_settings(raw: &RawSettings) -> Result<ConnectionSettings, SettingsError> {
     let longest_deadline = longest_deadline(raw)?;
     let connect_timeout = raw.duration("policy_limits.connect_timeout")?;
--- a/crates/settings/src/decode.rs
+++ b/crates/settings/src/decode.rs
@@ -15,7 +15,8 @@
 /// A share of a whole: of capacity, of traffic.
 const SHARE: RangeInclusive<f64> = 0.0..=1.0;
 
-/// A request has one attempt at least. The upper end only rejects slips of the pen; it converts to an integer exactly.
+/// A request has one attempt at least. The upper end only rejects slips of the pen; it converts to
+/// an integer exactly.
 const ATTEMPTS: RangeInclusive<f64> = 1.0..=1e6;
 
 /// Multiples of a capacity; the upper end only rejects slips of the pen.
@@ -114,7 +115,7 @@
     Ok(stage_caps)
 }
 
-/// Zero where clients are not told when to come back.
+/// Zero where a rejected client is given no Retry-After time.
 fn decode_max_retry_after(raw: &RawSettings) -> Result<Duration, SettingsError> {
     if raw.flag("policy_limits.retry_after")? {
         raw.duration("policy_limits.max_retry_after")
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -4,8 +4,8 @@
 
 use crate::values::ValueError;
 
-/// A setting that is missing or unusable. Operators see the message, so each one starts or ends with the setting's
-/// path.
+/// A setting that is missing or unusable. Operators see the message; but for
+/// [`InvalidStageCap`](SettingsError::InvalidStageCap), each one names the setting's path.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SettingsError {
     /// Nothing is given under this path.
@@ -54,7 +54,8 @@
         /// What it was given.
         scope: String,
     },
-    /// One of the comma-separated numbers in `family_info.stage_cap` is none. The message shows only the number.
+    /// One of the comma-separated numbers in `family_info.stage_cap` is none. The message shows
+    /// only the number.
     #[error(transparent)]
     InvalidStageCap(ValueError),
     /// With this setting, every connection attempt would time out at once.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,9 +1,11 @@
-//! Decodes the settings of a proxy instance from paths and texts, whichever way they arrive: from the lines that
-//! `tidescale-simhost` reads or from a configuration file whose nesting was turned into dotted paths.
+//! Decodes the settings of a proxy instance from paths and texts, whichever way they arrive: from
+//! the lines that `tidescale-simhost` reads or from a configuration file whose nesting was turned
+//! into dotted paths.
 //!
 //! [`RawSettings`] holds the texts by path. [`decode`] makes the policy's
-//! [`Settings`](tidescale_policy::settings::Settings) of them, [`connection_settings`] what the proxy needs for its
-//! connections. Units and ranges are checked here, once. This crate does no I/O.
+//! [`Settings`](tidescale_policy::settings::Settings) of them, [`connection_settings`] what the
+//! proxy needs for its connections. Units and ranges are checked here, once. This crate does no
+//! I/O.
 //!
 //! ```
 //! use std::time::Duration;
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -53,7 +53,8 @@
     ///
     /// # Errors
     ///
-    /// [`SettingsError::Missing`], [`SettingsError::InvalidValue`] or [`SettingsError::OutOfRange`].
+    /// [`SettingsError::Missing`], [`SettingsError::InvalidValue`] or
+    /// [`SettingsError::OutOfRange`].
     pub fn number_in(&self, path: &str, range: RangeInclusive<f64>) -> Result<f64, SettingsError> {
         let value: f64 = self.number(path)?;
         if !range.contains(&value) {
--- a/crates/settings/src/routes.rs
+++ b/crates/settings/src/routes.rs
@@ -1,4 +1,5 @@
-//! Decodes the routes, which the settings call classes: the list `classes`, one item for each route.
+//! Decodes the routes, which the settings call classes: the list `classes`, one item for each
+//! route.
 
 use tidescale_policy::settings::{Idempotency, KeyScope, Route};
 
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -6,8 +6,8 @@
 
 use thiserror::Error;
 
-/// The first count of milliseconds that is out of range: 317 years, longer than any sensible setting or clock, and
-/// in microseconds still far from the end of a `u64`.
+/// The first count of milliseconds that is out of range: 317 years, longer than any sensible
+/// setting or clock, and in microseconds still far from the end of a `u64`.
 const DURATION_LIMIT_MS: f64 = 1e13;
 
 const MICROS_PER_MS: f64 = 1000.0;
--- a/crates/settings/tests/decode.rs
+++ b/crates/settings/tests/decode.rs
@@ -60,7 +60,8 @@
         .map(|(path, text)| (path.to_string(), text.to_string()))
 }
 
-/// The complete settings with one changed to `PATH=TEXT`, or without the one of which only the path is given.
+/// The complete settings with one changed to `PATH=TEXT`, or without the one of which only the path
+/// is given.
 fn raw_settings_with(change: &str) -> RawSettings {
     let changed_path = change.split('=').next().unwrap_or_default();
     assert!(
--- a/crates/simulator-adapter/src/adapter.rs
+++ b/crates/simulator-adapter/src/adapter.rs
@@ -1,7 +1,8 @@
 //! The loop over batches: reads one, steps every instance that it names, and writes the reply.
 //!
-//! Starts and stops of instances and endpoint lists take effect as they are read; events are kept until the batch is
-//! complete. Nothing of a reply is written unless all of the batch could be understood.
+//! Starts and stops of instances and endpoint lists take effect as they are read; events are kept
+//! until the batch is complete. Nothing of a reply is written unless all of the batch could be
+//! understood.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -142,8 +143,8 @@
         Ok(())
     }
 
-    /// Steps the instances that the batch names, in the order of their numbers. Events for one that does not run are
-    /// ignored, unread.
+    /// Steps the instances that the batch names, in the order of their numbers. Events for one that
+    /// does not run are ignored, unread.
     fn step_instances(&mut self, batch: &Batch) -> Result<String, AdapterError> {
         let mut reply = String::new();
         for (number, event_lines) in &batch.events {
--- a/crates/simulator-adapter/src/batch.rs
+++ b/crates/simulator-adapter/src/batch.rs
@@ -13,8 +13,8 @@
 pub struct EventLine {
     /// The whole line.
     pub line: String,
-    /// The rows that a `ROSTER_CHANGE` refers to, bound when it was read: the list's number may be reused later in the
-    /// batch.
+    /// The rows that a `ROSTER_CHANGE` refers to, bound when it was read: the list's number may be
+    /// reused later in the batch.
     pub endpoint_rows: Option<EndpointRows>,
 }
 
@@ -24,7 +24,8 @@
     pub now: Timestamp,
     /// Identifies the batch in its acknowledgement.
     pub number: u64,
-    /// Events by instance. An instance that was started in this batch has an entry even without events.
+    /// Events by instance. An instance that was started in this batch has an entry even without
+    /// events.
     pub events: BTreeMap<u64, Vec<EventLine>>,
 }
 
--- a/crates/simulator-adapter/src/decision_writer.rs
+++ b/crates/simulator-adapter/src/decision_writer.rs
@@ -25,8 +25,8 @@
     }
 }
 
-/// Milliseconds with as many decimals as whole microseconds need. What is finer is cut off, never rounded up past a
-/// limit.
+/// Milliseconds with as many decimals as whole microseconds need. What is finer is cut off, never
+/// rounded up past a limit.
 fn milliseconds(duration: Duration) -> f64 {
     whole_micros(duration) as f64 / 1000.0
 }
--- a/crates/simulator-adapter/src/error.rs
+++ b/crates/simulator-adapter/src/error.rs
@@ -5,8 +5,8 @@
 use thiserror::Error;
 use tidescale_settings::{SettingsError, ValueError};
 
-/// Input that the adapter cannot understand, or a stream that broke. The bench shows the message, so its texts stay as
-/// they are.
+/// Input that the adapter cannot understand, or a stream that broke. The bench shows the message,
+/// so its texts stay as they are.
 #[derive(Debug, Error)]
 pub enum AdapterError {
     /// Stdin cannot be read, or holds bytes that are no UTF-8.
--- a/crates/simulator-adapter/src/fields.rs
+++ b/crates/simulator-adapter/src/fields.rs
@@ -1,6 +1,7 @@
 //! Splits a line into its fields and parses fields that several messages share.
 //!
-//! Fields are separated by exactly one space; the first is the message's name. A field without a value holds `-`.
+//! Fields are separated by exactly one space; the first is the message's name. A field without a
+//! value holds `-`.
 
 use tidescale_policy::types::{AttemptOutcome, LoadReport};
 use tidescale_settings::parse_number;
@@ -51,7 +52,8 @@
     }
 }
 
-/// An endpoint's load report, `NAME:VALUE,NAME:VALUE…`; values that the policy does not use are only checked.
+/// An endpoint's load report, `NAME:VALUE,NAME:VALUE…`; values that the policy does not use are
+/// only checked.
 pub fn parse_load_report(text: &str) -> Result<Option<LoadReport>, AdapterError> {
     let Some(text) = optional(text) else {
         return Ok(None);
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -64,8 +64,9 @@
         .collect()
 }
 
-/// The policy acts in the very step in which something falls due, and a step comes at least once a tick: a slack
-/// shorter than the tick could not be kept. The tick may be left out.
+/// Refuses a slack for answers that is shorter than the bench's tick, which may be left out. The
+/// policy acts in the very step in which something falls due, and on the bench nothing is added to
+/// the slack; on sockets 50 ms are.
 fn check_answer_slack(raw: &RawSettings) -> Result<(), AdapterError> {
     let slack = raw.duration("rules.answer_slack")?;
     match raw.duration("tick") {
--- a/crates/simulator-adapter/tests/input.rs
+++ b/crates/simulator-adapter/tests/input.rs
@@ -1,4 +1,5 @@
-//! What the adapter does with malformed input, unusable settings and events about what it does not know.
+//! What the adapter does with malformed input, unusable settings and events about what it does not
+//! know.
 
 mod common;
 
--- a/crates/simulator-adapter/tests/lines.rs
+++ b/crates/simulator-adapter/tests/lines.rs
@@ -9,8 +9,8 @@
     format!("MARK 1.0 1\nAT 0\n{START}\n{lines}\nOVER_TO_YOU\n")
 }
 
-/// Input must end the adapter with this message: on stdout as the only line of its batch, on stderr after the
-/// program's name.
+/// Input must end the adapter with this message: on stdout as the only line of its batch, on stderr
+/// after the program's name.
 fn assert_ends_with(input: &str, message: &str) {
     let run = run(input);
     assert!(!run.succeeded, "{input}: accepted");
