--- a/crates/simulator-adapter/tests/lines.rs
+++ b/crates/simulator-adapter/tests/lines.rs
@@ -157,3 +157,68 @@
         "{line}"
     );
 }
+
+/// The fields after a decision's name: `n` for a number, `e` for an endpoint, any other for itself.
+fn shape_of(decision: &str) -> Option<&'static str> {
+    match decision {
+        "SEND" => Some("n e n"),
+        "STOP_ATTEMPT" => Some("n n"),
+        "TURN_AWAY" => Some("n n"),
+        "ERROR" => Some("n"),
+        "OPINION" => Some("n n n"),
+        "HEALTH_CHECK" => Some("e"),
+        "TAIL" => Some("1"),
+        "SCHEDULE" => Some("n 0"),
+        "INSTANCE" | "ACK" => Some("n"),
+        _ => None,
+    }
+}
+
+fn has_its_shape(line: &str) -> bool {
+    let mut fields = line.split(' ');
+    let Some(shape) = fields.next().and_then(shape_of) else {
+        return false;
+    };
+    let fields: Vec<&str> = fields.collect();
+    let shape: Vec<&str> = shape.split(' ').collect();
+    fields.len() == shape.len()
+        && fields
+            .iter()
+            .zip(shape)
+            .all(|(field, wanted)| match wanted {
+                "n" => field.parse::<f64>().is_ok_and(|number| number >= 0.0),
+                "e" => ["m1", "m2"].contains(field),
+                literal => *field == literal,
+            })
+}
+
+#[test]
+fn every_decision_has_the_shape_of_its_line() {
+    // A polled list; of requests that must not be executed twice one that is answered, one whose
+    // connection breaks, one that is never answered, and one that no endpoint is left for.
+    let start = START
+        .replace("mode=push", "mode=ask rules.must_ask_in=400.0")
+        .replace("idempotency=retryable", "idempotency=fragile");
+    let mut input = format!("MARK 1 1\nAT 0\n{start}\nINVENTORY 0 2\nROW m1 z1 1 k 0 1 1 -\n");
+    input += "ROW m2 z1 1 k 0 1 1 -\nROSTER_CHANGE 0 1 0\nOVER_TO_YOU\n";
+    for request in 1..=3 {
+        let at = 10 * request;
+        input += &format!("MARK {at} 2\nAT 0\nASK {request} look - - 900.0 - 0 0\nOVER_TO_YOU\n");
+    }
+    input += "MARK 40 3\nAT 0\nOUTCOME 1 0 m1 done 30.0 1 inflight:1,queue:0\n";
+    input += "OUTCOME 2 0 m1 econnreset 20.0 0 -\nOVER_TO_YOU\n";
+    input += "MARK 70 4\nAT 0\nINVENTORY 0 0\nROSTER_CHANGE 0 2 0\n";
+    input += "ASK 4 look - - 900.0 - 0 0\nOVER_TO_YOU\n";
+    for at in (80..2000).step_by(10) {
+        input += &format!("MARK {at} 5\nAT 0\nWAKEUP 0\nOVER_TO_YOU\n");
+    }
+    let run = run(&input);
+    assert!(run.succeeded, "{}", run.message);
+    for line in run.reply.lines() {
+        assert!(has_its_shape(line), "{line}");
+    }
+    for decision in ["SEND ", "ERROR ", "TURN_AWAY ", "TAIL ", "SCHEDULE "] {
+        let is_there = run.reply.lines().any(|line| line.starts_with(decision));
+        assert!(is_there, "no {decision}in {}", run.reply);
+    }
+}
