--- a/crates/lab/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -1,4 +1,4 @@
-//! `tidescale-lab`: experiments by sub-command. Each prints one summary line last and exits non-zero where a stated
+//! `tidescale-experiments`: experiments by sub-command. Each prints one summary line last and exits non-zero where a stated
 //! bound is broken; the same seed gives the same cases.
 
 mod disk;
@@ -6,6 +6,7 @@
 mod standins;
 mod table;
 mod torture;
+mod trace;
 mod verdicts;
 
 use std::path::PathBuf;
@@ -15,7 +16,7 @@
 
 /// Experiments on tidescale.
 #[derive(Parser)]
-#[command(name = "tidescale-lab", version)]
+#[command(name = "tidescale-experiments", version)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
@@ -72,6 +73,13 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// One digest over every decision of seeded trials, to compare two commits.
+    Trace {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 200)]
+        runs: u64,
+    },
     /// What `torture` starts and kills.
     #[command(hide = true)]
     Saver { folder: PathBuf },
@@ -80,11 +88,27 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Disk { histories, seed } => disk::run(histories, seed),
-        Command::Torture { kills, seed, lanes, dir } => torture::run(kills, seed, lanes, dir),
-        Command::Restart { runs, seed, out, front, lanes } => restart::run(runs, seed, &out, front, lanes),
-        Command::Verdicts { seed, runs, fleet, word, out } => {
-            verdicts::run(seed, runs, fleet, word, out.as_deref())
-        }
+        Command::Torture {
+            kills,
+            seed,
+            lanes,
+            dir,
+        } => torture::run(kills, seed, lanes, dir),
+        Command::Restart {
+            runs,
+            seed,
+            out,
+            front,
+            lanes,
+        } => restart::run(runs, seed, &out, front, lanes),
+        Command::Verdicts {
+            seed,
+            runs,
+            fleet,
+            word,
+            out,
+        } => verdicts::run(seed, runs, fleet, word, out.as_deref()),
+        Command::Trace { seed, runs } => trace::run(seed, runs),
         Command::Saver { folder } => torture::save(&folder),
     };
     match done {
--- a/crates/node/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -6,9 +6,9 @@
 
 use clap::Parser;
 use socket2::{Domain, Protocol, Socket, Type};
-use tidescale_node::commands::{self, Cli, Command, Run};
-use tidescale_node::operators::{self, Operators};
-use tidescale_node::{config, front, logging};
+use tidescale_proxy::cli::{self, Cli, Command, Run};
+use tidescale_proxy::operators::{self, Operators};
+use tidescale_proxy::{config, event_loop, logging};
 
 const BACKLOG: i32 = 1024;
 
@@ -28,12 +28,14 @@
     let operators = match &run.operators {
         None => Operators::default(),
         Some(path) => {
-            let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+            let text =
+                std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
             operators::read(&text).map_err(|e| format!("{}: {e}", path.display()))?
         }
     };
-    let listen = || listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen));
-    front::run(&config, &operators, path, listen, logging::start())?;
+    let listen =
+        || listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen));
+    event_loop::run(&config, &operators, path, listen, logging::start())?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -45,7 +47,10 @@
             return ExitCode::SUCCESS;
         }
         let told = e.to_string();
-        let line = told.lines().find(|l| !l.trim().is_empty()).unwrap_or_default();
+        let line = told
+            .lines()
+            .find(|l| !l.trim().is_empty())
+            .unwrap_or_default();
         eprintln!("tidescale: {}", line.trim_start_matches("error: "));
         ExitCode::from(2)
     })
@@ -59,8 +64,8 @@
     let done = match &cli.command {
         None => start(&Run::default()),
         Some(Command::Run(run)) => start(run),
-        Some(Command::Explain { log }) => commands::explain(log.as_deref()),
-        Some(Command::Memory(command)) => commands::memory(command),
+        Some(Command::Explain { log }) => cli::explain(log.as_deref()),
+        Some(Command::Memory(command)) => cli::memory(command),
     };
     done.unwrap_or_else(|fault| {
         eprintln!("tidescale: {}", fault.replace('\n', " "));
--- a/crates/memory/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -5,8 +5,8 @@
 use std::io::{self, ErrorKind};
 
 use crate::disk::Disk;
-use crate::facts::Fact;
-use crate::image::{self, Image, Unfit};
+use crate::format::{self, Image, Unfit};
+use crate::records::Fact;
 
 const SLOTS: [&str; 2] = ["memory.0", "memory.1"];
 const NEW: &str = "memory.new";
@@ -35,7 +35,7 @@
 
 impl<D: Disk> Store<D> {
     pub fn open(disk: D) -> (Store<D>, Opened) {
-        Store::open_with(disk, image::decode)
+        Store::open_with(disk, format::decode)
     }
 
     /// With another reader, for tests that have to show what a reader is good for.
@@ -43,7 +43,7 @@
         let mut opened = Opened::default();
         let mut sequences = [0, 0];
         for (slot, name) in SLOTS.into_iter().enumerate() {
-            let read = match disk.read(name, image::MOST_BYTES + image::HEADER) {
+            let read = match disk.read(name, format::MOST_BYTES + format::HEADER) {
                 Ok(bytes) => decode(&bytes).map_err(|unfit| (unfit.word(), unfit.to_string())),
                 Err(e) if e.kind() == ErrorKind::NotFound => continue,
                 Err(e) => Err(("unreadable", e.to_string())),
@@ -51,28 +51,47 @@
             match read {
                 Ok(image) => {
                     sequences[slot] = image.sequence;
-                    if opened.image.as_ref().is_none_or(|best| image.sequence > best.sequence) {
+                    if opened
+                        .image
+                        .as_ref()
+                        .is_none_or(|best| image.sequence > best.sequence)
+                    {
                         opened.image = Some(image);
                     }
                 }
                 Err((word, why)) => {
                     let kept = set_aside(&mut disk, name, word);
-                    let kept = kept.map_or_else(|e| format!("left where it is, {e}"), |n| format!("now {n}"));
-                    opened.notes.push(format!("{name} is not read: {why}; {kept}"));
+                    let kept = kept
+                        .map_or_else(|e| format!("left where it is, {e}"), |n| format!("now {n}"));
+                    opened
+                        .notes
+                        .push(format!("{name} is not read: {why}; {kept}"));
                 }
             }
         }
         // Broken off before it took a slot: never complete, as far as anyone was told.
         let _ = disk.remove(NEW);
         let next = usize::from(sequences[0] > sequences[1]);
-        (Store { disk, next, sequence: sequences[0].max(sequences[1]) }, opened)
+        (
+            Store {
+                disk,
+                next,
+                sequence: sequences[0].max(sequences[1]),
+            },
+            opened,
+        )
     }
 
     /// Once this returns without a fault, the state outlives a loss of power; after a fault the last one still does.
     pub fn save(&mut self, written: u64, facts: Vec<Fact>) -> io::Result<usize> {
         // One that failed may be on the disk all the same: its number is not used again.
         self.sequence += 1;
-        let bytes = image::encode(&Image { sequence: self.sequence, written, facts, unknown: 0 });
+        let bytes = format::encode(&Image {
+            sequence: self.sequence,
+            written,
+            facts,
+            unknown: 0,
+        });
         let done = self.write(&bytes).and_then(|()| {
             self.disk.rename(NEW, SLOTS[self.next])?;
             self.disk.sync_names()
@@ -93,7 +112,9 @@
         while done.is_ok() && !rest.is_empty() {
             match self.disk.write(NEW, rest) {
                 Ok(n) => (rest, interrupted) = (&rest[n..], 0),
-                Err(e) if e.kind() == ErrorKind::Interrupted && interrupted < PATIENCE => interrupted += 1,
+                Err(e) if e.kind() == ErrorKind::Interrupted && interrupted < PATIENCE => {
+                    interrupted += 1
+                }
                 Err(e) => done = Err(e),
             }
         }
@@ -114,8 +135,15 @@
 /// Keeps a file that can't be used under another name, and only so many of them.
 fn set_aside<D: Disk>(disk: &mut D, name: &str, word: &str) -> io::Result<String> {
     let names = disk.names()?;
-    let number = |n: &str| n.strip_prefix(ASIDE)?.split('.').next()?.parse::<u64>().ok();
-    let mut kept: Vec<(u64, &String)> = names.iter().filter_map(|n| Some((number(n)?, n))).collect();
+    let number = |n: &str| {
+        n.strip_prefix(ASIDE)?
+            .split('.')
+            .next()?
+            .parse::<u64>()
+            .ok()
+    };
+    let mut kept: Vec<(u64, &String)> =
+        names.iter().filter_map(|n| Some((number(n)?, n))).collect();
     kept.sort_unstable();
     let to = format!("{ASIDE}{}.{word}", kept.last().map_or(1, |(n, _)| n + 1));
     let over = (kept.len() + 1).saturating_sub(MOST_ASIDE);
@@ -144,12 +172,17 @@
 pub fn look<D: Disk>(disk: &mut D) -> Opened {
     let mut opened = Opened::default();
     for name in SLOTS {
-        match disk.read(name, image::MOST_BYTES + image::HEADER) {
+        match disk.read(name, format::MOST_BYTES + format::HEADER) {
             Err(e) if e.kind() == ErrorKind::NotFound => {}
             Err(e) => opened.notes.push(format!("{name}: {e}")),
-            Ok(bytes) => match image::decode(&bytes) {
+            Ok(bytes) => match format::decode(&bytes) {
                 Err(unfit) => opened.notes.push(format!("{name}: {unfit}")),
-                Ok(image) if opened.image.as_ref().is_none_or(|best| image.sequence > best.sequence) => {
+                Ok(image)
+                    if opened
+                        .image
+                        .as_ref()
+                        .is_none_or(|best| image.sequence > best.sequence) =>
+                {
                     opened.image = Some(image);
                 }
                 Ok(_) => {}
