--- a/crates/proxy/src/snapshot_writer.rs
+++ b/crates/proxy/src/snapshot_writer.rs
@@ -13,6 +13,7 @@
     EndpointRecord, FleetBaselineRecord, HardwareClassRecord, OutcomeRecord, RolloutRecord,
     RouteRecord, SnapshotSink,
 };
+use tidescale_policy::statistics::CountKey;
 use tidescale_policy::types::{EndpointState, RolloutPhase, Timestamp};
 use tidescale_snapshot::disk::Folder;
 use tidescale_snapshot::expiry::{self, Listed};
@@ -258,7 +259,7 @@
 #[derive(Clone, Copy)]
 enum Cursor {
     Machines(usize),
-    Evidence((u32, usize)),
+    Evidence(CountKey),
     Rest,
 }
 
@@ -346,7 +347,7 @@
         match self.cursor {
             Cursor::Machines(at) => {
                 let next = from.save_endpoints(at, most, &mut gathered);
-                self.cursor = next.map_or(Cursor::Evidence((0, 0)), Cursor::Machines);
+                self.cursor = next.map_or(Cursor::Evidence(CountKey::default()), Cursor::Machines);
             }
             Cursor::Evidence(at) => {
                 let next = from.save_outcomes(at, most, &mut gathered);
