Policy: shorter functions, health and limits with their modules, whole words for locals

Need: three functions of the policy did several steps each, endpoints.rs held the types of two other modules, and a few locals carried words of the house style.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -28,7 +28,7 @@
         let endpoint = &mut self.endpoints[index];
         let is_warming = endpoint.age_micros(now) < whole_micros(self.settings.warm_up_time);
         endpoint.in_flight += 1.0;
-        endpoint.slow_start.credit -= f64::from(is_warming);
+        endpoint.slow_start.earned -= f64::from(is_warming);
         if endpoint.health.ejected {
             endpoint.health.last_trial_request_at = now;
         }
@@ -84,8 +84,7 @@
         let attempt = request.attempts[index];
         if attempt.hedge_due() {
             let earlier = attempt.conditions.warm && !self.is_under_evaluation(attempt.build);
-            let (route, cost) = (request.route, request.cost);
-            self.record_latency(attempt.endpoint, route, cost, age, earlier);
+            self.record_latency(id, attempt.endpoint, age, earlier);
         }
     }
 }
--- a/crates/policy/src/concurrency.rs
+++ b/crates/policy/src/concurrency.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use crate::Balancer;
-use crate::endpoints::ConcurrencyLimit;
+use crate::endpoints::DecayTimes;
+use crate::statistics::DecayingSums;
 use crate::types::{AttemptOutcome, Timestamp};
 
 /// The share of a route's latency objective that an answer should take; limits follow it.
@@ -22,13 +23,47 @@
 /// slow ones idle.
 const MIN_ATTEMPTS_PER_ENDPOINT: f64 = 2.0;
 
+/// How many attempts may be in flight, learned from how answers compare with the latency objective.
+#[derive(Clone, Copy, Debug)]
+pub struct ConcurrencyLimit {
+    /// The limit; only whole attempts count.
+    pub limit: f64,
+    /// When it was last decreased.
+    pub last_decreased_at: Timestamp,
+    /// Answers that took too large a part of their objective, and answers.
+    pub latency_ratio: DecayingSums<2>,
+}
+
+impl ConcurrencyLimit {
+    /// A limit with nothing learned yet.
+    pub fn new(limit: f64, decay_times: DecayTimes) -> Self {
+        let latency_ratio = DecayingSums::new(decay_times.latency_ratios);
+        ConcurrencyLimit {
+            limit,
+            last_decreased_at: Timestamp::ZERO,
+            latency_ratio,
+        }
+    }
+
+    /// More than half of the answers took too large a part of their objective.
+    pub fn is_congested(&self) -> bool {
+        let [slow, all] = self.latency_ratio.last_read();
+        slow > 0.5 * all
+    }
+
+    /// Whether one attempt more is within the limit.
+    pub fn admits(&self, in_flight: f64) -> bool {
+        in_flight < self.limit.floor()
+    }
+}
+
 impl Balancer {
     /// What an outcome says of the concurrency limits, there and in all: a thin instance learns
     /// only from all.
     pub(crate) fn update_limits(
         &mut self,
+        id: u64,
         index: usize,
-        route: usize,
         outcome: AttemptOutcome,
         micros: u64,
     ) {
@@ -40,7 +75,10 @@
             return;
         }
         let now = self.clock.now;
-        let objective = self.objective_micros(route);
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let objective = self.objective_micros(request.route);
         let succeeded = outcome == AttemptOutcome::Succeeded;
         let latency_ratio = if succeeded {
             micros as f64 / objective as f64
--- a/crates/policy/src/decisions/evidence.rs
+++ b/crates/policy/src/decisions/evidence.rs
@@ -89,9 +89,9 @@
         let load_when_sent = attempt.conditions.endpoint_load;
         let load = 1.0 + load_when_sent.max(self.endpoint_load(index).in_flight);
         let baseline = self.class_baseline(index, route, cost)?;
-        let usual = baseline.latency / self.warm_up_fraction(&self.endpoints[index]);
+        let typical = baseline.latency / self.warm_up_fraction(&self.endpoints[index]);
         let factor = SLOW_FACTOR.max(LOAD_FACTOR * load / baseline.load);
-        Some(micros as f64 > usual * factor)
+        Some(micros as f64 > typical * factor)
     }
 
     /// No build is under evaluation or being rolled back, the last rollout is long over, and most
@@ -115,14 +115,14 @@
         let [attempts] = sums.read(self.clock.now);
         let rate = attempts / self.span_seconds(&self.traffic.attempts, MIN_SPAN);
         let counted = baseline.attempts_per_second * 1e6 / super::DECAY_TIMES.rates;
-        let chance = 2.0 * (counted / 2.0).sqrt();
+        let noise = 2.0 * (counted / 2.0).sqrt();
         let Some(rollout) = self.rollout else {
             return self.is_steady();
         };
         let in_service = self.endpoints.in_service(rollout.build);
         let is_comparable = rollout.phase.is_serving()
             && in_service.total() * 10 >= baseline.endpoints * MIN_FLEET_TENTHS
-            && rate <= MAX_RATE_FACTOR * baseline.attempts_per_second + chance
+            && rate <= MAX_RATE_FACTOR * baseline.attempts_per_second + noise
             && in_service.candidate > 0;
         self.is_steady() || is_comparable
     }
--- a/crates/policy/src/decisions/guards.rs
+++ b/crates/policy/src/decisions/guards.rs
@@ -73,9 +73,10 @@
             return true;
         }
         let settings = &self.settings;
-        let told = self.rollout.filter(|rollout| rollout.build == build);
+        let announced = self.rollout.filter(|rollout| rollout.build == build);
         let first_cap = settings.stage_caps.first().copied().unwrap_or(0.0);
-        let (stage, cap) = told.map_or((0, first_cap), |told| (told.stage, told.traffic_cap));
+        let (stage, cap) =
+            announced.map_or((0, first_cap), |status| (status.stage, status.traffic_cap));
         let is_idempotent = settings.routes[route].idempotency == Idempotency::Idempotent;
         let is_guarded = stage < settings.guarded_stages && !is_idempotent;
         if cap <= 0.0 || is_guarded {
@@ -123,6 +124,6 @@
         let maximum = 1.0 + rate * window / 4.0;
         let slow_start = &mut self.endpoints[index].slow_start;
         slow_start.earn(rate, maximum, now);
-        slow_start.credit >= 1.0
+        slow_start.earned >= 1.0
     }
 }
--- a/crates/policy/src/decisions/routing.rs
+++ b/crates/policy/src/decisions/routing.rs
@@ -27,8 +27,10 @@
         let request = self.requests.get(id)?;
         let (route, cost) = (request.route, request.cost);
         let left = TIME_SHARE * request.objective_deadline.micros_since(now) as f64;
-        let usual = self.latency.expected(route, cost, now).unwrap_or(0.0);
-        let expected = self.endpoints.expected_by_class(usual, SLOWDOWN_PRIOR, now);
+        let typical = self.latency.expected(route, cost, now).unwrap_or(0.0);
+        let expected = self
+            .endpoints
+            .expected_by_class(typical, SLOWDOWN_PRIOR, now);
         let mut candidates = Candidates::default();
         let mut exposable = BTreeMap::new();
         for index in open {
--- a/crates/policy/src/decisions/voting.rs
+++ b/crates/policy/src/decisions/voting.rs
@@ -43,8 +43,8 @@
             return;
         }
         let instances = f64::from(self.settings.instance_count);
-        let chance = self.settings.votes_per_second * lifetime as f64 / 2e6 / instances;
-        if self.random.rand_float() < chance {
+        let probability = self.settings.votes_per_second * lifetime as f64 / 2e6 / instances;
+        if self.random.rand_float() < probability {
             sink.cast_vote(ballot);
             self.voting.pending_vote = Some(CastVote { ballot, at: now });
         }
--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::ops::{Index, IndexMut};
 
+use crate::concurrency::ConcurrencyLimit;
+use crate::health::Health;
 use crate::requests::Attempt;
 use crate::settings::KeyScope;
 use crate::statistics::DecayingSums;
@@ -26,40 +28,6 @@
     pub latency_ratios: f64,
 }
 
-/// How many attempts may be in flight, learned from how answers compare with the latency objective.
-#[derive(Clone, Copy, Debug)]
-pub struct ConcurrencyLimit {
-    /// The limit; only whole attempts count.
-    pub limit: f64,
-    /// When it was last decreased.
-    pub last_decreased_at: Timestamp,
-    /// Answers that took too large a part of their objective, and answers.
-    pub latency_ratio: DecayingSums<2>,
-}
-
-impl ConcurrencyLimit {
-    /// A limit with nothing learned yet.
-    pub fn new(limit: f64, decay_times: DecayTimes) -> Self {
-        let latency_ratio = DecayingSums::new(decay_times.latency_ratios);
-        ConcurrencyLimit {
-            limit,
-            last_decreased_at: Timestamp::ZERO,
-            latency_ratio,
-        }
-    }
-
-    /// More than half of the answers took too large a part of their objective.
-    pub fn is_congested(&self) -> bool {
-        let [slow, all] = self.latency_ratio.last_read();
-        slow > 0.5 * all
-    }
-
-    /// Whether one attempt more is within the limit.
-    pub fn admits(&self, in_flight: f64) -> bool {
-        in_flight < self.limit.floor()
-    }
-}
-
 /// What an endpoint last reported of its load.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReportedLoad {
@@ -69,46 +37,11 @@
     pub at: Timestamp,
 }
 
-/// Whether an endpoint answers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Health {
-    /// It takes no requests until health checks or a trial request say that it serves.
-    pub ejected: bool,
-    /// Connections that it refused in a row.
-    pub consecutive_refusals: u32,
-    /// When it last broke connections with requests on them.
-    pub last_crash_at: Timestamp,
-    /// When it last answered anything.
-    pub last_response_at: Timestamp,
-    /// It let an attempt pass its latency objective and has answered nothing since.
-    pub unresponsive: bool,
-    /// A health check is in flight.
-    pub check_in_flight: bool,
-    /// When the last health check was sent.
-    pub last_check_at: Timestamp,
-    /// While ejected: since when, or when a request was last tried there.
-    pub last_trial_request_at: Timestamp,
-    /// Health checks that it passed in a row.
-    pub consecutive_passes: u32,
-    /// Health checks that it has to pass in a row to return.
-    pub passes_required: u32,
-}
-
-impl Health {
-    /// Takes the endpoint out of service.
-    pub fn eject(&mut self, now: Timestamp) {
-        self.ejected = true;
-        self.consecutive_passes = 0;
-        self.last_check_at = now;
-        self.last_trial_request_at = now;
-    }
-}
-
 /// This instance's share of what a warming endpoint can take.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SlowStart {
-    /// Requests that this instance may send it now.
-    pub credit: f64,
+    /// Requests that this instance may send it now; whole ones count.
+    pub earned: f64,
     /// When the credit was last brought up to date.
     pub credited_at: Timestamp,
 }
@@ -117,8 +50,8 @@
     /// Adds what has been earned since the last time, up to a maximum; the rate is in requests a
     /// microsecond.
     pub fn earn(&mut self, rate: f64, maximum: f64, now: Timestamp) {
-        let earned = rate * now.micros_since(self.credited_at) as f64;
-        self.credit = (self.credit + earned).min(maximum);
+        let gain = rate * now.micros_since(self.credited_at) as f64;
+        self.earned = (self.earned + gain).min(maximum);
         self.credited_at = now;
     }
 }
@@ -308,8 +241,8 @@
 
     /// Index of the hardware class of this name, known before or not.
     pub fn find_or_insert_class(&mut self, name: &str) -> usize {
-        let found = self.classes.iter().position(|class| class.name == name);
-        found.unwrap_or_else(|| {
+        let position = self.classes.iter().position(|class| class.name == name);
+        position.unwrap_or_else(|| {
             let DecayTimes {
                 rates, baselines, ..
             } = self.decay_times;
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -73,53 +73,45 @@
     /// An attempt has ended.
     pub fn on_attempt_result(&mut self, id: u64, index: usize, result: AttemptResult) {
         let outcome = result.outcome;
-        let Some(request) = self.requests.get_mut(id) else {
+        let Some(attempt) = self.requests.finish_attempt(id, index, result) else {
             return;
         };
-        let in_flight = request
-            .attempts
-            .get_mut(index)
-            .filter(|attempt| attempt.in_flight());
-        let Some(attempt) = in_flight else { return };
-        let Attempt {
-            endpoint,
-            build,
-            conditions,
-            ..
-        } = *attempt;
-        let evidence_recorded = attempt.evidence_recorded();
-        let may_have_executed = !outcome.never_executed();
-        attempt.state = AttemptState::Finished { may_have_executed };
-        request.finished |= result.request_finished;
-        let crashed = outcome == AttemptOutcome::ConnectionReset;
-        request.crash_suspect = (crashed && self.settings.health_checks).then_some(endpoint);
-        let (route, cost) = (request.route, request.cost);
-        if may_have_executed {
-            self.bind_key(id, build, outcome);
+        let endpoint = attempt.endpoint;
+        if outcome == AttemptOutcome::ConnectionReset && self.settings.health_checks {
+            self.requests.suspect_crash(id, endpoint);
+        }
+        if !outcome.never_executed() {
+            self.bind_key(id, attempt.build, outcome);
         }
-        let now = self.clock.now;
         let micros = whole_micros(result.duration);
-        if !evidence_recorded {
+        if !attempt.evidence_recorded() {
             self.record_evidence(id, index, outcome, micros);
         }
-        self.endpoints.record_load(endpoint, result.load, now);
+        self.endpoints
+            .record_load(endpoint, result.load, self.clock.now);
         self.endpoints[endpoint].in_flight -= 1.0;
-        let succeeded = outcome == AttemptOutcome::Succeeded;
-        if succeeded && conditions.warm {
-            self.endpoints
-                .class_of(endpoint)
-                .completions
-                .add([1.0, 0.0], now);
-        }
-        if succeeded && !self.clock.stalled {
-            let counts_as_baseline = conditions.warm && !self.is_under_evaluation(build);
-            self.record_latency(endpoint, route, cost, micros, counts_as_baseline);
+        if outcome == AttemptOutcome::Succeeded {
+            self.record_success(id, attempt, micros);
         }
         self.update_health(endpoint, outcome);
-        self.update_limits(endpoint, route, outcome, micros);
+        self.update_limits(id, endpoint, outcome, micros);
         self.requests.remove_if_done(id);
     }
 
+    /// Takes what an answer tells of its endpoint's capacity and speed.
+    fn record_success(&mut self, id: u64, attempt: Attempt, micros: u64) {
+        let endpoint = attempt.endpoint;
+        let warm = attempt.conditions.warm;
+        if warm {
+            let class = self.endpoints.class_of(endpoint);
+            class.completions.add([1.0, 0.0], self.clock.now);
+        }
+        if !self.clock.stalled {
+            let counts_as_baseline = warm && !self.is_under_evaluation(attempt.build);
+            self.record_latency(id, endpoint, micros, counts_as_baseline);
+        }
+    }
+
     /// Notes the build that answered a key, also where the answer was lost on its way: the endpoint
     /// may have given it. A late answer of an earlier build takes nothing back.
     fn bind_key(&mut self, id: u64, build: u32, outcome: AttemptOutcome) {
@@ -146,13 +138,16 @@
     /// jam that a bad build leaves behind is no measure for the next.
     pub(crate) fn record_latency(
         &mut self,
+        id: u64,
         index: usize,
-        route: usize,
-        cost: f64,
         micros: u64,
         counts_as_baseline: bool,
     ) {
         let now = self.clock.now;
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let (route, cost) = (request.route, request.cost);
         let micros = micros as f64;
         let load = 1.0 + self.endpoint_load(index).in_flight;
         let expected = self.latency.expected(route, cost, now);
@@ -228,12 +223,14 @@
             age,
         } = status;
         let now = self.clock.now;
-        let known = self.rollout;
-        if known.is_some_and(|known| known.build == build && traffic_cap < known.traffic_cap) {
+        let previous = self.rollout;
+        if previous
+            .is_some_and(|previous| previous.build == build && traffic_cap < previous.traffic_cap)
+        {
             self.exposure
                 .restart_counting(now + self.settings.grace_period);
         }
-        if known.is_none_or(|known| known.build < build) {
+        if previous.is_none_or(|previous| previous.build < build) {
             let [attempts] = self.traffic.attempts.read(now);
             let seconds = self.span_seconds(&self.traffic.attempts, MIN_SPAN);
             let endpoints = self.endpoints.in_service(0).total();
--- a/crates/policy/src/evidence.rs
+++ b/crates/policy/src/evidence.rs
@@ -173,24 +173,26 @@
     pub fn begin(&mut self, endpoints: usize, attempts_per_second: f64, now: Timestamp) {
         self.previous_variances = [None; TESTS];
         let arm = self.take_fleet_arm(now);
-        let known = self.fleet_baseline.arm;
-        let needed = known.outcomes.min(self.parameters.min_fleet_outcomes);
+        let previous = self.fleet_baseline.arm;
+        let needed = previous.outcomes.min(self.parameters.min_fleet_outcomes);
         self.fleet_baseline = FleetBaseline {
-            arm: if arm.outcomes >= needed { arm } else { known },
+            arm: if arm.outcomes >= needed {
+                arm
+            } else {
+                previous
+            },
             taken_at: now,
             endpoints,
             attempts_per_second,
         };
     }
 
-    /// All evidence on the newest build.
-    pub fn gather(&mut self, newest: u32, endpoints: &Endpoints, now: Timestamp) -> Evidence {
-        let parameters = self.parameters;
-        let mut own = [Arms::default(); TESTS];
+    fn gather_own(&mut self, newest: u32, endpoints: &Endpoints, now: Timestamp) -> OwnEvidence {
+        let mut arms = [Arms::default(); TESTS];
         let mut fleet = Vec::new();
         for (key, counts) in counts_up_to(&mut self.counts, newest) {
-            counts.decay(now, parameters.decay_times);
-            add_counts(&mut own, counts, key.build == newest);
+            counts.decay(now, self.parameters.decay_times);
+            add_counts(&mut arms, counts, key.build == newest);
             // An ejected endpoint is lost to the fleet, not slowed; of its own build it still
             // tells.
             let endpoint = &endpoints[key.endpoint];
@@ -200,12 +202,25 @@
                 fleet.push(EndpointShare { outcomes, failures });
             }
         }
-        let mut restored = [Arms::default(); TESTS];
+        OwnEvidence { arms, fleet }
+    }
+
+    fn gather_restored(&mut self, newest: u32, now: Timestamp) -> [Arms; TESTS] {
+        let mut arms = [Arms::default(); TESTS];
         for (key, counts) in counts_up_to(&mut self.restored_counts, newest) {
-            counts.decay(now, parameters.decay_times);
-            add_counts(&mut restored, counts, key.build == newest);
+            counts.decay(now, self.parameters.decay_times);
+            add_counts(&mut arms, counts, key.build == newest);
         }
-        restored[FLEET_TEST] = Arms::default();
+        // The fleet before a restart was another one.
+        arms[FLEET_TEST] = Arms::default();
+        arms
+    }
+
+    /// All evidence on the newest build.
+    pub fn gather(&mut self, newest: u32, endpoints: &Endpoints, now: Timestamp) -> Evidence {
+        let OwnEvidence { arms: own, fleet } = self.gather_own(newest, endpoints, now);
+        let restored = self.gather_restored(newest, now);
+        let parameters = self.parameters;
         let mut tested = own;
         for (tested, restored) in tested.iter_mut().zip(restored) {
             add_restored(tested, restored, parameters.max_restored);
@@ -235,6 +250,13 @@
     }
 }
 
+/// What this instance has seen itself.
+struct OwnEvidence {
+    arms: [Arms; TESTS],
+    /// By endpoint, how slow the fleet is.
+    fleet: Vec<EndpointShare>,
+}
+
 fn counts_up_to(
     counts: &mut BTreeMap<CountKey, OutcomeCounts>,
     newest: u32,
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -25,6 +25,41 @@
 const INITIAL_LIMIT: f64 = 6.0;
 const RETURN_LIMIT: f64 = 2.0;
 const WARMING_LIMIT: f64 = 1.0;
+/// Whether an endpoint answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    /// It takes no requests until health checks or a trial request say that it serves.
+    pub ejected: bool,
+    /// Connections that it refused in a row.
+    pub consecutive_refusals: u32,
+    /// When it last broke connections with requests on them.
+    pub last_crash_at: Timestamp,
+    /// When it last answered anything.
+    pub last_response_at: Timestamp,
+    /// It let an attempt pass its latency objective and has answered nothing since.
+    pub unresponsive: bool,
+    /// A health check is in flight.
+    pub check_in_flight: bool,
+    /// When the last health check was sent.
+    pub last_check_at: Timestamp,
+    /// While ejected: since when, or when a request was last tried there.
+    pub last_trial_request_at: Timestamp,
+    /// Health checks that it passed in a row.
+    pub consecutive_passes: u32,
+    /// Health checks that it has to pass in a row to return.
+    pub passes_required: u32,
+}
+
+impl Health {
+    /// Takes the endpoint out of service.
+    pub fn eject(&mut self, now: Timestamp) {
+        self.ejected = true;
+        self.consecutive_passes = 0;
+        self.last_check_at = now;
+        self.last_trial_request_at = now;
+    }
+}
+
 impl Balancer {
     /// Another process runs at an endpoint. One that is back could do far less than its age says:
     /// it starts slowly.
@@ -45,9 +80,9 @@
         endpoint.return_to_service(limit, now, DECAY_TIMES);
         endpoint.health.passes_required = MIN_PASSES;
         endpoint.reported_load = Default::default();
-        let credit = f64::from(step) / f64::from(instances);
+        let earned = f64::from(step) / f64::from(instances);
         endpoint.slow_start = SlowStart {
-            credit,
+            earned,
             credited_at: now,
         };
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,13 +10,13 @@
 mod attempts;
 mod balancer;
 mod candidates;
-mod concurrency;
+pub mod concurrency;
 pub mod decisions;
 pub mod endpoints;
 mod events;
 pub mod evidence;
 pub mod exposure;
-mod health;
+pub mod health;
 pub mod host;
 pub mod latency;
 pub mod requests;
--- a/crates/policy/src/requests.rs
+++ b/crates/policy/src/requests.rs
@@ -5,7 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use crate::types::Timestamp;
+use crate::types::{AttemptResult, Timestamp};
 
 /// The life of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -193,6 +193,33 @@
         self.by_id.get_mut(&id)?.attempts.get_mut(index)
     }
 
+    /// Takes the end of an attempt; the attempt as it was before, if it was in flight.
+    pub fn finish_attempt(
+        &mut self,
+        id: u64,
+        index: usize,
+        result: AttemptResult,
+    ) -> Option<Attempt> {
+        let request = self.by_id.get_mut(&id)?;
+        let attempt = request.attempts.get_mut(index)?;
+        let before = *attempt;
+        if !before.in_flight() {
+            return None;
+        }
+        let may_have_executed = !result.outcome.never_executed();
+        attempt.state = AttemptState::Finished { may_have_executed };
+        request.finished |= result.request_finished;
+        request.crash_suspect = None;
+        Some(before)
+    }
+
+    /// The request's last attempt was broken off, and its endpoint may have gone down with it.
+    pub fn suspect_crash(&mut self, id: u64, endpoint: usize) {
+        if let Some(request) = self.by_id.get_mut(&id) {
+            request.crash_suspect = Some(endpoint);
+        }
+    }
+
     /// All requests in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (u64, &Request)> {
         self.by_id.iter().map(|(id, request)| (*id, request))
--- a/crates/policy/src/statistics/sprt.rs
+++ b/crates/policy/src/statistics/sprt.rs
@@ -109,9 +109,9 @@
     minimum_effect: f64,
 ) -> f64 {
     let difference = candidate.share() - baseline.share();
-    let z = difference / variances.standard_error(candidate, baseline);
+    let z_score = difference / variances.standard_error(candidate, baseline);
     let drift = minimum_effect / previous_variances.standard_error(candidate, baseline);
-    z * drift - drift * drift / 2.0
+    z_score * drift - drift * drift / 2.0
 }
 
 /// Wald's bounds on the score.
--- a/crates/policy/src/traffic.rs
+++ b/crates/policy/src/traffic.rs
@@ -2,7 +2,8 @@
 //! endpoints can bear of it.
 
 use crate::Balancer;
-use crate::endpoints::{ConcurrencyLimit, DecayTimes};
+use crate::concurrency::ConcurrencyLimit;
+use crate::endpoints::DecayTimes;
 use crate::statistics::DecayingSums;
 
 /// The highest priority seen fades by this with each request, so that it can fall again.
@@ -48,10 +49,10 @@
         let completions: Vec<[f64; 2]> = classes.map(|class| class.completions.read(now)).collect();
         let add = |sum: [f64; 2], class: &[f64; 2]| [sum[0] + class[0], sum[1] + class[1]];
         let all = completions.iter().fold([0.0, 0.0], add);
-        let known = [completions[class], all]
+        let measured = [completions[class], all]
             .into_iter()
             .find(|[_, seconds]| *seconds >= 1.0);
-        if let Some([answered, seconds]) = known {
+        if let Some([answered, seconds]) = measured {
             return answered / seconds;
         }
         let ready = self
