--- a/crates/experiments/src/restart.rs
+++ b/crates/experiments/src/restart.rs
@@ -13,8 +13,11 @@
 use oorandom::Rand64;
 use rayon::prelude::*;
 use serde_json::json;
-use tidescale_snapshot::format::{self, Image};
-use tidescale_snapshot::records::{EvidenceFact, Fact, ListedFact, MachineFact, Process};
+use tidescale_policy::types::Timestamp;
+use tidescale_snapshot::format::{self, Snapshot};
+use tidescale_snapshot::records::{
+    EndpointRecord, ListedEndpointRecord, ListedState, OutcomeRecord, Process, Record, ReportedLoad,
+};
 
 use crate::standins::{self, Answered, Machine, Manner, Platform};
 use crate::table::{self, Column};
@@ -333,51 +336,55 @@
     let seen = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |d| d.as_micros() as u64);
+    let observed_at = Timestamp::from_micros(seen);
     let addr = |n: usize| SocketAddr::from(([127, 10, (n / 250) as u8, (1 + n % 250) as u8], 5432));
-    let facts: Vec<Fact> = (0..machines)
+    let records: Vec<Record> = (0..machines)
         .flat_map(|n| {
             let process = Process {
-                id: format!("s-{n:08x}"),
-                addr: addr(n).to_string(),
+                endpoint: format!("s-{n:08x}"),
+                address: addr(n).to_string(),
                 build: 41,
-                started: 0,
+                started_at: Timestamp::ZERO,
             };
-            let (zone, kind, state) = ("z1".to_string(), "k".to_string(), "active".to_string());
+            let (zone, kind, state) = ("z1".to_string(), "k".to_string(), ListedState::Ready);
             let (all, hits) = (vec![4.0, 3.0, 5.0, 2.0], vec![0.1, 0.0, 0.2, 0.3]);
             [
-                Fact::Listed(ListedFact {
-                    seen,
-                    version: 7,
+                Record::ListedEndpoint(ListedEndpointRecord {
+                    observed_at,
+                    list_version: 7,
                     process: process.clone(),
                     zone,
-                    kind: kind.clone(),
+                    hardware_class: kind.clone(),
                     cell: 0,
                     state,
                 }),
-                Fact::Machine(MachineFact {
-                    seen,
+                Record::Endpoint(EndpointRecord {
+                    observed_at,
                     process: process.clone(),
-                    kind,
-                    pace: [3.5, 4.0],
-                    load: (2.0, seen),
-                    aside: false,
+                    hardware_class: kind,
+                    slowdown: [3.5, 4.0],
+                    reported_load: ReportedLoad {
+                        in_flight: 2.0,
+                        reported_at: observed_at,
+                    },
+                    ejected: false,
                 }),
-                Fact::Evidence(EvidenceFact {
-                    seen,
+                Record::Outcomes(OutcomeRecord {
+                    observed_at,
                     process,
                     build: 41,
-                    all,
-                    hits,
+                    outcomes: all,
+                    failures: hits,
                 }),
             ]
         })
         .collect();
     let begun = Instant::now();
-    let bytes = format::encode(&Image {
+    let bytes = format::encode(&Snapshot {
         sequence: 1,
-        written: seen,
-        facts,
-        unknown: 0,
+        written_at: observed_at,
+        records,
+        unknown_records: 0,
     });
     let encode_ms = begun.elapsed().as_secs_f64() * 1e3;
     let begun = Instant::now();
--- /dev/null
+++ b/crates/proxy/src/cli/snapshot_command.rs
@@ -0,0 +1,202 @@
+//! `tidescale snapshot`: looks at what a proxy instance has stored, and clears it.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, Read};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::Subcommand;
+use comfy_table::{Table, presets};
+use serde_json::json;
+use tidescale_policy::types::Timestamp;
+use tidescale_snapshot::directory::Directory;
+use tidescale_snapshot::expiry::{self, ProcessMatch};
+use tidescale_snapshot::format::{self, Snapshot};
+use tidescale_snapshot::records::{Process, Record};
+use tidescale_snapshot::store::{self, Opened, Quarantine, UnusableFile};
+
+use super::CliError;
+
+/// What can be done with stored snapshots.
+#[derive(Subcommand)]
+pub enum SnapshotCommand {
+    /// Each record with its age and what it would count for now.
+    Show {
+        /// A directory of snapshots, or one file.
+        path: PathBuf,
+        /// One JSON document in place of a table.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Exit code 0 where a snapshot is whole and no file beside it is bad, 1 otherwise.
+    Check {
+        /// A directory of snapshots, or one file.
+        path: PathBuf,
+    },
+    /// Remove all snapshots; a proxy instance that has locked the directory has to stop first.
+    Clear {
+        /// A directory of snapshots.
+        path: PathBuf,
+    },
+}
+
+/// Carries the command out; fails where something is not whole.
+///
+/// # Errors
+///
+/// Where there is nothing to show, or a file or directory cannot be used.
+pub fn snapshot(command: &SnapshotCommand) -> Result<ExitCode, CliError> {
+    match command {
+        SnapshotCommand::Show { path, json: true } => show(path, print_json),
+        SnapshotCommand::Show { path, json: false } => show(path, print_table),
+        SnapshotCommand::Check { path } => check(path),
+        SnapshotCommand::Clear { path } => clear(path),
+    }
+}
+
+fn show(path: &Path, print: fn(&Snapshot, Timestamp)) -> Result<ExitCode, CliError> {
+    let opened = read_newest(path)?;
+    for file in &opened.unusable_files {
+        eprintln!("tidescale: {file}");
+    }
+    let Some(snapshot) = opened.snapshot else {
+        return Err(CliError::NoSnapshot(path.into()));
+    };
+    print(&snapshot, now());
+    Ok(exit_code(opened.unusable_files.is_empty()))
+}
+
+fn check(path: &Path) -> Result<ExitCode, CliError> {
+    let opened = read_newest(path)?;
+    for file in &opened.unusable_files {
+        println!("{file}");
+    }
+    let Some(snapshot) = opened.snapshot else {
+        println!("no whole snapshot");
+        return Ok(ExitCode::FAILURE);
+    };
+    let (sequence, count) = (snapshot.sequence, snapshot.records.len());
+    println!("snapshot {sequence} is whole, {count} records");
+    Ok(exit_code(opened.unusable_files.is_empty()))
+}
+
+fn clear(path: &Path) -> Result<ExitCode, CliError> {
+    if !path.is_dir() {
+        return Err(CliError::NotADirectory(path.into()));
+    }
+    let mut directory = Directory::lock(path).map_err(|source| CliError::Lock {
+        path: path.into(),
+        source,
+    })?;
+    let removed = store::clear(&mut directory).map_err(|source| CliError::Clear {
+        path: path.into(),
+        source,
+    })?;
+    println!("{removed} files removed");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn exit_code(all_whole: bool) -> ExitCode {
+    if all_whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// The newest whole snapshot at a file or in a directory, and what is not whole.
+fn read_newest(path: &Path) -> Result<Opened, CliError> {
+    if path.is_dir() {
+        return Ok(store::newest(&mut Directory::without_lock(path)));
+    }
+    let bytes = read_file(path).map_err(|source| CliError::Read {
+        path: path.into(),
+        source,
+    })?;
+    let mut opened = Opened::default();
+    match format::decode(&bytes) {
+        Ok(snapshot) => opened.snapshot = Some(snapshot),
+        Err(error) => opened.unusable_files.push(UnusableFile {
+            name: path.display().to_string(),
+            error: error.into(),
+            quarantine: Quarantine::NotAttempted,
+        }),
+    }
+    Ok(opened)
+}
+
+/// As much of the file as decoding needs.
+fn read_file(path: &Path) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    File::open(path)?
+        .take(format::READ_LIMIT as u64)
+        .read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
+fn now() -> Timestamp {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    Timestamp::ZERO + since_epoch.unwrap_or_default()
+}
+
+/// The field names are part of the interface: programs read them.
+fn print_json(snapshot: &Snapshot, now: Timestamp) {
+    let listed = snapshot.listed_processes();
+    let records: Vec<_> = snapshot
+        .records
+        .iter()
+        .map(|record| json!({"fact": record, "weight": weight(record, &listed, now)}))
+        .collect();
+    let document = json!({
+        "sequence": snapshot.sequence,
+        "written": snapshot.written_at.as_micros(),
+        "unknown_records": snapshot.unknown_records,
+        "facts": records,
+    });
+    println!("{document}");
+}
+
+fn print_table(snapshot: &Snapshot, now: Timestamp) {
+    let listed = snapshot.listed_processes();
+    let mut table = Table::new();
+    table
+        .load_style(presets::NOTHING)
+        .set_header(["record", "of", "age", "weight"]);
+    for record in &snapshot.records {
+        table.add_row([
+            record.kind_name().into(),
+            record.subject(),
+            age_text(record.observed_at(), now),
+            format!("{:.2}", weight(record, &listed, now)),
+        ]);
+    }
+    println!("{table}");
+    println!(
+        "snapshot {}, written {} ago, {} records",
+        snapshot.sequence,
+        age_text(snapshot.written_at, now),
+        snapshot.records.len()
+    );
+}
+
+/// What the record would count for now, if the endpoint list were still the one in the same snapshot.
+fn weight(record: &Record, listed: &BTreeMap<&str, &Process>, now: Timestamp) -> f64 {
+    let process_match = record.observed_process().map(|process| {
+        let listed = listed.get(process.endpoint.as_str()).copied();
+        ProcessMatch::compare(process, listed)
+    });
+    if process_match == Some(ProcessMatch::Different) {
+        0.0
+    } else {
+        expiry::weight(record, now)
+    }
+}
+
+fn age_text(observed_at: Timestamp, now: Timestamp) -> String {
+    match expiry::age(observed_at, now) {
+        Some(age) => humantime::format_duration(Duration::from_secs(age.as_secs())).to_string(),
+        None => "in the future".into(),
+    }
+}
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -449,14 +449,14 @@
         let Some(set) = &operators.memory else { return };
         let (now, node) = (self.clock.now(), self.node.borrow());
         let log = node.context.log.clone();
-        let Some((snapshot_writer, image)) = SnapshotWriter::open(set, now, log.clone()) else {
+        let Some((snapshot_writer, snapshot)) = SnapshotWriter::open(set, now, log.clone()) else {
             return;
         };
-        if let Some(image) = image {
+        if let Some(snapshot) = snapshot {
             let counted =
-                snapshot_writer::restore(&image, &node.directory(), now, &mut self.module);
-            let age_s = (now - Timestamp::from_micros(image.written)).as_secs();
-            info!(log, "memory read"; "facts" => image.facts.len(), "counted" => counted, "age_s" => age_s);
+                snapshot_writer::restore(&snapshot, &node.directory(), now, &mut self.module);
+            let age_s = (now - snapshot.written_at).as_secs();
+            info!(log, "snapshot read"; "records" => snapshot.records.len(), "counted" => counted, "age_s" => age_s);
         }
         self.snapshot_writer = Some(snapshot_writer);
     }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -64,8 +64,12 @@
     let done = match &cli.command {
         None => start(&Run::default()),
         Some(Command::Run(run)) => start(run),
-        Some(Command::Explain { log }) => cli::explain(log.as_deref()),
-        Some(Command::Memory(command)) => cli::memory(command),
+        Some(Command::Explain { log }) => {
+            cli::explain(log.as_deref()).map_err(|error| error.to_string())
+        }
+        Some(Command::Snapshot(command)) => {
+            cli::snapshot(command).map_err(|error| error.to_string())
+        }
     };
     done.unwrap_or_else(|fault| {
         eprintln!("tidescale: {}", fault.replace('\n', " "));
--- /dev/null
+++ b/crates/proxy/src/snapshot_writer/background.rs
@@ -0,0 +1,101 @@
+//! The thread that encodes and writes snapshots. It owns the store.
+
+use std::io;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::Duration;
+
+use thiserror::Error;
+use tidescale_policy::types::Timestamp;
+use tidescale_snapshot::disk::Disk;
+use tidescale_snapshot::records::Record;
+use tidescale_snapshot::store::{SaveError, Store};
+
+/// Snapshots that wait for the thread. One is enough: the next one says all that it does.
+const MAX_WAITING: usize = 1;
+/// Results that wait for the event loop: of the write that waited and of the one before it, so that the thread never
+/// waits for the loop.
+const MAX_RESULTS: usize = 2;
+
+/// A snapshot on its way to the thread.
+pub(super) struct PendingWrite {
+    pub(super) written_at: Timestamp,
+    pub(super) records: Vec<Record>,
+}
+
+/// Bytes written, or why nothing was.
+pub(super) type WriteResult = Result<usize, SaveError>;
+
+/// Why the thread does not take a snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(super) enum SubmitError {
+    /// It still has an earlier one.
+    #[error("the disk is slow")]
+    Busy,
+    /// It has ended.
+    #[error("no thread")]
+    Stopped,
+}
+
+/// The event loop's side of the thread.
+pub(super) struct BackgroundWriter {
+    writes: SyncSender<PendingWrite>,
+    results: Receiver<WriteResult>,
+    /// Writes that have no result yet.
+    pending: usize,
+}
+
+impl BackgroundWriter {
+    /// Starts the thread.
+    pub(super) fn start<D: Disk + Send + 'static>(
+        mut store: Store<D>,
+    ) -> io::Result<BackgroundWriter> {
+        let (writes, writes_out) = sync_channel::<PendingWrite>(MAX_WAITING);
+        let (results_in, results) = sync_channel(MAX_RESULTS);
+        let work = move || {
+            for write in writes_out {
+                let result = store.save(write.written_at, write.records);
+                if results_in.send(result).is_err() {
+                    return;
+                }
+            }
+        };
+        thread::Builder::new().name("snapshot".into()).spawn(work)?;
+        Ok(BackgroundWriter {
+            writes,
+            results,
+            pending: 0,
+        })
+    }
+
+    /// Whether a write has no result yet.
+    pub(super) fn has_pending(&self) -> bool {
+        self.pending > 0
+    }
+
+    /// Hands a snapshot over, without waiting.
+    pub(super) fn submit(&mut self, write: PendingWrite) -> Result<(), SubmitError> {
+        match self.writes.try_send(write) {
+            Ok(()) => {
+                self.pending += 1;
+                Ok(())
+            }
+            Err(TrySendError::Full(_)) => Err(SubmitError::Busy),
+            Err(TrySendError::Disconnected(_)) => Err(SubmitError::Stopped),
+        }
+    }
+
+    /// A result that is there already.
+    pub(super) fn try_result(&mut self) -> Option<WriteResult> {
+        let result = self.results.try_recv().ok()?;
+        self.pending -= 1;
+        Some(result)
+    }
+
+    /// The next result; none where it does not come in time.
+    pub(super) fn wait_for_result(&mut self, timeout: Duration) -> Option<WriteResult> {
+        let result = self.results.recv_timeout(timeout).ok()?;
+        self.pending -= 1;
+        Some(result)
+    }
+}
--- a/crates/snapshot/src/disk.rs
+++ b/crates/snapshot/src/disk.rs
@@ -1,143 +1,67 @@
-//! The one edge to what keeps files: a folder of the machine, or a model of one (`model`).
+//! The one narrow edge to what stores files: a [directory](crate::directory) of the host, or a
+//! [simulated disk](crate::simulated_disk).
 
-use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, ErrorKind, Read, Write};
-use std::path::{Path, PathBuf};
+use std::io;
 
-/// One folder. Names are plain file names.
+/// One directory. Names are plain file names.
 pub trait Disk {
-    /// All of a file, but no more than `most` bytes and one.
-    fn read(&mut self, name: &str, most: usize) -> io::Result<Vec<u8>>;
-    /// An empty file of this name, open for writing.
-    fn create(&mut self, name: &str) -> io::Result<()>;
-    /// Writes some bytes to the end, at least one; says how many.
-    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<usize>;
-    /// What was written is safe from a loss of power. After a failure nothing written since is to be believed.
-    fn sync(&mut self, name: &str) -> io::Result<()>;
-    fn close(&mut self, name: &str);
-    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
-    fn remove(&mut self, name: &str) -> io::Result<()>;
-    /// Names made, changed and removed are safe from a loss of power.
-    fn sync_names(&mut self) -> io::Result<()>;
-    fn names(&mut self) -> io::Result<Vec<String>>;
-}
+    /// All of a file, but no more than `max_bytes` and one.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` where there is no such file; whatever else reading meets.
+    fn read(&mut self, name: &str, max_bytes: usize) -> io::Result<Vec<u8>>;
 
-/// Why a folder is not used.
-#[derive(Debug)]
-pub enum NoFolder {
-    /// Another front holds it.
-    Held,
-    Io(io::Error),
-}
+    /// Makes an empty file of this name, open for writing.
+    ///
+    /// # Errors
+    ///
+    /// Whatever creating meets.
+    fn create(&mut self, name: &str) -> io::Result<()>;
 
-impl std::fmt::Display for NoFolder {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            NoFolder::Held => f.write_str("another front holds it"),
-            NoFolder::Io(e) => write!(f, "{e}"),
-        }
-    }
-}
+    /// Appends some of the bytes, at least one; says how many.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` where the file is not open; `Interrupted`, after which the call may be repeated; whatever else
+    /// writing meets.
+    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<usize>;
 
-const LOCK: &str = "lock";
+    /// Makes what was written safe from a power loss.
+    ///
+    /// # Errors
+    ///
+    /// After a failure nothing that was written since the last success may be relied on, even if it reads well.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
 
-/// A folder of this machine, held by one process at a time as long as it is open.
-pub struct Folder {
-    path: PathBuf,
-    open: BTreeMap<String, File>,
-    _lock: Option<File>,
-}
+    /// Closes a file that was opened for writing.
+    fn close(&mut self, name: &str);
 
-impl Folder {
-    /// The lock goes with the process, however it ends.
-    pub fn hold(path: &Path) -> Result<Folder, NoFolder> {
-        if !path.is_dir() {
-            fs::create_dir_all(path).map_err(NoFolder::Io)?;
-            // Its own name must outlive a loss of power, or all that is kept in it goes too.
-            let parent = path
-                .parent()
-                .filter(|p| !p.as_os_str().is_empty())
-                .unwrap_or(Path::new("."));
-            File::open(parent)
-                .and_then(|p| p.sync_all())
-                .map_err(NoFolder::Io)?;
-        }
-        let lock = OpenOptions::new()
-            .write(true)
-            .create(true)
-            .truncate(false)
-            .open(path.join(LOCK))
-            .map_err(NoFolder::Io)?;
-        match lock.try_lock() {
-            Ok(()) => {}
-            Err(fs::TryLockError::WouldBlock) => return Err(NoFolder::Held),
-            Err(fs::TryLockError::Error(e)) => return Err(NoFolder::Io(e)),
-        }
-        Ok(Folder {
-            path: path.into(),
-            open: BTreeMap::new(),
-            _lock: Some(lock),
-        })
-    }
+    /// Gives a file another name, in place of what had that name.
+    ///
+    /// # Errors
+    ///
+    /// Whatever renaming meets.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
 
-    /// For a look only, whoever holds it.
-    pub fn look(path: &Path) -> Folder {
-        Folder {
-            path: path.into(),
-            open: BTreeMap::new(),
-            _lock: None,
-        }
-    }
+    /// Removes a file.
+    ///
+    /// # Errors
+    ///
+    /// Whatever removing meets.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
 
-    fn file(&mut self, name: &str) -> io::Result<&mut File> {
-        self.open
-            .get_mut(name)
-            .ok_or_else(|| ErrorKind::NotFound.into())
-    }
-}
+    /// Makes names that were created, changed and removed safe from a power loss.
+    ///
+    /// # Errors
+    ///
+    /// After a failure any of the changes since the last success may be undone.
+    fn sync_names(&mut self) -> io::Result<()>;
 
-impl Disk for Folder {
-    fn read(&mut self, name: &str, most: usize) -> io::Result<Vec<u8>> {
-        let mut bytes = Vec::new();
-        File::open(self.path.join(name))?
-            .take(most as u64 + 1)
-            .read_to_end(&mut bytes)?;
-        Ok(bytes)
-    }
-    fn create(&mut self, name: &str) -> io::Result<()> {
-        let file = File::create(self.path.join(name))?;
-        self.open.insert(name.into(), file);
-        Ok(())
-    }
-    fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<usize> {
-        match self.file(name)?.write(bytes)? {
-            0 => Err(ErrorKind::WriteZero.into()),
-            n => Ok(n),
-        }
-    }
-    fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.file(name)?.sync_all()
-    }
-    fn close(&mut self, name: &str) {
-        self.open.remove(name);
-    }
-    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        fs::rename(self.path.join(from), self.path.join(to))
-    }
-    fn remove(&mut self, name: &str) -> io::Result<()> {
-        // A folder in a file's place is somebody else's: it may be moved aside, never emptied.
-        fs::remove_file(self.path.join(name))
-    }
-    fn sync_names(&mut self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
-    }
-    fn names(&mut self) -> io::Result<Vec<String>> {
-        let mut names = Vec::new();
-        for entry in fs::read_dir(&self.path)? {
-            names.extend(entry?.file_name().into_string().ok().filter(|n| n != LOCK));
-        }
-        names.sort_unstable();
-        Ok(names)
-    }
+    /// The names in the directory, in order.
+    ///
+    /// # Errors
+    ///
+    /// Whatever listing meets.
+    fn names(&mut self) -> io::Result<Vec<String>>;
 }
--- a/crates/snapshot/src/expiry.rs
+++ b/crates/snapshot/src/expiry.rs
@@ -1,161 +1,240 @@
-//! How much a fact still counts: from what it is, how old it is, and what the list says now. No fact grows stronger
-//! with time, none counts for ever, and a clock that went wrong makes none of them count more.
+//! How much a record still counts: from what it is, how old it is, and what the endpoint list says now.
 //!
-//! What a recalled fact counts for a *verdict* is not decided here but in the module.
-
-use crate::records::{EvidenceFact, Fact, KindFact, MachineFact, Process, RouteFact};
-
-const SECOND: u64 = 1_000_000;
-/// Clocks of one machine before and after its restart differ by less.
-const SLACK: u64 = 2 * SECOND;
-/// After so many half-lives a fact is over.
-const LIVES: u64 = 8;
-/// A machine's own pace counts as so many answers at most: the next few outweigh it, and the module lets it fade
-/// within seconds, so that a machine that has healed is at its fair share again within 30 s without being probed.
-pub const PACE_ANSWERS: f64 = 4.0;
-/// What is usual counts as so many answers at most: a fleet that has changed is known anew soon.
-pub const USUAL_ANSWERS: f64 = 200.0;
-const KIND_ANSWERS: f64 = 20.0;
-
-/// What the list says of the process that a fact speaks of.
+//! Invariants: no record grows stronger with time, none counts for ever, and a clock that went wrong makes none count
+//! more. What a restored record counts for a *verdict* is not decided here but in the policy.
+
+use std::time::Duration;
+
+use tidescale_policy::types::{Timestamp, whole_micros};
+
+use crate::records::{
+    EndpointRecord, HardwareClassRecord, OutcomeRecord, Process, Record, RouteRecord,
+};
+
+/// Clocks of one host before and after its restart differ by less.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(2);
+/// After so many half-lives a record has expired: by then it counts less than 0.4%.
+const HALF_LIVES_UNTIL_EXPIRED: u64 = 8;
+/// Reported load says nothing of now after so long.
+const MAX_LOAD_AGE: Duration = Duration::from_secs(5);
+/// An endpoint's own slowdown counts as so many responses at most: the next few outweigh it, and the policy lets it
+/// decay within seconds, so that an endpoint that has recovered is at its fair share again within 30 s without health
+/// checks.
+pub const MAX_SLOWDOWN_RESPONSES: f64 = 4.0;
+/// A baseline counts as so many responses at most: a fleet that has changed is known anew soon.
+pub const MAX_BASELINE_RESPONSES: f64 = 200.0;
+/// Load and slowdown of a hardware class count as so many responses at most.
+const MAX_HARDWARE_CLASS_RESPONSES: f64 = 20.0;
+/// An ejection is restored while its record counts at least this much: for one half-life.
+const MIN_EJECTION_WEIGHT: f64 = 0.5;
+/// Failures may exceed outcomes by this much before the record counts as damaged: both are rounded sums.
+const FAILURE_TOLERANCE: f64 = 1.0;
+
+/// Whether the process that a record describes is the one that the endpoint list names now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listed {
+pub enum ProcessMatch {
     /// Address, build and start are the same.
     Same,
-    /// The id is another process now, or the list does not name it: nothing is held against either.
-    Other,
+    /// The name is another process's now, or is not listed: neither answers for the record.
+    Different,
 }
 
-/// Compares what was seen with what the list says now of the same id.
-pub fn listed(seen: &Process, now: Option<&Process>) -> Listed {
-    if now == Some(seen) {
-        Listed::Same
-    } else {
-        Listed::Other
+impl ProcessMatch {
+    /// Compares a record's process with the one that is listed under the same name now.
+    pub fn compare(recorded: &Process, listed: Option<&Process>) -> ProcessMatch {
+        if listed == Some(recorded) {
+            ProcessMatch::Same
+        } else {
+            ProcessMatch::Different
+        }
     }
 }
 
-/// Half-life and longest age of a kind of fact.
+/// How fast a kind of record fades, and when it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Life {
-    pub half: u64,
-    pub most: u64,
+pub struct Lifetime {
+    /// It counts half as much after this time.
+    pub half_life: Duration,
+    /// It counts nothing from this age on.
+    pub max_age: Duration,
 }
 
-const fn halving(seconds: u64) -> Life {
-    Life {
-        half: seconds * SECOND,
-        most: LIVES * seconds * SECOND,
+impl Lifetime {
+    /// Short, as all suspicion: an endpoint may have recovered meanwhile.
+    const ENDPOINT: Lifetime = Lifetime::fading(10);
+    const OUTCOMES: Lifetime = Lifetime::fading(15);
+    /// As long as the policy holds a rejected build.
+    const REJECTED_BUILD: Lifetime = Lifetime {
+        half_life: Duration::from_secs(60),
+        max_age: Duration::from_secs(60),
+    };
+    const FLEET: Lifetime = Lifetime::fading(60);
+    /// Long: what a kind of endpoint or request is like seldom changes.
+    const BASELINE: Lifetime = Lifetime::fading(600);
+    /// What binds does not fade, but ends.
+    const KEY_BUILD: Lifetime = Lifetime {
+        half_life: Duration::MAX,
+        max_age: Duration::from_secs(3600),
+    };
+    /// The last known list and rollout status, for starts without discovery.
+    const LAST_KNOWN: Lifetime = Lifetime {
+        half_life: Duration::from_secs(3600),
+        max_age: Duration::from_secs(30 * 24 * 3600),
+    };
+
+    const fn fading(half_life_seconds: u64) -> Lifetime {
+        Lifetime {
+            half_life: Duration::from_secs(half_life_seconds),
+            max_age: Duration::from_secs(HALF_LIVES_UNTIL_EXPIRED * half_life_seconds),
+        }
     }
-}
 
-/// Of suspicion the half-lives are short, of what a fleet is like they are long; what binds does not fade, but ends.
-pub fn life(fact: &Fact) -> Life {
-    match fact {
-        Fact::Machine(_) => halving(10),
-        Fact::Evidence(_) => halving(15),
-        Fact::Condemned(_) => Life {
-            half: 60 * SECOND,
-            most: 60 * SECOND,
-        },
-        Fact::Calm(_) | Fact::Zones(_) => halving(60),
-        Fact::Kind(_) | Fact::Route(_) => halving(600),
-        Fact::Key(_) => Life {
-            half: u64::MAX,
-            most: 3600 * SECOND,
-        },
-        Fact::Listed(_) | Fact::News(_) => Life {
-            half: 3600 * SECOND,
-            most: 30 * 24 * 3600 * SECOND,
-        },
+    /// The lifetime of this kind of record.
+    pub fn of(record: &Record) -> Lifetime {
+        match record {
+            Record::Endpoint(_) => Lifetime::ENDPOINT,
+            Record::Outcomes(_) => Lifetime::OUTCOMES,
+            Record::RejectedBuild(_) => Lifetime::REJECTED_BUILD,
+            Record::FleetBaseline(_) | Record::Zones(_) => Lifetime::FLEET,
+            Record::HardwareClass(_) | Record::Route(_) => Lifetime::BASELINE,
+            Record::KeyBuild(_) => Lifetime::KEY_BUILD,
+            Record::ListedEndpoint(_) | Record::Rollout(_) => Lifetime::LAST_KNOWN,
+        }
     }
-}
 
-/// How long ago; none for what can't be: seen later than now, by more than clocks differ. A leap ahead only makes a
-/// fact older.
-pub fn age(seen: u64, now: u64) -> Option<u64> {
-    if seen > now.saturating_add(SLACK) {
-        None
-    } else {
-        Some(now.saturating_sub(seen))
+    /// From 1 for what was just observed down to 0 for what has expired.
+    fn weight(self, observed_at: Timestamp, now: Timestamp) -> f64 {
+        match age(observed_at, now) {
+            Some(age) if age < self.max_age => {
+                let half_lives = whole_micros(age) as f64 / whole_micros(self.half_life) as f64;
+                0.5f64.powf(half_lives)
+            }
+            _ => 0.0,
+        }
     }
 }
 
-/// From 1 for what was just seen down to 0 for what is over.
-pub fn weight(fact: &Fact, now: u64) -> f64 {
-    let life = life(fact);
-    match age(fact.seen(), now) {
-        Some(age) if age < life.most => 0.5f64.powf(age as f64 / life.half as f64),
-        _ => 0.0,
+/// How long ago; none for what cannot be: observed later than now, by more than clocks differ. A clock that leaps
+/// ahead only makes a record older.
+pub fn age(observed_at: Timestamp, now: Timestamp) -> Option<Duration> {
+    if observed_at > now + CLOCK_TOLERANCE {
+        None
+    } else {
+        Some(now - observed_at)
     }
 }
 
-/// Sums whose last one counts answers, cut to so many of these.
-fn cut<const N: usize>(sums: [f64; N], most: f64, weight: f64) -> Option<[f64; N]> {
-    let answers = sums[N - 1];
-    let whole = sums.iter().all(|x| x.is_finite() && *x >= 0.0) && answers > 0.0 && weight > 0.0;
-    whole.then(|| sums.map(|x| x * weight * (most / answers).min(1.0)))
+/// How much the record counts now: from 1 for what was just observed down to 0 for what has expired.
+pub fn weight(record: &Record, now: Timestamp) -> f64 {
+    Lifetime::of(record).weight(record.observed_at(), now)
 }
 
-/// What is told of a machine that is still the same process.
+/// What is restored of an endpoint that is still the same process.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MachineNow {
-    pub pace: Option<[f64; 2]>,
-    /// Set aside again, to come back by probes as ever; only what was so within a half-life.
-    pub aside: bool,
+pub struct RestoredEndpoint {
+    /// Decaying sums: response times against the baseline, and responses.
+    pub slowdown: Option<[f64; 2]>,
+    /// Ejected again, to come back by health checks as ever.
+    pub ejected: bool,
 }
 
-pub fn machine(fact: &MachineFact, now: u64, listed: Listed) -> Option<MachineNow> {
-    let weight = weight(&Fact::Machine(fact.clone()), now);
-    if listed == Listed::Other || weight == 0.0 {
+/// What still counts of an endpoint's record; none once it has expired or where the process is a different one.
+pub fn restore_endpoint(
+    record: &EndpointRecord,
+    now: Timestamp,
+    process: ProcessMatch,
+) -> Option<RestoredEndpoint> {
+    let weight = Lifetime::ENDPOINT.weight(record.observed_at, now);
+    if process == ProcessMatch::Different || weight == 0.0 {
         return None;
     }
-    Some(MachineNow {
-        pace: cut(fact.pace, PACE_ANSWERS, weight),
-        aside: fact.aside && weight >= 0.5,
+    Some(RestoredEndpoint {
+        slowdown: weighted_sums(record.slowdown, MAX_SLOWDOWN_RESPONSES, weight),
+        ejected: record.ejected && weight >= MIN_EJECTION_WEIGHT,
     })
 }
 
-/// Load, pace and usual pace of a kind.
+/// What is restored of a hardware class.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct KindNow {
+pub struct RestoredHardwareClass {
+    /// Decaying sums: requests in flight, and reports.
     pub load: Option<[f64; 2]>,
-    pub pace: Option<[f64; 2]>,
-    pub usual: Option<[f64; 3]>,
+    /// Decaying sums: response times against the baseline, and responses.
+    pub slowdown: Option<[f64; 2]>,
+    /// Decaying sums before a rollout: response times against the baseline, requests in flight, responses.
+    pub baseline: Option<[f64; 3]>,
 }
 
-pub fn kind(fact: &KindFact, now: u64) -> KindNow {
-    let weight = weight(&Fact::Kind(fact.clone()), now);
-    // What machines held then tells nothing of now but for a few seconds.
-    let fresh = if age(fact.seen, now).is_some_and(|a| a < 5 * SECOND) {
-        weight
-    } else {
-        0.0
-    };
-    KindNow {
-        load: cut(fact.load, KIND_ANSWERS, fresh),
-        pace: cut(fact.pace, KIND_ANSWERS, weight),
-        usual: cut(fact.usual, USUAL_ANSWERS, weight),
+/// What still counts of a hardware class's record.
+pub fn restore_hardware_class(
+    record: &HardwareClassRecord,
+    now: Timestamp,
+) -> RestoredHardwareClass {
+    let weight = Lifetime::BASELINE.weight(record.observed_at, now);
+    let load_is_fresh = age(record.observed_at, now).is_some_and(|age| age < MAX_LOAD_AGE);
+    let load_weight = if load_is_fresh { weight } else { 0.0 };
+    RestoredHardwareClass {
+        load: weighted_sums(record.load, MAX_HARDWARE_CLASS_RESPONSES, load_weight),
+        slowdown: weighted_sums(record.slowdown, MAX_HARDWARE_CLASS_RESPONSES, weight),
+        baseline: weighted_sums(record.baseline, MAX_BASELINE_RESPONSES, weight),
+    }
+}
+
+/// What still counts of a route's baseline: decaying sums of response time in microseconds, cost and responses.
+pub fn restore_route(record: &RouteRecord, now: Timestamp) -> Option<[f64; 3]> {
+    let weight = Lifetime::BASELINE.weight(record.observed_at, now);
+    weighted_sums(record.baseline, MAX_BASELINE_RESPONSES, weight)
+}
+
+/// What is restored of an endpoint's outcomes; the policy bounds what they may do to a verdict.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RestoredOutcomes {
+    /// Outcomes, one sum for each test.
+    pub outcomes: Vec<f64>,
+    /// Outcomes that count as failures, one sum for each test.
+    pub failures: Vec<f64>,
+}
+
+/// What still counts of an endpoint's outcomes; none once they have expired, where they make no sense or where the
+/// process is a different one.
+pub fn restore_outcomes(
+    record: &OutcomeRecord,
+    now: Timestamp,
+    process: ProcessMatch,
+) -> Option<RestoredOutcomes> {
+    let weight = Lifetime::OUTCOMES.weight(record.observed_at, now);
+    if process == ProcessMatch::Different || weight == 0.0 || !is_plausible(record) {
+        return None;
     }
+    let weighted = |sums: &[f64]| sums.iter().map(|sum| sum * weight).collect();
+    Some(RestoredOutcomes {
+        outcomes: weighted(&record.outcomes),
+        failures: weighted(&record.failures),
+    })
 }
 
-pub fn route(fact: &RouteFact, now: u64) -> Option<[f64; 3]> {
-    cut(
-        fact.usual,
-        USUAL_ANSWERS,
-        weight(&Fact::Route(fact.clone()), now),
-    )
+fn is_plausible(record: &OutcomeRecord) -> bool {
+    let sums = || record.outcomes.iter().zip(&record.failures);
+    record.outcomes.len() == record.failures.len()
+        && sums().all(|(outcomes, failures)| is_sum(*outcomes) && is_sum(*failures))
+        && sums().all(|(outcomes, failures)| *failures <= *outcomes + FAILURE_TOLERANCE)
 }
 
-/// Outcomes and hits by test, faded from when they were seen; the module bounds what they may do to a verdict.
-pub fn evidence(fact: &EvidenceFact, now: u64, listed: Listed) -> Option<(Vec<f64>, Vec<f64>)> {
-    let weight = weight(&Fact::Evidence(fact.clone()), now);
-    let sane = |x: &f64| x.is_finite() && *x >= 0.0;
-    let whole = fact.all.len() == fact.hits.len() && fact.all.iter().chain(&fact.hits).all(sane);
-    let hits_within = fact.all.iter().zip(&fact.hits).all(|(n, k)| *k <= *n + 1.0);
-    if listed == Listed::Other || weight == 0.0 || !whole || !hits_within {
+/// Sums of which the last counts responses, weighted and scaled down to at most so many of these; none where they
+/// make no sense or count nothing.
+fn weighted_sums<const N: usize>(
+    sums: [f64; N],
+    max_responses: f64,
+    weight: f64,
+) -> Option<[f64; N]> {
+    let responses = *sums.last()?;
+    if weight <= 0.0 || responses <= 0.0 || !sums.iter().all(|sum| is_sum(*sum)) {
         return None;
     }
-    let faded = |xs: &[f64]| xs.iter().map(|x| x * weight).collect();
-    Some((faded(&fact.all), faded(&fact.hits)))
+    let scale = (max_responses / responses).min(1.0);
+    Some(sums.map(|sum| sum * weight * scale))
+}
+
+fn is_sum(value: f64) -> bool {
+    value.is_finite() && value >= 0.0
 }
--- a/crates/snapshot/src/format.rs
+++ b/crates/snapshot/src/format.rs
@@ -1,11 +1,11 @@
-//! The file's form: a header of fixed length, then records that each say their kind and length.
+//! The snapshot file's format: a header of fixed length, then records that each name their kind and length.
 //!
 //! | bytes | field |
 //! | --- | --- |
 //! | 8 | `tidemem` and a line feed |
 //! | 4 | version, big-endian as all numbers here |
 //! | 4 | CRC-32 of all that follows, to the end of the file |
-//! | 8 | sequence: one more with each state that was written |
+//! | 8 | sequence: one more with each snapshot that was written |
 //! | 8 | when it was written, Unix time in microseconds |
 //! | 8 | bytes after the header |
 //! | 4 | records |
@@ -13,218 +13,131 @@
 //! A record is its kind (2 bytes), its length (4 bytes) and a body in CBOR. A reader steps over records of kinds
 //! that it does not know; fields that it does not know are passed over inside a body.
 
-use std::fmt;
+mod decode;
+mod encode;
 
-use crate::records::Fact;
+use std::collections::BTreeMap;
+use std::ops::Range;
 
-pub const VERSION: u32 = 1;
-/// The whole file; what would be longer is cut by dropping the last facts.
-pub const MOST_BYTES: usize = 16 << 20;
-const MAGIC: &[u8; 8] = b"tidemem\n";
-pub const HEADER: usize = 44;
-/// From here on the checksum counts.
-const SUMMED: usize = 16;
-const RECORD: usize = 6;
+use thiserror::Error;
+use tidescale_policy::types::Timestamp;
 
-/// One complete state of the memory.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Image {
-    pub sequence: u64,
-    pub written: u64,
-    pub facts: Vec<Fact>,
-    /// Records of kinds that this reader does not know.
-    pub unknown: usize,
-}
+use crate::records::{Process, Record};
 
-/// Why a file is not read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Unfit {
-    Empty,
-    TooLong,
-    NotOurs,
-    Newer(u32),
-    Torn,
-    Checksum,
-    Record,
-}
+pub use decode::decode;
+pub(crate) use decode::decode_records;
+pub use encode::encode;
 
-impl fmt::Display for Unfit {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            Unfit::Empty => f.write_str("empty"),
-            Unfit::TooLong => f.write_str("too long"),
-            Unfit::NotOurs => f.write_str("not a memory file"),
-            Unfit::Newer(v) => write!(f, "of the newer version {v}"),
-            Unfit::Torn => f.write_str("not as long as it says"),
-            Unfit::Checksum => f.write_str("checksum does not match"),
-            Unfit::Record => f.write_str("a record can't be read"),
-        }
-    }
-}
+/// The version that is written; every version up to it is read.
+pub const VERSION: u32 = 1;
+/// Most bytes of a file, so that a restart reads it within milliseconds; what would be longer is cut by leaving the
+/// last records out.
+pub const MAX_FILE_BYTES: usize = 16 << 20;
+/// Most bytes that need to be read of a file to decode it or to see that it is too long.
+pub const READ_LIMIT: usize = MAX_FILE_BYTES + HEADER_BYTES;
+/// Length of the header.
+pub const HEADER_BYTES: usize = 44;
 
-impl Unfit {
-    /// A word for the name of the file set aside.
-    pub fn word(&self) -> &'static str {
-        match self {
-            Unfit::Empty => "empty",
-            Unfit::TooLong => "long",
-            Unfit::NotOurs => "foreign",
-            Unfit::Newer(_) => "newer",
-            Unfit::Torn => "torn",
-            Unfit::Checksum => "checksum",
-            Unfit::Record => "record",
-        }
-    }
-}
+/// A file begins with this.
+const MAGIC: &[u8; 8] = b"tidemem\n";
+/// Kind and length before each record's body.
+const RECORD_HEADER_BYTES: usize = 6;
 
-fn kind(fact: &Fact) -> u16 {
-    match fact {
-        Fact::Machine(_) => 1,
-        Fact::Kind(_) => 2,
-        Fact::Route(_) => 3,
-        Fact::Evidence(_) => 4,
-        Fact::Condemned(_) => 5,
-        Fact::Calm(_) => 6,
-        Fact::Zones(_) => 7,
-        Fact::Key(_) => 8,
-        Fact::Listed(_) => 9,
-        Fact::News(_) => 10,
-    }
+/// Where the header's fields are.
+mod header {
+    use super::Range;
+
+    pub(super) const MAGIC: Range<usize> = 0..8;
+    pub(super) const VERSION: Range<usize> = 8..12;
+    pub(super) const CHECKSUM: Range<usize> = 12..16;
+    pub(super) const SEQUENCE: Range<usize> = 16..24;
+    pub(super) const WRITTEN_AT: Range<usize> = 24..32;
+    pub(super) const BODY_BYTES: Range<usize> = 32..40;
+    pub(super) const RECORD_COUNT: Range<usize> = 40..44;
 }
 
-fn body(fact: &Fact, to: &mut Vec<u8>) {
-    // Into a vector nothing fails, and every fact is plain data.
-    let done = match fact {
-        Fact::Machine(f) => ciborium::into_writer(f, to),
-        Fact::Kind(f) => ciborium::into_writer(f, to),
-        Fact::Route(f) => ciborium::into_writer(f, to),
-        Fact::Evidence(f) => ciborium::into_writer(f, to),
-        Fact::Condemned(f) => ciborium::into_writer(f, to),
-        Fact::Calm(f) => ciborium::into_writer(f, to),
-        Fact::Zones(f) => ciborium::into_writer(f, to),
-        Fact::Key(f) => ciborium::into_writer(f, to),
-        Fact::Listed(f) => ciborium::into_writer(f, to),
-        Fact::News(f) => ciborium::into_writer(f, to),
-    };
-    debug_assert!(done.is_ok());
+/// Numbers of the kinds of records. A number is never used again for anything else.
+mod kind {
+    pub(super) const ENDPOINT: u16 = 1;
+    pub(super) const HARDWARE_CLASS: u16 = 2;
+    pub(super) const ROUTE: u16 = 3;
+    pub(super) const OUTCOMES: u16 = 4;
+    pub(super) const REJECTED_BUILD: u16 = 5;
+    pub(super) const FLEET_BASELINE: u16 = 6;
+    pub(super) const ZONES: u16 = 7;
+    pub(super) const KEY_BUILD: u16 = 8;
+    pub(super) const LISTED_ENDPOINT: u16 = 9;
+    pub(super) const ROLLOUT: u16 = 10;
 }
 
-fn fact(kind: u16, body: &[u8]) -> Result<Option<Fact>, Unfit> {
-    fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Unfit> {
-        ciborium::from_reader(body).map_err(|_| Unfit::Record)
-    }
-    Ok(Some(match kind {
-        1 => Fact::Machine(read(body)?),
-        2 => Fact::Kind(read(body)?),
-        3 => Fact::Route(read(body)?),
-        4 => Fact::Evidence(read(body)?),
-        5 => Fact::Condemned(read(body)?),
-        6 => Fact::Calm(read(body)?),
-        7 => Fact::Zones(read(body)?),
-        8 => Fact::Key(read(body)?),
-        9 => Fact::Listed(read(body)?),
-        10 => Fact::News(read(body)?),
-        _ => return Ok(None),
-    }))
+/// One complete snapshot of what an instance has learned.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// One more with each snapshot that was written; the newer of two has the higher one.
+    pub sequence: u64,
+    /// When it was written.
+    pub written_at: Timestamp,
+    /// What was learned, most important first.
+    pub records: Vec<Record>,
+    /// How many records of kinds that this version does not know were stepped over.
+    pub unknown_records: usize,
 }
 
-/// The file of this state; facts beyond the bound on its size are left out.
-pub fn encode(image: &Image) -> Vec<u8> {
-    let mut bytes = vec![0; HEADER];
-    let mut records = 0u32;
-    for f in &image.facts {
-        let at = bytes.len();
-        bytes.extend(kind(f).to_be_bytes());
-        bytes.extend([0; 4]);
-        body(f, &mut bytes);
-        if bytes.len() > MOST_BYTES {
-            bytes.truncate(at);
-            break;
+impl Snapshot {
+    /// The processes of the endpoint list that the snapshot holds, by name of the endpoint.
+    pub fn listed_processes(&self) -> BTreeMap<&str, &Process> {
+        let mut processes = BTreeMap::new();
+        for record in &self.records {
+            if let Record::ListedEndpoint(listed) = record {
+                processes.insert(listed.process.endpoint.as_str(), &listed.process);
+            }
         }
-        let len = (bytes.len() - at - RECORD) as u32;
-        bytes[at + 2..at + RECORD].copy_from_slice(&len.to_be_bytes());
-        records += 1;
+        processes
     }
-    let len = (bytes.len() - HEADER) as u64;
-    bytes[..8].copy_from_slice(MAGIC);
-    bytes[8..12].copy_from_slice(&VERSION.to_be_bytes());
-    bytes[16..24].copy_from_slice(&image.sequence.to_be_bytes());
-    bytes[24..32].copy_from_slice(&image.written.to_be_bytes());
-    bytes[32..40].copy_from_slice(&len.to_be_bytes());
-    bytes[40..44].copy_from_slice(&records.to_be_bytes());
-    let sum = crc32fast::hash(&bytes[SUMMED..]);
-    bytes[12..SUMMED].copy_from_slice(&sum.to_be_bytes());
-    bytes
-}
-
-fn number<const N: usize>(bytes: &[u8], at: usize) -> Result<[u8; N], Unfit> {
-    bytes
-        .get(at..at + N)
-        .and_then(|b| b.try_into().ok())
-        .ok_or(Unfit::Torn)
 }
 
-/// The state of a whole file.
-pub fn decode(bytes: &[u8]) -> Result<Image, Unfit> {
-    if bytes.is_empty() {
-        return Err(Unfit::Empty);
-    }
-    if bytes.len() > MOST_BYTES + RECORD {
-        return Err(Unfit::TooLong);
-    }
-    if !bytes.starts_with(MAGIC) {
-        return Err(if MAGIC.starts_with(bytes) {
-            Unfit::Torn
-        } else {
-            Unfit::NotOurs
-        });
-    }
-    let version = u32::from_be_bytes(number(bytes, 8)?);
-    // A newer version may mean anything by what follows, its checksum too.
-    if version > VERSION {
-        return Err(Unfit::Newer(version));
-    }
-    let len = u64::from_be_bytes(number(bytes, 32)?);
-    if bytes.len() < HEADER || len != (bytes.len() - HEADER) as u64 {
-        return Err(Unfit::Torn);
-    }
-    if crc32fast::hash(&bytes[SUMMED..]) != u32::from_be_bytes(number(bytes, 12)?) {
-        return Err(Unfit::Checksum);
-    }
-    migrate(version, records(bytes)?)
+/// Why a file is not read.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum FormatError {
+    /// It has no bytes.
+    #[error("empty")]
+    Empty,
+    /// It is longer than any file that is written.
+    #[error("too long, over {MAX_FILE_BYTES} bytes")]
+    TooLong,
+    /// It begins with something else.
+    #[error("not a snapshot file")]
+    NotASnapshot,
+    /// Its version is later than [`VERSION`].
+    #[error("of the newer version {0}")]
+    NewerVersion(u32),
+    /// It ends before its header does, or is not as long as the header says.
+    #[error("not as long as it says")]
+    Torn,
+    /// Its bytes are not those that were written.
+    #[error("checksum does not match")]
+    ChecksumMismatch,
+    /// The checksum matches, and a record makes no sense all the same.
+    #[error("the record at byte {offset} can't be read: {reason}")]
+    InvalidRecord {
+        /// Where the record begins.
+        offset: usize,
+        /// What is wrong with it.
+        reason: String,
+    },
 }
 
-/// What the records say, whatever the checksum.
-pub fn records(bytes: &[u8]) -> Result<Image, Unfit> {
-    let mut image = Image {
-        sequence: u64::from_be_bytes(number(bytes, 16)?),
-        written: u64::from_be_bytes(number(bytes, 24)?),
-        ..Image::default()
-    };
-    let (mut at, count) = (HEADER, u32::from_be_bytes(number(bytes, 40)?));
-    for _ in 0..count {
-        let broken = |_| Unfit::Record;
-        let kind = u16::from_be_bytes(number(bytes, at).map_err(broken)?);
-        let len = u32::from_be_bytes(number(bytes, at + 2).map_err(broken)?) as usize;
-        let end = (at + RECORD).checked_add(len).ok_or(Unfit::Record)?;
-        match fact(kind, bytes.get(at + RECORD..end).ok_or(Unfit::Record)?)? {
-            Some(fact) => image.facts.push(fact),
-            None => image.unknown += 1,
+impl FormatError {
+    /// A word for it in the name of the file that is set aside.
+    pub fn label(&self) -> &'static str {
+        match self {
+            FormatError::Empty => "empty",
+            FormatError::TooLong => "long",
+            FormatError::NotASnapshot => "foreign",
+            FormatError::NewerVersion(_) => "newer",
+            FormatError::Torn => "torn",
+            FormatError::ChecksumMismatch => "checksum",
+            FormatError::InvalidRecord { .. } => "record",
         }
-        at = end;
-    }
-    if at == bytes.len() {
-        Ok(image)
-    } else {
-        Err(Unfit::Record)
-    }
-}
-
-/// Brings an older version's state to this one's meaning, a step for each version.
-fn migrate(version: u32, image: Image) -> Result<Image, Unfit> {
-    match version {
-        VERSION => Ok(image),
-        // There was none before the first.
-        _ => Err(Unfit::NotOurs),
     }
 }
--- a/crates/snapshot/src/rate_limit.rs
+++ b/crates/snapshot/src/rate_limit.rs
@@ -1,101 +1,59 @@
-//! Background work in slices: whichever job is due and matters most goes next, as far as the budgets of time and
-//! bytes allow. It says what may run and never runs anything; who asks measures what a slice took.
+//! A budget that fills at a constant rate: how much background work may be done in a second on average.
 
-/// So much a second, saved up for at most a second; what was overdrawn is worked off first.
-#[derive(Clone, Copy, Debug)]
-pub struct Budget {
-    a_second: f64,
-    has: f64,
-    at: u64,
-}
+use std::time::Duration;
 
-impl Budget {
-    pub fn new(a_second: f64, now: u64) -> Budget {
-        Budget {
-            a_second,
-            has: a_second,
-            at: now,
-        }
-    }
-    fn read(&mut self, now: u64) -> f64 {
-        let passed = now.saturating_sub(self.at) as f64 / 1e6;
-        (self.has, self.at) = (
-            (self.has + passed * self.a_second).min(self.a_second),
-            now.max(self.at),
-        );
-        self.has
-    }
-    fn spend(&mut self, what: f64, now: u64) {
-        self.has = self.read(now) - what;
-    }
-    /// How long until there is something again.
-    fn wait(&mut self, now: u64) -> u64 {
-        let missing = -self.read(now);
-        if missing < 0.0 {
-            0
-        } else {
-            (missing / self.a_second.max(1e-9) * 1e6).min(1e12) as u64 + 1
-        }
-    }
-}
+use tidescale_policy::types::Timestamp;
 
-struct Job {
-    /// The higher goes first.
-    priority: u8,
-    every: u64,
-    due: u64,
-}
+/// Microseconds in a second.
+const MICROS_PER_SECOND: f64 = 1e6;
+/// A lower rate counts as this one, so that a wait is finite.
+const MIN_RATE: f64 = 1e-9;
+/// The longest wait in microseconds, some eleven days: it fits a whole number whatever was overspent.
+const MAX_WAIT_MICROS: f64 = 1e12;
 
-/// Jobs by number, in the order they were added.
-pub struct Schedule {
-    jobs: Vec<Job>,
-    time: Budget,
-    bytes: Budget,
+/// So much a second, saved up for at most a second; what was overspent is worked off first.
+///
+/// A clock that stands or goes back earns nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct RateLimit {
+    /// What comes in each second, and the most that is saved up.
+    rate: f64,
+    /// Below zero where it was overspent.
+    available: f64,
+    updated_at: Timestamp,
 }
 
-impl Schedule {
-    /// `time`: microseconds a second; `bytes`: a second.
-    pub fn new(time: f64, bytes: f64, now: u64) -> Schedule {
-        Schedule {
-            jobs: Vec::new(),
-            time: Budget::new(time, now),
-            bytes: Budget::new(bytes, now),
+impl RateLimit {
+    /// A full budget of `rate` a second, in whatever unit is spent.
+    pub fn new(rate: f64, now: Timestamp) -> RateLimit {
+        RateLimit {
+            rate,
+            available: rate,
+            updated_at: now,
         }
     }
 
-    /// Due for the first time after `first`, then each `every` from its last end on.
-    pub fn add(&mut self, priority: u8, first: u64, every: u64) -> usize {
-        self.jobs.push(Job {
-            priority,
-            every,
-            due: first,
-        });
-        self.jobs.len() - 1
+    /// Takes this much, whether it is there or not.
+    pub fn spend(&mut self, amount: f64, now: Timestamp) {
+        self.refill(now);
+        self.available -= amount;
     }
 
-    /// The job that may do one slice now.
-    pub fn next(&mut self, now: u64) -> Option<usize> {
-        if self.time.wait(now) > 0 || self.bytes.wait(now) > 0 {
-            return None;
+    /// How long until there is something to spend again; zero where there is.
+    pub fn wait(&mut self, now: Timestamp) -> Duration {
+        self.refill(now);
+        let missing = -self.available;
+        if missing < 0.0 {
+            return Duration::ZERO;
         }
-        let due = self.jobs.iter().enumerate().filter(|(_, j)| j.due <= now);
-        due.max_by_key(|(n, j)| (j.priority, std::cmp::Reverse((j.due, *n))))
-            .map(|(n, _)| n)
-    }
-
-    pub fn spent(&mut self, time: u64, bytes: usize, now: u64) {
-        self.time.spend(time as f64, now);
-        self.bytes.spend(bytes as f64, now);
-    }
-
-    /// The job has come to its end, or has to wait for something: it is due again after its time.
-    pub fn ended(&mut self, job: usize, now: u64) {
-        self.jobs[job].due = now + self.jobs[job].every;
+        let micros = missing / self.rate.max(MIN_RATE) * MICROS_PER_SECOND;
+        // One more: the microsecond that was begun has to pass too.
+        Duration::from_micros(micros.min(MAX_WAIT_MICROS) as u64 + 1)
     }
 
-    /// When `next` is worth asking again.
-    pub fn wake_at(&mut self, now: u64) -> Option<u64> {
-        let due = self.jobs.iter().map(|j| j.due).min()?;
-        Some(due.max(now + self.time.wait(now).max(self.bytes.wait(now))))
+    fn refill(&mut self, now: Timestamp) {
+        let elapsed = now.micros_since(self.updated_at) as f64 / MICROS_PER_SECOND;
+        self.available = (self.available + elapsed * self.rate).min(self.rate);
+        self.updated_at = self.updated_at.max(now);
     }
 }
--- a/crates/snapshot/src/records.rs
+++ b/crates/snapshot/src/records.rs
@@ -1,166 +1,126 @@
-//! What is kept, each fact with the time it was seen. Times are Unix time in whole microseconds; sums are as the
-//! module holds them, decayed to the fact's time, so that a later reader goes on from there.
+//! What a snapshot stores: records, each with the time it was observed.
 //!
-//! Every field that came after version 1 has a default, and unknown fields are stepped over: a reader of any
-//! version understands what it knows of.
-
-use serde::{Deserialize, Serialize};
-
-/// A machine process: with another address, build or start it is another one.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Process {
-    pub id: String,
-    pub addr: String,
-    pub build: u32,
-    pub started: u64,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MachineFact {
-    pub seen: u64,
-    pub process: Process,
-    pub kind: String,
-    /// Times to answer against the route's usual, and answers.
-    pub pace: [f64; 2],
-    /// What it last reported to hold, and when.
-    pub load: (f64, u64),
-    /// It let tries pass without any answer, or was set aside for that.
-    pub aside: bool,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct KindFact {
-    pub seen: u64,
-    pub kind: String,
-    pub load: [f64; 2],
-    pub pace: [f64; 2],
-    /// Before a trial: times against the usual, reqs held with the one answered, answers.
-    pub usual: [f64; 3],
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RouteFact {
-    pub seen: u64,
-    /// Empty for all routes together.
-    pub route: String,
-    /// Time to answer in microseconds, work, answers.
-    pub usual: [f64; 3],
-}
-
-/// Outcomes of one machine under one build, by test.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct EvidenceFact {
-    pub seen: u64,
-    pub process: Process,
-    pub build: u32,
-    pub all: Vec<f64>,
-    pub hits: Vec<f64>,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct CondemnedFact {
-    pub seen: u64,
-    pub build: u32,
-}
+//! Times are Unix time in whole microseconds. Decaying sums are stored as the policy holds them, decayed to the
+//! record's time, so that a later reader goes on from there.
+//!
+//! Invariants of the file: a field keeps its name there, whatever it is called here (`#[serde(rename = "…")]`), and
+//! fields keep their order. Every field that came after version 1 has a default, and a reader steps over fields that
+//! it does not know: a reader of any version understands what it knows of.
 
-/// The fleet before the trial.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct CalmFact {
-    pub seen: u64,
-    pub outcomes: f64,
-    pub hits: f64,
-    pub spread: [f64; 3],
-    pub machines: usize,
-    /// Tries a second that this front sent.
-    pub sends: f64,
-}
+mod endpoint;
+mod fleet;
+mod rollout;
+mod unix_micros;
 
-/// Times to answer against the usual, and answers, in the own zone and in others.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ZonesFact {
-    pub seen: u64,
-    pub paces: [[f64; 2]; 2],
-}
+use serde::{Deserialize, Serialize};
+use tidescale_policy::types::Timestamp;
 
-/// A key that goes to no lower build.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct KeyFact {
-    pub seen: u64,
-    pub key: String,
-    pub build: u32,
-}
+pub use endpoint::{
+    EndpointRecord, ListedEndpointRecord, ListedState, OutcomeRecord, Process, ReportedLoad,
+};
+pub use fleet::{FleetBaselineRecord, HardwareClassRecord, RouteRecord, ZonesRecord};
+pub use rollout::{KeyBuildRecord, RejectedBuildRecord, RolloutPhase, RolloutRecord};
 
-/// One line of the list as last heard.
+/// One record, of any kind.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ListedFact {
-    pub seen: u64,
-    pub version: u64,
-    pub process: Process,
-    pub zone: String,
-    pub kind: String,
-    pub cell: u64,
-    /// `active` or `leaving`; what has left is not on it.
-    pub state: String,
+pub enum Record {
+    /// What was learned of one endpoint.
+    #[serde(rename = "Machine")]
+    Endpoint(EndpointRecord),
+    /// What was learned of one hardware class.
+    #[serde(rename = "Kind")]
+    HardwareClass(HardwareClassRecord),
+    /// Baseline latency of one route.
+    Route(RouteRecord),
+    /// Outcomes of one endpoint under one build.
+    #[serde(rename = "Evidence")]
+    Outcomes(OutcomeRecord),
+    /// A build that was found bad.
+    #[serde(rename = "Condemned")]
+    RejectedBuild(RejectedBuildRecord),
+    /// The fleet before the rollout.
+    #[serde(rename = "Calm")]
+    FleetBaseline(FleetBaselineRecord),
+    /// How the zones compare.
+    Zones(ZonesRecord),
+    /// The lowest build that an idempotency key may go to.
+    #[serde(rename = "Key")]
+    KeyBuild(KeyBuildRecord),
+    /// One entry of the endpoint list.
+    #[serde(rename = "Listed")]
+    ListedEndpoint(ListedEndpointRecord),
+    /// Where the newest build's rollout stood.
+    #[serde(rename = "News")]
+    Rollout(RolloutRecord),
 }
 
-/// The newest build's state as last heard.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct NewsFact {
-    pub seen: u64,
-    pub build: u32,
-    pub stage: u32,
-    pub phase: String,
-    pub cap: f64,
-    pub since: u64,
-}
+impl Record {
+    /// When the record was observed.
+    pub fn observed_at(&self) -> Timestamp {
+        match self {
+            Record::Endpoint(record) => record.observed_at,
+            Record::HardwareClass(record) => record.observed_at,
+            Record::Route(record) => record.observed_at,
+            Record::Outcomes(record) => record.observed_at,
+            Record::RejectedBuild(record) => record.observed_at,
+            Record::FleetBaseline(record) => record.observed_at,
+            Record::Zones(record) => record.observed_at,
+            Record::KeyBuild(record) => record.observed_at,
+            Record::ListedEndpoint(record) => record.observed_at,
+            Record::Rollout(record) => record.observed_at,
+        }
+    }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Fact {
-    Machine(MachineFact),
-    Kind(KindFact),
-    Route(RouteFact),
-    Evidence(EvidenceFact),
-    Condemned(CondemnedFact),
-    Calm(CalmFact),
-    Zones(ZonesFact),
-    Key(KeyFact),
-    Listed(ListedFact),
-    News(NewsFact),
-}
+    /// The process whose behaviour the record describes; none for records of anything else.
+    pub fn observed_process(&self) -> Option<&Process> {
+        match self {
+            Record::Endpoint(record) => Some(&record.process),
+            Record::Outcomes(record) => Some(&record.process),
+            _ => None,
+        }
+    }
 
-impl Fact {
-    pub fn seen(&self) -> u64 {
+    /// The kind of record, for operators.
+    pub fn kind_name(&self) -> &'static str {
         match self {
-            Fact::Machine(f) => f.seen,
-            Fact::Kind(f) => f.seen,
-            Fact::Route(f) => f.seen,
-            Fact::Evidence(f) => f.seen,
-            Fact::Condemned(f) => f.seen,
-            Fact::Calm(f) => f.seen,
-            Fact::Zones(f) => f.seen,
-            Fact::Key(f) => f.seen,
-            Fact::Listed(f) => f.seen,
-            Fact::News(f) => f.seen,
+            Record::Endpoint(_) => "endpoint",
+            Record::HardwareClass(_) => "hardware class",
+            Record::Route(_) => "route",
+            Record::Outcomes(_) => "outcomes",
+            Record::RejectedBuild(_) => "rejected build",
+            Record::FleetBaseline(_) => "fleet baseline",
+            Record::Zones(_) => "zones",
+            Record::KeyBuild(_) => "key build",
+            Record::ListedEndpoint(_) => "listed endpoint",
+            Record::Rollout(_) => "rollout",
         }
     }
 
-    /// The fact's kind in a word, and what it speaks of.
-    pub fn subject(&self) -> (&'static str, String) {
+    /// What the record is about, for operators.
+    pub fn subject(&self) -> String {
         match self {
-            Fact::Machine(f) => (
-                "machine",
-                format!("{} build {}", f.process.id, f.process.build),
-            ),
-            Fact::Kind(f) => ("kind", f.kind.clone()),
-            Fact::Route(f) if f.route.is_empty() => ("route", "all".into()),
-            Fact::Route(f) => ("route", f.route.clone()),
-            Fact::Evidence(f) => ("evidence", format!("build {} on {}", f.build, f.process.id)),
-            Fact::Condemned(f) => ("condemned", format!("build {}", f.build)),
-            Fact::Calm(f) => ("calm", format!("{} machines", f.machines)),
-            Fact::Zones(_) => ("zones", "own and others".into()),
-            Fact::Key(f) => ("key", format!("{} at build {}", f.key, f.build)),
-            Fact::Listed(f) => ("listed", format!("{} {}", f.process.id, f.state)),
-            Fact::News(f) => ("news", format!("build {} {}", f.build, f.phase)),
+            Record::Endpoint(record) => {
+                let Process {
+                    endpoint, build, ..
+                } = &record.process;
+                format!("{endpoint} build {build}")
+            }
+            Record::HardwareClass(record) => record.name.clone(),
+            Record::Route(record) if record.route.is_empty() => "all".into(),
+            Record::Route(record) => record.route.clone(),
+            Record::Outcomes(record) => {
+                format!("build {} on {}", record.build, record.process.endpoint)
+            }
+            Record::RejectedBuild(record) => format!("build {}", record.build),
+            Record::FleetBaseline(record) => format!("{} endpoints", record.endpoints),
+            Record::Zones(_) => "own and others".into(),
+            Record::KeyBuild(record) => format!("{} at build {}", record.key, record.build),
+            Record::ListedEndpoint(record) => {
+                format!("{} {}", record.process.endpoint, record.state.as_str())
+            }
+            Record::Rollout(record) => {
+                format!("build {} {}", record.build, record.phase.as_str())
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/snapshot/src/records/endpoint.rs
@@ -0,0 +1,149 @@
+//! Records of single endpoints: how they behaved, and how they were listed.
+
+use serde::{Deserialize, Serialize};
+use tidescale_policy::types::Timestamp;
+
+use super::unix_micros;
+
+/// Identity of an endpoint's process. With another address, build or start it is another process, even under the
+/// same name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Process {
+    /// Name of the endpoint in the endpoint list.
+    #[serde(rename = "id")]
+    pub endpoint: String,
+    /// Where it listens, as `address:port`.
+    #[serde(rename = "addr")]
+    pub address: String,
+    /// Number of the build that it runs.
+    pub build: u32,
+    /// When it started; the origin where it has run for long.
+    #[serde(rename = "started", with = "unix_micros")]
+    pub started_at: Timestamp,
+}
+
+/// What was learned of one endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndpointRecord {
+    /// When it was observed.
+    #[serde(rename = "seen", with = "unix_micros")]
+    pub observed_at: Timestamp,
+    /// The process that behaved so.
+    pub process: Process,
+    /// Its hardware class.
+    #[serde(rename = "kind")]
+    pub hardware_class: String,
+    /// Decaying sums: response times against the route's baseline, and responses.
+    #[serde(rename = "pace")]
+    pub slowdown: [f64; 2],
+    /// Its last load report.
+    #[serde(rename = "load")]
+    pub reported_load: ReportedLoad,
+    /// It let attempts pass without any response, or was ejected for that.
+    #[serde(rename = "aside")]
+    pub ejected: bool,
+}
+
+/// An endpoint's last load report; a pair of numbers in the file.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(f64, u64)", into = "(f64, u64)")]
+pub struct ReportedLoad {
+    /// Requests that it said it works on or holds.
+    pub in_flight: f64,
+    /// When it said so.
+    pub reported_at: Timestamp,
+}
+
+impl From<(f64, u64)> for ReportedLoad {
+    fn from((in_flight, reported_at): (f64, u64)) -> ReportedLoad {
+        ReportedLoad {
+            in_flight,
+            reported_at: Timestamp::from_micros(reported_at),
+        }
+    }
+}
+
+impl From<ReportedLoad> for (f64, u64) {
+    fn from(load: ReportedLoad) -> (f64, u64) {
+        (load.in_flight, load.reported_at.as_micros())
+    }
+}
+
+/// Outcomes of one endpoint under one build, for each of the policy's tests by its place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OutcomeRecord {
+    /// When they were observed: the time that the sums have decayed to.
+    #[serde(rename = "seen", with = "unix_micros")]
+    pub observed_at: Timestamp,
+    /// The process that the attempts went to.
+    pub process: Process,
+    /// The build that the outcomes count for.
+    pub build: u32,
+    /// Decaying sums of outcomes, one for each test.
+    #[serde(rename = "all")]
+    pub outcomes: Vec<f64>,
+    /// Decaying sums of outcomes that count as failures, one for each test.
+    #[serde(rename = "hits")]
+    pub failures: Vec<f64>,
+}
+
+/// One entry of the endpoint list as it was last received.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedEndpointRecord {
+    /// When discovery last confirmed the list.
+    #[serde(rename = "seen", with = "unix_micros")]
+    pub observed_at: Timestamp,
+    /// Version of the list.
+    #[serde(rename = "version")]
+    pub list_version: u64,
+    /// The process that is listed.
+    pub process: Process,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its hardware class.
+    #[serde(rename = "kind")]
+    pub hardware_class: String,
+    /// Its cell within the zone.
+    pub cell: u64,
+    /// What the list says of it.
+    pub state: ListedState,
+}
+
+/// State of an endpoint in the endpoint list; an endpoint that has left is not in it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub enum ListedState {
+    /// Takes new requests.
+    Ready,
+    /// Finishes what it has and takes nothing new.
+    Draining,
+    /// A word that this version does not know, as it stands in the file.
+    Unknown(String),
+}
+
+impl ListedState {
+    /// The state in the file's words.
+    pub fn as_str(&self) -> &str {
+        match self {
+            ListedState::Ready => "active",
+            ListedState::Draining => "leaving",
+            ListedState::Unknown(word) => word,
+        }
+    }
+}
+
+impl From<String> for ListedState {
+    fn from(word: String) -> ListedState {
+        match word.as_str() {
+            "active" => ListedState::Ready,
+            "leaving" => ListedState::Draining,
+            _ => ListedState::Unknown(word),
+        }
+    }
+}
+
+impl From<ListedState> for String {
+    fn from(state: ListedState) -> String {
+        state.as_str().to_owned()
+    }
+}
--- /dev/null
+++ b/crates/snapshot/src/scheduler.rs
@@ -0,0 +1,99 @@
+//! Which background job runs next: the one that is due and matters most, as far as the budgets of time and bytes
+//! allow. It says what may run and never runs anything; the caller measures what a slice of work took.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use tidescale_policy::types::{Timestamp, whole_micros};
+
+use crate::rate_limit::RateLimit;
+
+/// What background work may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budgets {
+    /// Working time in each second.
+    pub time_per_second: Duration,
+    /// Bytes written in each second.
+    pub bytes_per_second: u64,
+}
+
+/// Names a job of the scheduler that gave it out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobId(usize);
+
+struct Job {
+    /// The higher goes first.
+    priority: u8,
+    interval: Duration,
+    due_at: Timestamp,
+}
+
+/// The jobs and their common budgets.
+pub struct Scheduler {
+    jobs: Vec<Job>,
+    time: RateLimit,
+    bytes: RateLimit,
+}
+
+impl Scheduler {
+    /// No jobs yet, and budgets that are full.
+    pub fn new(budgets: Budgets, now: Timestamp) -> Scheduler {
+        let micros_per_second = whole_micros(budgets.time_per_second) as f64;
+        Scheduler {
+            jobs: Vec::new(),
+            time: RateLimit::new(micros_per_second, now),
+            bytes: RateLimit::new(budgets.bytes_per_second as f64, now),
+        }
+    }
+
+    /// Adds a job that is due for the first time at `first_due_at`, then each `interval` after its last end. Of jobs
+    /// that are due the one of the highest priority goes first, then the one due the longest.
+    pub fn add(&mut self, priority: u8, first_due_at: Timestamp, interval: Duration) -> JobId {
+        self.jobs.push(Job {
+            priority,
+            interval,
+            due_at: first_due_at,
+        });
+        JobId(self.jobs.len() - 1)
+    }
+
+    /// The job that may do one slice of its work now.
+    pub fn next(&mut self, now: Timestamp) -> Option<JobId> {
+        if !self.budget_wait(now).is_zero() {
+            return None;
+        }
+        let due_jobs = self.jobs.iter().enumerate();
+        due_jobs
+            .filter(|(_, job)| job.due_at <= now)
+            .max_by_key(|(index, job)| (job.priority, Reverse((job.due_at, *index))))
+            .map(|(index, _)| JobId(index))
+    }
+
+    /// Records that a slice took this much of the loop's time.
+    pub fn record_time(&mut self, time: Duration, now: Timestamp) {
+        self.time.spend(whole_micros(time) as f64, now);
+    }
+
+    /// Records that so many bytes were written.
+    pub fn record_bytes(&mut self, bytes: usize, now: Timestamp) {
+        self.bytes.spend(bytes as f64, now);
+    }
+
+    /// Records that the job is done, or has to wait for something: it is due again after its interval.
+    pub fn finish(&mut self, job: JobId, now: Timestamp) {
+        if let Some(job) = self.jobs.get_mut(job.0) {
+            job.due_at = now + job.interval;
+        }
+    }
+
+    /// When [`next`](Scheduler::next) is worth asking again; none without jobs.
+    pub fn next_wake_up(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let first_due_at = self.jobs.iter().map(|job| job.due_at).min()?;
+        Some(first_due_at.max(now + self.budget_wait(now)))
+    }
+
+    /// How long until neither budget is overspent.
+    fn budget_wait(&mut self, now: Timestamp) -> Duration {
+        self.time.wait(now).max(self.bytes.wait(now))
+    }
+}
--- a/crates/snapshot/src/simulated_disk.rs
+++ b/crates/snapshot/src/simulated_disk.rs
@@ -1,406 +1,297 @@
-//! A modelled disk that can do what a real one does once a year, and histories of saves on it. Every write, sync,
-//! rename and sync of names is a step at which the power may fail; of what was not synced any part survives,
-//! sector by sector and name by name.
+//! A disk that can do what a real one does once a year. Every write, sync, rename and sync of names is a step at
+//! which the power may fail; of what was not synced any part survives, sector by sector and name by name.
+//!
+//! The same seed and the same calls give the same faults.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod file_content;
+
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 
 use oorandom::Rand64;
 
 use crate::disk::Disk;
-use crate::format::{Image, Unfit};
-use crate::records::{Fact, KeyFact};
-use crate::store::{Decode, Store};
 
-const SECTOR: usize = 512;
-/// One step in so many meets a fault short of a loss of power, where faults are on.
-const FAULTS: u64 = 12;
+use file_content::{FileContent, SECTOR_BYTES};
+
+/// One step in so many meets a fault short of a power loss, where faults are on: often enough for each kind to come
+/// up in a history of a few hundred steps, rarely enough for most saves to succeed.
+const STEPS_PER_FAULT: u64 = 12;
+/// The disk takes so many bytes at a time, so that a file is many steps.
+const MAX_WRITE_BYTES: usize = 3 * SECTOR_BYTES;
+/// What survives a power loss is drawn apart from what the disk does after it.
+const SURVIVAL_SEED_MASK: u128 = 0x5eed;
 
-/// What the disk pretends to do, for tests that must be able to fail.
+/// What the disk only pretends to do, for tests that must be able to fail.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Pretence {
+pub enum PlantedFault {
+    /// It does all that it says.
     #[default]
     None,
-    FileSync,
-    NameSync,
-    /// The first loss of power also turns one bit of what was safe: the one fault that only a checksum shows.
-    Rot,
-}
-
-#[derive(Clone, Default)]
-struct Content {
-    safe: Vec<u8>,
-    seen: Vec<u8>,
-    /// Sectors written and not synced, and those that a failed sync has dropped for good.
-    dirty: BTreeSet<usize>,
-    dropped: BTreeSet<usize>,
+    /// Syncs of files do nothing.
+    SkippedFileSync,
+    /// Syncs of names do nothing.
+    SkippedNameSync,
+    /// The first power loss also turns one bit of what was durable: the one fault that only a checksum shows.
+    BitRot,
 }
 
+/// A change of names that is not durable yet. Files are named by their index.
 #[derive(Clone)]
-enum Change {
-    Made(String, usize),
-    Moved(String, String, usize),
-    Removed(String),
+enum NameChange {
+    Created {
+        name: String,
+        file: usize,
+    },
+    Renamed {
+        from: String,
+        to: String,
+        file: usize,
+    },
+    Removed {
+        name: String,
+    },
 }
 
+/// A disk with one directory.
 #[derive(Clone)]
-pub struct Model {
-    contents: Vec<Content>,
+pub struct SimulatedDisk {
+    files: Vec<FileContent>,
+    /// Names that a reader sees, with the index of the file of each.
     names: BTreeMap<String, usize>,
-    safe_names: BTreeMap<String, usize>,
-    changes: Vec<Change>,
+    durable_names: BTreeMap<String, usize>,
+    /// Changes since the names were durable, in order.
+    name_changes: Vec<NameChange>,
     rng: Rand64,
-    faults: bool,
-    pretence: Pretence,
-    pub steps: u64,
-    fails_at: Option<u64>,
-    lost: bool,
+    /// Steps may fail short of a power loss.
+    faults_enabled: bool,
+    planted_fault: PlantedFault,
+    /// Steps since the power came on.
+    steps: u64,
+    /// The step at which the power fails.
+    power_loss_at: Option<u64>,
+    power_lost: bool,
 }
 
-fn power() -> io::Error {
+fn power_loss() -> io::Error {
     io::Error::other("power lost")
 }
 
-impl Model {
-    pub fn new(seed: u64, faults: bool, pretence: Pretence, fails_at: Option<u64>) -> Model {
-        Model {
-            contents: Vec::new(),
+impl SimulatedDisk {
+    /// An empty disk, whose power fails at this step; never where none is given.
+    pub fn new(
+        seed: u64,
+        faults_enabled: bool,
+        planted_fault: PlantedFault,
+        power_loss_at: Option<u64>,
+    ) -> SimulatedDisk {
+        SimulatedDisk {
+            files: Vec::new(),
             names: BTreeMap::new(),
-            safe_names: BTreeMap::new(),
-            changes: Vec::new(),
+            durable_names: BTreeMap::new(),
+            name_changes: Vec::new(),
             rng: Rand64::new(u128::from(seed)),
-            faults,
-            pretence,
+            faults_enabled,
+            planted_fault,
             steps: 0,
-            fails_at,
-            lost: false,
+            power_loss_at,
+            power_lost: false,
         }
     }
 
-    /// One step: whether it is still carried out, and what fault it meets.
-    fn step(&mut self) -> io::Result<Option<u64>> {
-        if self.lost {
-            return Err(power());
+    /// Whether the power has failed; nothing works any more then.
+    pub fn power_lost(&self) -> bool {
+        self.power_lost
+    }
+
+    /// The disk as it is found after the power has failed, with the power on again until this step.
+    pub fn after_power_loss(mut self, seed: u64, power_loss_at: Option<u64>) -> SimulatedDisk {
+        let mut rng = Rand64::new(u128::from(seed) ^ SURVIVAL_SEED_MASK);
+        for change in std::mem::take(&mut self.name_changes) {
+            if coin(&mut rng) {
+                self.make_durable(change);
+            }
         }
-        self.steps += 1;
-        let fault = self
-            .faults
-            .then(|| self.rng.rand_u64())
-            .filter(|r| r % FAULTS == 0)
-            .map(|r| r / FAULTS);
-        if self.fails_at == Some(self.steps) {
-            self.lost = true;
-            // What was under way may still have come through.
-            return if self.rng.rand_u64().is_multiple_of(2) {
-                Ok(None)
-            } else {
-                Err(power())
-            };
+        for file in &mut self.files {
+            *file = file.after_power_loss(|| coin(&mut rng));
+        }
+        if self.planted_fault == PlantedFault::BitRot {
+            self.rot_one_bit(&mut rng);
+            // Two generations stand one bit gone bad, not one in each.
+            self.planted_fault = PlantedFault::None;
+        }
+        SimulatedDisk {
+            names: self.durable_names.clone(),
+            rng: Rand64::new(u128::from(seed)),
+            steps: 0,
+            power_loss_at,
+            power_lost: false,
+            ..self
         }
-        Ok(fault)
     }
 
-    fn done(&self) -> io::Result<()> {
-        if self.lost { Err(power()) } else { Ok(()) }
+    fn make_durable(&mut self, change: NameChange) {
+        match change {
+            NameChange::Created { name, file } => {
+                self.durable_names.insert(name, file);
+            }
+            NameChange::Renamed { from, to, file } => {
+                if self.durable_names.get(&from) == Some(&file) {
+                    self.durable_names.remove(&from);
+                }
+                self.durable_names.insert(to, file);
+            }
+            NameChange::Removed { name } => {
+                self.durable_names.remove(&name);
+            }
+        }
     }
 
-    fn content(&mut self, name: &str) -> io::Result<&mut Content> {
-        let at = *self.names.get(name).ok_or(ErrorKind::NotFound)?;
-        Ok(&mut self.contents[at])
+    /// Turns one bit of one file that has a name, if it has any.
+    fn rot_one_bit(&mut self, rng: &mut Rand64) {
+        let named_files: Vec<usize> = self.durable_names.values().copied().collect();
+        if named_files.is_empty() {
+            return;
+        }
+        let drawn = named_files[rng.rand_u64() as usize % named_files.len()];
+        let file = &mut self.files[drawn];
+        let bits = file.durable_bits();
+        if bits > 0 {
+            file.flip_bit(rng.rand_u64() as usize % bits);
+        }
     }
 
-    /// The disk as it is found after the power has failed.
-    pub fn survive(mut self, seed: u64, fails_at: Option<u64>) -> Model {
-        let mut rng = Rand64::new(u128::from(seed) ^ 0x5eed);
-        let mut chance = || rng.rand_u64().is_multiple_of(2);
-        for change in std::mem::take(&mut self.changes) {
-            if !chance() {
-                continue;
-            }
-            match change {
-                Change::Made(name, at) => drop(self.safe_names.insert(name, at)),
-                Change::Moved(from, to, at) => {
-                    if self.safe_names.get(&from) == Some(&at) {
-                        self.safe_names.remove(&from);
-                    }
-                    self.safe_names.insert(to, at);
-                }
-                Change::Removed(name) => drop(self.safe_names.remove(&name)),
-            }
+    /// Begins one step; a number where it is to meet a fault.
+    ///
+    /// The step at which the power fails may still be carried out, but its caller never learns of it.
+    fn begin_step(&mut self) -> io::Result<Option<u64>> {
+        self.check_power()?;
+        self.steps += 1;
+        let fault = self.draw_fault();
+        if self.power_loss_at != Some(self.steps) {
+            return Ok(fault);
         }
-        for c in &mut self.contents {
-            let loose: BTreeSet<usize> = c.dirty.union(&c.dropped).copied().collect();
-            let mut left = c.safe.clone();
-            for sector in loose.into_iter().filter(|_| chance()) {
-                let (from, to) = (sector * SECTOR, c.seen.len().min((sector + 1) * SECTOR));
-                left.resize(left.len().max(to), 0);
-                left[from..to].copy_from_slice(&c.seen[from..to]);
-            }
-            *c = Content {
-                safe: left.clone(),
-                seen: left,
-                ..Content::default()
-            };
+        self.power_lost = true;
+        if coin(&mut self.rng) {
+            Ok(None)
+        } else {
+            Err(power_loss())
         }
-        let named: Vec<usize> = self.safe_names.values().copied().collect();
-        if self.pretence == Pretence::Rot && !named.is_empty() {
-            let c = &mut self.contents[named[rng.rand_u64() as usize % named.len()]];
-            if let Some(bits) = Some(c.safe.len() * 8).filter(|bits| *bits > 0) {
-                let bit = rng.rand_u64() as usize % bits;
-                c.safe[bit / 8] ^= 1 << (bit % 8);
-                c.seen = c.safe.clone();
-            }
+    }
+
+    fn draw_fault(&mut self) -> Option<u64> {
+        if !self.faults_enabled {
+            return None;
         }
-        let contents = self.contents;
-        let names = self.safe_names.clone();
-        let (safe_names, changes, lost) = (self.safe_names, Vec::new(), false);
-        // Two generations stand one bit gone bad, not one in each.
-        let pretence = Some(self.pretence)
-            .filter(|p| *p != Pretence::Rot)
-            .unwrap_or_default();
-        let (rng, faults) = (Rand64::new(u128::from(seed)), self.faults);
-        Model {
-            contents,
-            names,
-            safe_names,
-            changes,
-            rng,
-            faults,
-            pretence,
-            steps: 0,
-            fails_at,
-            lost,
+        let drawn = self.rng.rand_u64();
+        drawn
+            .is_multiple_of(STEPS_PER_FAULT)
+            .then_some(drawn / STEPS_PER_FAULT)
+    }
+
+    fn check_power(&self) -> io::Result<()> {
+        if self.power_lost {
+            Err(power_loss())
+        } else {
+            Ok(())
         }
     }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut FileContent> {
+        let file = *self.names.get(name).ok_or(ErrorKind::NotFound)?;
+        Ok(&mut self.files[file])
+    }
 }
 
-impl Disk for Model {
-    fn read(&mut self, name: &str, most: usize) -> io::Result<Vec<u8>> {
-        self.done()?;
-        let seen = &self.content(name)?.seen;
-        Ok(seen[..seen.len().min(most + 1)].to_vec())
+fn coin(rng: &mut Rand64) -> bool {
+    rng.rand_u64().is_multiple_of(2)
+}
+
+impl Disk for SimulatedDisk {
+    fn read(&mut self, name: &str, max_bytes: usize) -> io::Result<Vec<u8>> {
+        self.check_power()?;
+        let visible = self.file(name)?.visible();
+        Ok(visible[..visible.len().min(max_bytes + 1)].to_vec())
     }
+
     fn create(&mut self, name: &str) -> io::Result<()> {
-        if self.step()?.is_some() {
+        if self.begin_step()?.is_some() {
             return Err(ErrorKind::StorageFull.into());
         }
-        self.contents.push(Content::default());
-        let at = self.contents.len() - 1;
-        self.names.insert(name.into(), at);
-        self.changes.push(Change::Made(name.into(), at));
-        self.done()
+        self.files.push(FileContent::default());
+        let file = self.files.len() - 1;
+        let name = name.to_owned();
+        self.names.insert(name.clone(), file);
+        self.name_changes.push(NameChange::Created { name, file });
+        self.check_power()
     }
+
     fn write(&mut self, name: &str, bytes: &[u8]) -> io::Result<usize> {
-        // Disks take a few sectors at a time, so that a file is many steps.
-        let mut n = bytes.len().min(3 * SECTOR);
-        match self.step()? {
+        let mut length = bytes.len().min(MAX_WRITE_BYTES);
+        match self.begin_step()? {
             Some(fault) if fault % 3 == 0 => return Err(ErrorKind::StorageFull.into()),
             Some(fault) if fault % 3 == 1 => return Err(ErrorKind::Interrupted.into()),
-            Some(fault) => n = 1 + (fault as usize / 3) % n,
+            Some(fault) => length = 1 + (fault as usize / 3) % length,
             None => {}
         }
-        let c = self.content(name)?;
-        let from = c.seen.len();
-        c.seen.extend_from_slice(&bytes[..n]);
-        c.dirty.extend(from / SECTOR..=(c.seen.len() - 1) / SECTOR);
-        self.done()?;
-        Ok(n)
+        self.file(name)?.append(&bytes[..length]);
+        self.check_power()?;
+        Ok(length)
     }
+
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        let (fault, pretence) = (self.step()?.is_some(), self.pretence);
-        let lost = self.lost;
-        let c = self.content(name)?;
-        let dirty = std::mem::take(&mut c.dirty);
-        if fault {
-            // Marked clean and never written: the next sync has nothing to do and says that all is well.
-            c.dropped.extend(dirty);
+        let fails = self.begin_step()?.is_some();
+        let is_skipped = self.planted_fault == PlantedFault::SkippedFileSync || self.power_lost;
+        let file = self.file(name)?;
+        if fails {
+            file.drop_dirty();
             return Err(io::Error::other("input/output error"));
         }
-        if pretence == Pretence::FileSync || lost {
-            c.dirty = dirty;
-            return self.done();
+        if !is_skipped {
+            file.sync();
         }
-        for sector in dirty {
-            let (from, to) = (sector * SECTOR, c.seen.len().min((sector + 1) * SECTOR));
-            c.safe.resize(c.safe.len().max(to), 0);
-            c.safe[from..to].copy_from_slice(&c.seen[from..to]);
-        }
-        self.done()
+        self.check_power()
     }
+
     fn close(&mut self, _name: &str) {}
+
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        if self.step()?.is_some() {
+        if self.begin_step()?.is_some() {
             return Err(ErrorKind::PermissionDenied.into());
         }
-        let at = self.names.remove(from).ok_or(ErrorKind::NotFound)?;
-        self.names.insert(to.into(), at);
-        self.changes.push(Change::Moved(from.into(), to.into(), at));
-        self.done()
+        let file = self.names.remove(from).ok_or(ErrorKind::NotFound)?;
+        self.names.insert(to.into(), file);
+        self.name_changes.push(NameChange::Renamed {
+            from: from.into(),
+            to: to.into(),
+            file,
+        });
+        self.check_power()
     }
+
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        if self.step()?.is_some() {
+        if self.begin_step()?.is_some() {
             return Err(ErrorKind::PermissionDenied.into());
         }
         self.names.remove(name).ok_or(ErrorKind::NotFound)?;
-        self.changes.push(Change::Removed(name.into()));
-        self.done()
+        self.name_changes
+            .push(NameChange::Removed { name: name.into() });
+        self.check_power()
     }
+
     fn sync_names(&mut self) -> io::Result<()> {
-        if self.step()?.is_some() {
+        if self.begin_step()?.is_some() {
             return Err(io::Error::other("input/output error"));
         }
-        if self.pretence != Pretence::NameSync && !self.lost {
-            self.safe_names = self.names.clone();
-            self.changes.clear();
+        if self.planted_fault != PlantedFault::SkippedNameSync && !self.power_lost {
+            self.durable_names = self.names.clone();
+            self.name_changes.clear();
         }
-        self.done()
+        self.check_power()
     }
+
     fn names(&mut self) -> io::Result<Vec<String>> {
-        self.done()?;
+        self.check_power()?;
         Ok(self.names.keys().cloned().collect())
     }
 }
-
-/// The state of this number: its length and content follow from it, so that a mixture of two shows.
-pub fn state(number: u64) -> Vec<Fact> {
-    let mut rng = Rand64::new(u128::from(number));
-    let facts = 1 + rng.rand_u64() % 60;
-    let key = |_| {
-        Fact::Key(KeyFact {
-            seen: number,
-            key: format!("{:016x}", rng.rand_u64()),
-            build: 1,
-        })
-    };
-    (0..facts).map(key).collect()
-}
-
-/// What a number of histories came to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Seen {
-    pub crashes: u64,
-    pub saves: u64,
-    pub failed_saves: u64,
-    /// Crashes after which a state that was never reported as saved was found whole.
-    pub newer: u64,
-    pub set_aside: u64,
-}
-
-impl std::ops::Add for Seen {
-    type Output = Seen;
-    fn add(self, other: Seen) -> Seen {
-        Seen {
-            crashes: self.crashes + other.crashes,
-            saves: self.saves + other.saves,
-            failed_saves: self.failed_saves + other.failed_saves,
-            newer: self.newer + other.newer,
-            set_aside: self.set_aside + other.set_aside,
-        }
-    }
-}
-
-/// What is known of the states while a history goes on.
-#[derive(Clone, Copy, Default)]
-struct Known {
-    /// The last one reported as saved, the one before it, and the last one begun.
-    saved: u64,
-    before: u64,
-    begun: u64,
-    /// One generation may have gone bad.
-    rots: bool,
-}
-
-impl Known {
-    /// What was read back must be a state as it was, the last saved one or one begun since.
-    fn check(&self, image: Option<&Image>) -> Result<u64, String> {
-        let least = if self.rots { self.before } else { self.saved };
-        let Some(image) = image else {
-            return if least == 0 {
-                Ok(0)
-            } else {
-                Err(format!("state {least} is lost"))
-            };
-        };
-        let number = image.written;
-        if !(least.max(1)..=self.begun).contains(&number) {
-            return Err(format!(
-                "state {number} where {} was saved last",
-                self.saved
-            ));
-        }
-        if image.facts != state(number) {
-            return Err(format!("state {number} is a mixture"));
-        }
-        Ok(number)
-    }
-}
-
-fn life(
-    disk: Model,
-    decode: Decode,
-    saves: u64,
-    known: &mut Known,
-    seen: &mut Seen,
-) -> Result<Model, String> {
-    let (mut store, opened) = Store::open_with(disk, decode);
-    if store.disk().lost {
-        return Ok(store.into_disk());
-    }
-    let found = known.check(opened.image.as_ref())?;
-    seen.newer += u64::from(found > known.saved);
-    seen.set_aside += opened.notes.len() as u64;
-    // Read once, it must be read again.
-    (known.saved, known.before) = (found, 0);
-    for _ in 0..saves {
-        known.begun += 1;
-        match store.save(known.begun, state(known.begun)) {
-            Ok(_) => {
-                (known.before, known.saved) = (known.saved, known.begun);
-                seen.saves += 1;
-            }
-            Err(_) => seen.failed_saves += 1,
-        }
-    }
-    Ok(store.into_disk())
-}
-
-/// One seeded history: some saves, the power failing at each step in turn, and after it a second life that fails at
-/// a drawn step too. What is read back is held against what was reported as saved.
-pub fn history(seed: u64, pretence: Pretence, decode: Decode) -> Result<Seen, String> {
-    let mut rng = Rand64::new(u128::from(seed));
-    let (saves, faults) = (1 + rng.rand_u64() % 3, rng.rand_u64().is_multiple_of(2));
-    let (mut seen, mut at) = (Seen::default(), 0);
-    loop {
-        at += 1;
-        let fault = |why: String| format!("seed {seed}, power lost at step {at}: {why}");
-        let mut known = Known {
-            rots: pretence == Pretence::Rot,
-            ..Known::default()
-        };
-        let disk = Model::new(seed, faults, pretence, Some(at));
-        let disk = life(disk, decode, saves, &mut known, &mut seen).map_err(fault)?;
-        let ended = !disk.lost;
-        for draw in 0..4 {
-            let mut known = known;
-            let again = Some(1 + rng.rand_u64() % (4 * at));
-            let disk = disk.clone().survive(seed ^ (at << 8) ^ draw, again);
-            seen.crashes += 1;
-            let disk = life(disk, decode, 2, &mut known, &mut seen).map_err(fault)?;
-            let last = disk.survive(seed ^ (at << 16) ^ draw, None);
-            let (_, opened) = Store::open_with(last, decode);
-            known.check(opened.image.as_ref()).map_err(fault)?;
-        }
-        if ended {
-            return Ok(seen);
-        }
-    }
-}
-
-/// A reader that looks at the header alone, as one would that trusts its checksum with no more: to be caught.
-pub fn trusting(bytes: &[u8]) -> Result<Image, Unfit> {
-    if bytes.len() < crate::format::HEADER {
-        Err(Unfit::Torn)
-    } else {
-        crate::format::records(bytes)
-    }
-}
--- /dev/null
+++ b/crates/snapshot/src/simulated_disk/file_content.rs
@@ -0,0 +1,88 @@
+//! Content of one file: what has reached the disk, and what a reader sees.
+
+use std::collections::BTreeSet;
+use std::ops::Range;
+
+/// What a disk writes whole or not at all.
+pub(super) const SECTOR_BYTES: usize = 512;
+
+/// One file's content.
+#[derive(Clone, Default)]
+pub(super) struct FileContent {
+    /// What survives any power loss.
+    durable: Vec<u8>,
+    /// What a reader sees.
+    visible: Vec<u8>,
+    /// Sectors written and not synced.
+    dirty: BTreeSet<usize>,
+    /// Sectors that a failed sync has given up: no later sync writes them.
+    dropped: BTreeSet<usize>,
+}
+
+impl FileContent {
+    /// What a reader sees.
+    pub(super) fn visible(&self) -> &[u8] {
+        &self.visible
+    }
+
+    /// How many bits survive any power loss.
+    pub(super) fn durable_bits(&self) -> usize {
+        self.durable.len() * 8
+    }
+
+    /// Writes bytes, at least one, to the end.
+    pub(super) fn append(&mut self, bytes: &[u8]) {
+        let start = self.visible.len();
+        self.visible.extend_from_slice(bytes);
+        let last_sector = (self.visible.len() - 1) / SECTOR_BYTES;
+        self.dirty.extend(start / SECTOR_BYTES..=last_sector);
+    }
+
+    /// Makes what was written durable, but for sectors that were dropped.
+    pub(super) fn sync(&mut self) {
+        for sector in std::mem::take(&mut self.dirty) {
+            let range = self.sector_range(sector);
+            copy_range(&self.visible, &mut self.durable, range);
+        }
+    }
+
+    /// Fails a sync: what was written is marked clean and never reaches the disk, so that the next sync has nothing
+    /// to do and says that all is well.
+    pub(super) fn drop_dirty(&mut self) {
+        let dirty = std::mem::take(&mut self.dirty);
+        self.dropped.extend(dirty);
+    }
+
+    /// The content after a power loss: of sectors that were not synced those survive for which `survives` says so.
+    pub(super) fn after_power_loss(&self, mut survives: impl FnMut() -> bool) -> FileContent {
+        let mut found = self.durable.clone();
+        for sector in self.dirty.union(&self.dropped) {
+            if survives() {
+                copy_range(&self.visible, &mut found, self.sector_range(*sector));
+            }
+        }
+        FileContent {
+            durable: found.clone(),
+            visible: found,
+            ..FileContent::default()
+        }
+    }
+
+    /// Turns one bit, of those that survive any power loss.
+    pub(super) fn flip_bit(&mut self, bit: usize) {
+        self.durable[bit / 8] ^= 1 << (bit % 8);
+        self.visible = self.durable.clone();
+    }
+
+    fn sector_range(&self, sector: usize) -> Range<usize> {
+        let start = sector * SECTOR_BYTES;
+        let end = (start + SECTOR_BYTES).min(self.visible.len());
+        start..end
+    }
+}
+
+fn copy_range(from: &[u8], to: &mut Vec<u8>, range: Range<usize>) {
+    let length = to.len().max(range.end);
+    to.resize(length, 0);
+    to[range.clone()].copy_from_slice(&from[range]);
+}
--- a/crates/snapshot/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -1,165 +1,188 @@
-//! Two generations in one folder. A state is written to a file of its own, synced, and only then takes the place of
-//! the older generation; the newer one is never touched. Whatever breaks off in between leaves one of the last two
-//! complete states.
+//! Two generations of snapshots in one directory.
+//!
+//! A snapshot is written to a file of its own, synced, and only then takes the place of the older generation; the
+//! newer one is never touched. Whatever breaks off in between leaves one of the last two complete snapshots.
+
+mod quarantine;
+mod read;
 
 use std::io::{self, ErrorKind};
 
+use thiserror::Error;
+use tidescale_policy::types::Timestamp;
+
 use crate::disk::Disk;
-use crate::format::{self, Image, Unfit};
-use crate::records::Fact;
+use crate::format::{self, FormatError, Snapshot};
+use crate::records::Record;
 
+pub use quarantine::MAX_QUARANTINED_FILES;
+pub use read::{Opened, Quarantine, ReadError, UnusableFile, newest};
+
+/// The two generations.
 const SLOTS: [&str; 2] = ["memory.0", "memory.1"];
-const NEW: &str = "memory.new";
-const ASIDE: &str = "set-aside.";
-/// Files set aside that are kept for inspection.
-pub const MOST_ASIDE: usize = 4;
-/// Interruptions in a row that a write bears.
-const PATIENCE: usize = 100;
+/// A snapshot that is being written.
+const NEW_FILE: &str = "memory.new";
+/// So many interruptions in a row a write stands, against a signal that never stops coming.
+const MAX_INTERRUPTIONS: usize = 100;
 
-pub type Decode = fn(&[u8]) -> Result<Image, Unfit>;
+/// Reads the bytes of a file.
+pub type Decoder = fn(&[u8]) -> Result<Snapshot, FormatError>;
 
+/// Why a snapshot was not saved; the last one that was is untouched.
+#[derive(Debug, Error)]
+pub enum SaveError {
+    /// The new file cannot be written and synced.
+    #[error("cannot write {NEW_FILE}: {0}")]
+    Write(#[source] io::Error),
+    /// The new file cannot take the older generation's place.
+    #[error("cannot rename {NEW_FILE} to {slot}: {source}")]
+    Rename {
+        /// The older generation's file.
+        slot: &'static str,
+        /// What the disk says.
+        source: io::Error,
+    },
+    /// The new name cannot be made safe from a power loss.
+    #[error("cannot sync the directory: {0}")]
+    SyncNames(#[source] io::Error),
+}
+
+/// A directory with two generations of snapshots.
 pub struct Store<D> {
     disk: D,
-    /// Where the next state goes: the slot of the older generation.
-    next: usize,
+    /// Index of the slot of the older generation, where the next snapshot goes.
+    next_slot: usize,
+    /// Sequence number of the last snapshot that was written or tried.
     sequence: u64,
 }
 
-/// What a folder held.
-#[derive(Debug, Default)]
-pub struct Opened {
-    pub image: Option<Image>,
-    /// A line for each file that was not used.
-    pub notes: Vec<String>,
-}
-
 impl<D: Disk> Store<D> {
+    /// Takes up the directory as it is: reads the newest whole snapshot, sets aside files that cannot be read and
+    /// removes what was being written.
     pub fn open(disk: D) -> (Store<D>, Opened) {
         Store::open_with(disk, format::decode)
     }
 
-    /// With another reader, for tests that have to show what a reader is good for.
-    pub fn open_with(mut disk: D, decode: Decode) -> (Store<D>, Opened) {
+    /// The same with another decoder, for tests that have to show what a decoder is good for.
+    pub fn open_with(mut disk: D, decode: Decoder) -> (Store<D>, Opened) {
         let mut opened = Opened::default();
         let mut sequences = [0, 0];
-        for (slot, name) in SLOTS.into_iter().enumerate() {
-            let read = match disk.read(name, format::MOST_BYTES + format::HEADER) {
-                Ok(bytes) => decode(&bytes).map_err(|unfit| (unfit.word(), unfit.to_string())),
-                Err(e) if e.kind() == ErrorKind::NotFound => continue,
-                Err(e) => Err(("unreadable", e.to_string())),
-            };
-            match read {
-                Ok(image) => {
-                    sequences[slot] = image.sequence;
-                    if opened
-                        .image
-                        .as_ref()
-                        .is_none_or(|best| image.sequence > best.sequence)
-                    {
-                        opened.image = Some(image);
-                    }
+        for (name, sequence) in SLOTS.into_iter().zip(&mut sequences) {
+            match read::read_slot(&mut disk, name, decode) {
+                None => {}
+                Some(Ok(snapshot)) => {
+                    *sequence = snapshot.sequence;
+                    opened.offer(snapshot);
                 }
-                Err((word, why)) => {
-                    let kept = set_aside(&mut disk, name, word);
-                    let kept = kept
-                        .map_or_else(|e| format!("left where it is, {e}"), |n| format!("now {n}"));
-                    opened
-                        .notes
-                        .push(format!("{name} is not read: {why}; {kept}"));
+                Some(Err(error)) => {
+                    let quarantine = quarantine::set_aside(&mut disk, name, error.label());
+                    opened.unusable_files.push(UnusableFile {
+                        name: name.into(),
+                        error,
+                        quarantine,
+                    });
                 }
             }
         }
-        // Broken off before it took a slot: never complete, as far as anyone was told.
-        let _ = disk.remove(NEW);
-        let next = usize::from(sequences[0] > sequences[1]);
-        (
-            Store {
-                disk,
-                next,
-                sequence: sequences[0].max(sequences[1]),
-            },
-            opened,
-        )
+        // Broken off before it took a slot: it was never reported as saved.
+        let _ = disk.remove(NEW_FILE);
+        let [first, second] = sequences;
+        let store = Store {
+            disk,
+            next_slot: usize::from(first > second),
+            sequence: first.max(second),
+        };
+        (store, opened)
     }
 
-    /// Once this returns without a fault, the state outlives a loss of power; after a fault the last one still does.
-    pub fn save(&mut self, written: u64, facts: Vec<Fact>) -> io::Result<usize> {
+    /// Saves a snapshot and says how many bytes it has. Once this returns without an error, the snapshot outlives a
+    /// power loss.
+    ///
+    /// # Errors
+    ///
+    /// The first step that fails; the last snapshot that was saved still outlives a power loss.
+    pub fn save(
+        &mut self,
+        written_at: Timestamp,
+        records: Vec<Record>,
+    ) -> Result<usize, SaveError> {
         // One that failed may be on the disk all the same: its number is not used again.
         self.sequence += 1;
-        let bytes = format::encode(&Image {
+        let bytes = format::encode(&Snapshot {
             sequence: self.sequence,
-            written,
-            facts,
-            unknown: 0,
+            written_at,
+            records,
+            unknown_records: 0,
         });
-        let done = self.write(&bytes).and_then(|()| {
-            self.disk.rename(NEW, SLOTS[self.next])?;
-            self.disk.sync_names()
-        });
-        if let Err(e) = done {
+        if let Err(error) = self.replace_older(&bytes) {
             // What a failed sync left in the page cache reads well and is not on the disk.
-            let _ = self.disk.remove(NEW);
-            return Err(e);
+            let _ = self.disk.remove(NEW_FILE);
+            return Err(error);
         }
-        self.next = 1 - self.next;
+        self.next_slot = 1 - self.next_slot;
         Ok(bytes.len())
     }
 
-    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.disk.create(NEW)?;
-        let (mut rest, mut interrupted) = (bytes, 0);
-        let mut done = Ok(());
-        while done.is_ok() && !rest.is_empty() {
-            match self.disk.write(NEW, rest) {
-                Ok(n) => (rest, interrupted) = (&rest[n..], 0),
-                Err(e) if e.kind() == ErrorKind::Interrupted && interrupted < PATIENCE => {
-                    interrupted += 1
+    fn replace_older(&mut self, bytes: &[u8]) -> Result<(), SaveError> {
+        self.write_new_file(bytes).map_err(SaveError::Write)?;
+        let slot = SLOTS[self.next_slot];
+        self.disk
+            .rename(NEW_FILE, slot)
+            .map_err(|source| SaveError::Rename { slot, source })?;
+        self.disk.sync_names().map_err(SaveError::SyncNames)
+    }
+
+    fn write_new_file(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.disk.create(NEW_FILE)?;
+        let written = self
+            .write_all(bytes)
+            .and_then(|()| self.disk.sync(NEW_FILE));
+        self.disk.close(NEW_FILE);
+        written
+    }
+
+    fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut remaining = bytes;
+        let mut interruptions = 0;
+        while !remaining.is_empty() {
+            match self.disk.write(NEW_FILE, remaining) {
+                Ok(written) => {
+                    remaining = &remaining[written..];
+                    interruptions = 0;
                 }
-                Err(e) => done = Err(e),
+                Err(error)
+                    if error.kind() == ErrorKind::Interrupted
+                        && interruptions < MAX_INTERRUPTIONS =>
+                {
+                    interruptions += 1;
+                }
+                Err(error) => return Err(error),
             }
         }
-        let done = done.and_then(|()| self.disk.sync(NEW));
-        self.disk.close(NEW);
-        done
+        Ok(())
     }
 
+    /// The disk, to look at.
     pub(crate) fn disk(&self) -> &D {
         &self.disk
     }
 
+    /// Gives the disk back.
     pub fn into_disk(self) -> D {
         self.disk
     }
 }
 
-/// Keeps a file that can't be used under another name, and only so many of them.
-fn set_aside<D: Disk>(disk: &mut D, name: &str, word: &str) -> io::Result<String> {
-    let names = disk.names()?;
-    let number = |n: &str| {
-        n.strip_prefix(ASIDE)?
-            .split('.')
-            .next()?
-            .parse::<u64>()
-            .ok()
-    };
-    let mut kept: Vec<(u64, &String)> =
-        names.iter().filter_map(|n| Some((number(n)?, n))).collect();
-    kept.sort_unstable();
-    let to = format!("{ASIDE}{}.{word}", kept.last().map_or(1, |(n, _)| n + 1));
-    let over = (kept.len() + 1).saturating_sub(MOST_ASIDE);
-    for (_, old) in &kept[..over] {
-        disk.remove(old)?;
-    }
-    disk.rename(name, &to)?;
-    disk.sync_names()?;
-    Ok(to)
-}
-
-/// Removes what the memory has written, and nothing else.
+/// Removes what a store has written, and nothing else; says how many files that were.
+///
+/// # Errors
+///
+/// The first removal that fails, or the sync after them.
 pub fn clear<D: Disk>(disk: &mut D) -> io::Result<usize> {
     let mut removed = 0;
     for name in disk.names()? {
-        if SLOTS.contains(&name.as_str()) || name == NEW || name.starts_with(ASIDE) {
+        let is_snapshot = SLOTS.contains(&name.as_str()) || name == NEW_FILE;
+        if is_snapshot || quarantine::is_quarantined(&name) {
             disk.remove(&name)?;
             removed += 1;
         }
@@ -167,27 +190,3 @@
     disk.sync_names()?;
     Ok(removed)
 }
-
-/// The newest whole state in a folder, without a change to it, and a line for each file that is not whole.
-pub fn look<D: Disk>(disk: &mut D) -> Opened {
-    let mut opened = Opened::default();
-    for name in SLOTS {
-        match disk.read(name, format::MOST_BYTES + format::HEADER) {
-            Err(e) if e.kind() == ErrorKind::NotFound => {}
-            Err(e) => opened.notes.push(format!("{name}: {e}")),
-            Ok(bytes) => match format::decode(&bytes) {
-                Err(unfit) => opened.notes.push(format!("{name}: {unfit}")),
-                Ok(image)
-                    if opened
-                        .image
-                        .as_ref()
-                        .is_none_or(|best| image.sequence > best.sequence) =>
-                {
-                    opened.image = Some(image);
-                }
-                Ok(_) => {}
-            },
-        }
-    }
-    opened
-}
