--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -1,4 +1,4 @@
-//! The command line: its words, and the commands that do not serve.
+//! The command line: its arguments, and the commands other than serving.
 
 mod snapshot_command;
 
@@ -18,7 +18,7 @@
 #[derive(Parser)]
 #[command(name = "tidescale", version, max_term_width = 100)]
 pub struct Cli {
-    /// What to do; serve where nothing is named.
+    /// What to do; without a command the program serves.
     #[command(subcommand)]
     pub command: Option<Command>,
 }
@@ -29,7 +29,7 @@
     /// Serve; the same as no command at all.
     Run(Run),
     /// Look at, check or clear what a proxy instance has learned and stored.
-    // Called `memory` once; scripts may still say so.
+    // The alias is the command's former name, which scripts may still use.
     #[command(subcommand, alias = "memory")]
     Snapshot(SnapshotCommand),
     /// The rollback verdicts in an instance's log as a table; exit code 1 where there are none.
@@ -61,10 +61,10 @@
     /// Standard input cannot be read.
     #[error("standard input: {0}")]
     ReadStandardInput(#[source] io::Error),
-    /// There is nothing to show.
+    /// There is no whole snapshot to show.
     #[error("{}: no whole snapshot", .0.display())]
     NoSnapshot(PathBuf),
-    /// What is to be cleared is something else.
+    /// The path to clear is no directory.
     #[error("{}: not a directory", .0.display())]
     NotADirectory(PathBuf),
     /// The directory that is to be cleared cannot be locked.
@@ -85,11 +85,11 @@
     },
 }
 
-/// Prints the rollback verdicts of a log, or of standard input where none is named; fails where there are none.
+/// Prints the rollback verdicts of a log, or of standard input if none is named. The exit code is 1 if there are none.
 ///
 /// # Errors
 ///
-/// Where the log cannot be read.
+/// If the log cannot be read.
 pub fn explain(log: Option<&Path>) -> Result<ExitCode, CliError> {
     let text = match log {
         Some(path) => std::fs::read(path).map_err(|source| CliError::Read {
--- a/crates/proxy/src/cli/snapshot_command.rs
+++ b/crates/proxy/src/cli/snapshot_command.rs
@@ -1,4 +1,4 @@
-//! `tidescale snapshot`: looks at what a proxy instance has stored, and clears it.
+//! `tidescale snapshot`: shows, checks and clears what a proxy instance has stored.
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -42,11 +42,11 @@
     },
 }
 
-/// Carries the command out; fails where something is not whole.
+/// Carries the command out. The exit code is 1 if a file is not whole.
 ///
 /// # Errors
 ///
-/// Where there is nothing to show, or a file or directory cannot be used.
+/// If there is nothing to show, or a file or directory cannot be used.
 pub fn snapshot(command: &SnapshotCommand) -> Result<ExitCode, CliError> {
     match command {
         SnapshotCommand::Show { path, json: true } => show(path, print_json),
@@ -106,7 +106,7 @@
     }
 }
 
-/// The newest whole snapshot at a file or in a directory, and what is not whole.
+/// Reads the newest whole snapshot of a directory, or one file.
 fn read_newest(path: &Path) -> Result<Opened, CliError> {
     if path.is_dir() {
         return Ok(store::newest(&mut Directory::without_lock(path)));
@@ -127,7 +127,7 @@
     Ok(opened)
 }
 
-/// As much of the file as decoding needs.
+/// Reads as much of the file as decoding needs.
 fn read_file(path: &Path) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     File::open(path)?
@@ -181,7 +181,7 @@
     );
 }
 
-/// What the record would count for now, if the endpoint list were still the one in the same snapshot.
+/// What the record would count for now if the endpoint list were still that of the same snapshot.
 fn weight(record: &Record, listed: &BTreeMap<&str, &Process>, now: Timestamp) -> f64 {
     let process_match = record.observed_process().map(|process| {
         let listed = listed.get(process.endpoint.as_str()).copied();
--- a/crates/proxy/src/snapshot_writer.rs
+++ b/crates/proxy/src/snapshot_writer.rs
@@ -1,14 +1,14 @@
-//! Keeps what the policy has learned in a directory: collects its records in slices between iterations of the event
-//! loop, and leaves encoding and writing to a thread of its own, for a disk may stall.
+//! Writes snapshots of what the policy has learned. Records are collected in slices between iterations of the event
+//! loop; a thread of its own encodes and writes them, because a disk may stall.
 //!
 //! | module | its one job |
 //! | --- | --- |
-//! | `collector` | the policy's records, some in each slice |
+//! | `collector` | collects the policy's records, some in each slice |
 //! | `background` | the thread that writes |
-//! | `restore` | what of a snapshot still counts, back to the policy |
-//! | `directory` | what records need beside the policy |
+//! | `restore` | restores to the policy what still counts of a snapshot |
+//! | `directory` | what the proxy knows of endpoints and the policy does not |
 //!
-//! Invariants: an iteration of the loop never waits for the disk, but for the last snapshot and no longer than the
+//! Invariants: the event loop never waits for the disk, except for the last snapshot and then no longer than the
 //! operators allow; at most one snapshot waits for the thread.
 
 mod background;
@@ -35,25 +35,25 @@
 pub use directory::EndpointDirectory;
 pub use restore::restore;
 
-/// The one job so far; any number does.
+/// Priority of writing snapshots; it matters only once there are other jobs.
 const PRIORITY: u8 = 1;
 
-/// Writes a snapshot of what the policy has learned from time to time, and the last one at shutdown.
+/// Writes a snapshot at intervals, and a last one at shutdown.
 pub struct SnapshotWriter {
     scheduler: Scheduler,
     job: JobId,
     collection: Collection,
     background: BackgroundWriter,
-    /// How long the last snapshot may hold up the end.
+    /// How long shutdown may wait for the last snapshot.
     shutdown_timeout: Duration,
-    /// The longest that a slice has kept the event loop.
+    /// Duration of the longest slice, for which the event loop stood still.
     longest_slice: Duration,
     log: Logger,
 }
 
 impl SnapshotWriter {
-    /// Locks the directory; the writer, and the newest snapshot that it held. None where the directory cannot be
-    /// used: the log says why, and the instance serves without snapshots.
+    /// Locks the directory and starts the thread. Returns the writer and the newest whole snapshot found. None if the
+    /// directory cannot be used: the log says why, and the instance serves without snapshots.
     pub fn open(
         settings: &Memory,
         now: Timestamp,
@@ -96,7 +96,7 @@
         Some((writer, opened.snapshot))
     }
 
-    /// Does one slice of the work, where it is time for one.
+    /// Does one slice of work, if one is due.
     pub fn run_slice(
         &mut self,
         directory: &EndpointDirectory<'_>,
@@ -124,8 +124,7 @@
         self.scheduler.next_wake_up(now)
     }
 
-    /// Writes the last snapshot, once every client has its response, and waits for it no longer than the operators
-    /// allow.
+    /// Writes the last snapshot, after every client has its response. Waits no longer than the operators allow.
     pub fn write_final(
         &mut self,
         directory: &EndpointDirectory<'_>,
@@ -135,7 +134,7 @@
         let deadline = Instant::now() + self.shutdown_timeout;
         let time_remaining = || deadline.saturating_duration_since(Instant::now());
         let records = self.collection.collect_all(directory, now, policy);
-        // The thread takes no other snapshot while one waits for it.
+        // The thread may refuse the last snapshot while another one waits.
         if self.background.has_pending()
             && let Some(result) = self.background.wait_for_result(time_remaining())
         {
@@ -153,8 +152,8 @@
         info!(self.log, "last snapshot written"; "longest_slice_us" => longest_slice_us);
     }
 
-    /// Hands a snapshot to the thread. One that still has an earlier snapshot takes none: a disk that stalls must not
-    /// fill the memory.
+    /// Hands a snapshot to the thread, or drops it if another one still waits: a disk that stalls must not fill the
+    /// memory.
     fn submit(&mut self, records: Vec<Record>, now: Timestamp) {
         let write = PendingWrite {
             written_at: now,
--- a/crates/proxy/src/snapshot_writer/background.rs
+++ b/crates/proxy/src/snapshot_writer/background.rs
@@ -11,10 +11,10 @@
 use tidescale_snapshot::records::Record;
 use tidescale_snapshot::store::{SaveError, Store};
 
-/// Snapshots that wait for the thread. One is enough: the next one says all that it does.
+/// Most snapshots that wait for the thread. One is enough, because each snapshot is complete.
 const MAX_WAITING: usize = 1;
-/// Results that wait for the event loop: of the write that waited and of the one before it, so that the thread never
-/// waits for the loop.
+/// Most results that wait for the event loop: one for the snapshot being written and one for the one that waits, so
+/// that the thread need not wait for the loop.
 const MAX_RESULTS: usize = 2;
 
 /// A snapshot on its way to the thread.
@@ -26,13 +26,13 @@
 /// Bytes written, or why nothing was.
 pub(super) type WriteResult = Result<usize, SaveError>;
 
-/// Why the thread does not take a snapshot.
+/// Why a snapshot was not handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(super) enum SubmitError {
-    /// It still has an earlier one.
+    /// Another one still waits for the thread.
     #[error("the disk is slow")]
     Busy,
-    /// It has ended.
+    /// The thread has ended.
     #[error("no thread")]
     Stopped,
 }
@@ -85,14 +85,14 @@
         }
     }
 
-    /// A result that is there already.
+    /// The next result, if there already is one.
     pub(super) fn try_result(&mut self) -> Option<WriteResult> {
         let result = self.results.try_recv().ok()?;
         self.pending -= 1;
         Some(result)
     }
 
-    /// The next result; none where it does not come in time.
+    /// Waits for the next result; none if it does not come in time.
     pub(super) fn wait_for_result(&mut self, timeout: Duration) -> Option<WriteResult> {
         let result = self.results.recv_timeout(timeout).ok()?;
         self.pending -= 1;
--- a/crates/proxy/src/snapshot_writer/collector.rs
+++ b/crates/proxy/src/snapshot_writer/collector.rs
@@ -13,7 +13,7 @@
 /// Endpoints, or endpoints' outcomes, in a slice: a few tens of microseconds of the event loop's time.
 const SLICE_LENGTH: usize = 64;
 
-/// Where collecting goes on.
+/// Where collecting continues.
 #[derive(Clone, Copy)]
 enum Cursor {
     /// With the endpoint of this index.
@@ -45,7 +45,7 @@
 }
 
 impl Collection {
-    /// Collects some endpoints, or all the rest; the whole snapshot's records once all are collected.
+    /// Collects some endpoints or outcomes, or all the rest. Returns the snapshot's records once they are complete.
     pub(super) fn collect_slice(
         &mut self,
         directory: &EndpointDirectory<'_>,
@@ -71,7 +71,7 @@
             Cursor::Rest => {
                 policy.save_rest(&mut sink);
                 self.cursor = Cursor::START;
-                // What must not be cut off where the whole would be too long comes first.
+                // Records that must not be left out if the file would be too long come first.
                 self.records.reverse();
                 Some(std::mem::take(&mut self.records))
             }
@@ -94,7 +94,7 @@
     }
 }
 
-/// Takes the policy's records and turns them into those that are stored.
+/// Receives the policy's records and converts them to those that are stored.
 struct Collector<'a> {
     now: Timestamp,
     directory: &'a EndpointDirectory<'a>,
--- a/crates/proxy/src/snapshot_writer/directory.rs
+++ b/crates/proxy/src/snapshot_writer/directory.rs
@@ -1,4 +1,4 @@
-//! What records need beside the policy: where endpoints listen, and how old the endpoint list is.
+//! What the proxy knows of endpoints and the policy does not: where they listen, and how old the endpoint list is.
 
 use tidescale_policy::types::Timestamp;
 use tidescale_snapshot::records::Process;
--- a/crates/proxy/src/snapshot_writer/restore.rs
+++ b/crates/proxy/src/snapshot_writer/restore.rs
@@ -1,4 +1,4 @@
-//! Gives the policy what of a snapshot still counts.
+//! Restores to the policy what still counts of a snapshot.
 
 use tidescale_policy::Balancer;
 use tidescale_policy::snapshot::{
@@ -11,9 +11,9 @@
 
 use super::directory::EndpointDirectory;
 
-/// Tells the policy what of the snapshot still counts; how many records did.
+/// Restores to the policy what still counts of the snapshot. Returns the number of records that did.
 ///
-/// The policy has to know the endpoint list and the rollout's status already: records are held against them.
+/// The policy must know the endpoint list and the rollout's status already: records are checked against them.
 pub fn restore(
     snapshot: &Snapshot,
     directory: &EndpointDirectory<'_>,
@@ -33,7 +33,7 @@
     counted
 }
 
-/// Whether the build that was under evaluation then still is.
+/// Whether the build that was under evaluation at the time still is.
 fn rollout_continues(snapshot: &Snapshot, policy: &Balancer) -> bool {
     let Some(current) = policy.rollout else {
         return false;
@@ -53,7 +53,7 @@
 }
 
 impl Restorer<'_> {
-    /// Tells the policy of one record; whether it still counted.
+    /// Restores one record. Returns whether it still counted.
     fn restore(&mut self, record: &Record) -> bool {
         let weight = expiry::weight(record, self.now);
         let counts = weight > 0.0;
--- a/crates/snapshot/src/crash_history.rs
+++ b/crates/snapshot/src/crash_history.rs
@@ -9,19 +9,19 @@
 
 use crate::format::{self, FormatError, HEADER_BYTES, Snapshot};
 use crate::records::{KeyBuildRecord, Record};
-use crate::simulated_disk::{PlantedFault, SimulatedDisk};
+use crate::simulated_disk::{FaultPlan, PlantedFault, SimulatedDisk};
 use crate::store::{Decoder, Store};
 
-/// Most records of a snapshot, so that it takes a few steps to several to write.
+/// Most records of a snapshot: small ones are written in one step, large ones in several.
 const MAX_RECORDS: u64 = 60;
-/// After each power loss so many second lives are played, each with other survivors.
+/// Second lives played after each power loss, each with a different part of the disk surviving.
 const SECOND_LIVES: u64 = 4;
-/// The power fails again within so many times the steps of the first life, at a drawn one.
+/// The power fails again at a random step, within so many times the steps of the first life.
 const SECOND_LOSS_WITHIN: u64 = 4;
 /// Saves in a second life.
 const SECOND_LIFE_SAVES: u64 = 2;
 
-/// What a number of histories came to.
+/// Totals over histories.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CrashStats {
     /// Power losses.
@@ -51,13 +51,13 @@
     }
 }
 
-/// What must never be read back. Snapshots are named by their number.
+/// A read that must never happen. Snapshots are identified by number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Violation {
-    /// Nothing is found although a snapshot was reported as saved.
+    /// No snapshot is found although one was reported as saved.
     #[error("snapshot {0} is lost")]
     Lost(u64),
-    /// Another snapshot is found than the last one saved or one begun since.
+    /// The snapshot found is neither the last one saved nor one begun since.
     #[error("snapshot {found} where {saved} was saved last")]
     WrongSnapshot {
         /// What is found.
@@ -65,12 +65,12 @@
         /// What was reported as saved last.
         saved: u64,
     },
-    /// What is found was never written like this.
+    /// The snapshot found was never written with this content.
     #[error("snapshot {0} is a mixture")]
     Mixture(u64),
 }
 
-/// A history in which something was read back that must never be.
+/// A history with a violation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("seed {seed}, power lost at step {step}: {violation}")]
 pub struct BrokenHistory {
@@ -78,12 +78,13 @@
     pub seed: u64,
     /// The step at which the power failed first.
     pub step: u64,
-    /// What was read back.
+    /// What was wrong.
     #[source]
     pub violation: Violation,
 }
 
-/// Records of the snapshot of this number: their count and content follow from it, so that a mixture of two shows.
+/// Records of the snapshot of this number. Count and content are derived from it, so that a mixture of two snapshots
+/// is detected.
 pub fn records_of(number: u64) -> Vec<Record> {
     let mut rng = Rand64::new(u128::from(number));
     let count = 1 + rng.rand_u64() % MAX_RECORDS;
@@ -111,7 +112,7 @@
 }
 
 impl Progress {
-    /// What was read back must be a snapshot as it was written: the last saved one or one begun since.
+    /// Checks that the snapshot found is the last one saved or one begun since, unchanged. Returns its number.
     fn check(&self, found: Option<&Snapshot>) -> Result<u64, Violation> {
         let oldest_allowed = if self.bit_rot {
             self.saved_before
@@ -139,7 +140,7 @@
     }
 }
 
-/// One life of a process: reads back, then saves until it has done so many saves or the power fails.
+/// One life of a process: it opens the store, checks what it finds and tries so many saves.
 fn play_life(
     disk: SimulatedDisk,
     decode: Decoder,
@@ -154,7 +155,7 @@
     let found = progress.check(opened.snapshot.as_ref())?;
     stats.unreported_snapshots_found += u64::from(found > progress.saved);
     stats.unusable_files += opened.unusable_files.len() as u64;
-    // Read once, it must be read again.
+    // A snapshot that was read once must be readable from now on.
     progress.saved = found;
     progress.saved_before = 0;
     for _ in 0..saves {
@@ -173,11 +174,11 @@
 }
 
 /// One seeded history: some saves, the power failing at each step in turn, and after it a second life that fails at a
-/// drawn step too. What is read back is held against what was reported as saved.
+/// random step too. What is read back is checked against what was reported as saved.
 ///
 /// # Errors
 ///
-/// The first step at which something was read back that must never be.
+/// The first violation.
 pub fn play(
     seed: u64,
     planted_fault: PlantedFault,
@@ -185,7 +186,7 @@
 ) -> Result<CrashStats, BrokenHistory> {
     let mut rng = Rand64::new(u128::from(seed));
     let saves = 1 + rng.rand_u64() % 3;
-    let faults_enabled = rng.rand_u64().is_multiple_of(2);
+    let random_faults = rng.rand_u64().is_multiple_of(2);
     let mut stats = CrashStats::default();
     for step in 1.. {
         let broken = |violation| BrokenHistory {
@@ -193,7 +194,12 @@
             step,
             violation,
         };
-        let disk = SimulatedDisk::new(seed, faults_enabled, planted_fault, Some(step));
+        let faults = FaultPlan {
+            random_faults,
+            planted_fault,
+            power_loss_at: Some(step),
+        };
+        let disk = SimulatedDisk::new(seed, faults);
         let mut progress = Progress {
             bit_rot: planted_fault == PlantedFault::BitRot,
             ..Progress::default()
@@ -216,7 +222,7 @@
     Ok(stats)
 }
 
-/// A life after a power loss, and what is read back after the next one.
+/// Plays a life after a power loss, and checks what is found after the next one.
 fn play_second_life(
     disk: SimulatedDisk,
     decode: Decoder,
@@ -231,11 +237,11 @@
     Ok(())
 }
 
-/// A decoder that checks the header alone, as one would that trusts its checksum with no more: a planted fault.
+/// A decoder that ignores the checksum: a planted fault.
 ///
 /// # Errors
 ///
-/// Where header or records cannot be read.
+/// If header or records cannot be decoded.
 pub fn decode_without_checksum(bytes: &[u8]) -> Result<Snapshot, FormatError> {
     if bytes.len() < HEADER_BYTES {
         Err(FormatError::Torn)
--- a/crates/snapshot/src/directory.rs
+++ b/crates/snapshot/src/directory.rs
@@ -23,7 +23,7 @@
     Io(#[from] io::Error),
 }
 
-/// An advisory lock, which goes with the process however that ends.
+/// An advisory lock, which the system releases however the process ends.
 struct DirectoryLock {
     /// Locked as long as it is open.
     _file: File,
@@ -49,16 +49,16 @@
     path: PathBuf,
     /// Files open for writing, by name.
     open_files: BTreeMap<String, File>,
-    /// None where the directory is only looked at.
+    /// None if the directory is only inspected.
     _lock: Option<DirectoryLock>,
 }
 
 impl Directory {
-    /// The directory, created where it is missing, and locked as long as the value lives.
+    /// Locks the directory for as long as the value lives, and creates it first if it is missing.
     ///
     /// # Errors
     ///
-    /// [`LockError::Locked`] where another process has locked it; otherwise why it can't be created or opened.
+    /// [`LockError::Locked`] if another process has locked it; otherwise why it cannot be created or opened.
     pub fn lock(path: &Path) -> Result<Directory, LockError> {
         if !path.is_dir() {
             create_durably(path)?;
@@ -71,7 +71,7 @@
         })
     }
 
-    /// The directory to look at only, whoever has locked it.
+    /// Opens the directory for inspection only, whoever has locked it.
     pub fn without_lock(path: &Path) -> Directory {
         Directory {
             path: path.into(),
@@ -87,7 +87,7 @@
     }
 }
 
-/// Creates the directory and makes its own name safe from a power loss, or all that is stored in it would go too.
+/// Creates the directory and syncs its parent: if its own name were lost with the power, its content would be too.
 fn create_durably(path: &Path) -> io::Result<()> {
     fs::create_dir_all(path)?;
     let parent = path
--- a/crates/snapshot/src/disk.rs
+++ b/crates/snapshot/src/disk.rs
@@ -5,7 +5,7 @@
 
 /// One directory. Names are plain file names.
 pub trait Disk {
-    /// All of a file, but no more than `max_bytes` and one.
+    /// Reads a whole file, or its first `max_bytes + 1` bytes if it is longer.
     ///
     /// # Errors
     ///
@@ -19,7 +19,7 @@
     /// Whatever creating meets.
     fn create(&mut self, name: &str) -> io::Result<()>;
 
-    /// Appends some of the bytes, at least one; says how many.
+    /// Appends some of the bytes, at least one. Returns how many.
     ///
     /// # Errors
     ///
--- a/crates/snapshot/src/expiry.rs
+++ b/crates/snapshot/src/expiry.rs
@@ -13,17 +13,17 @@
 
 /// Clocks of one host before and after its restart differ by less.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(2);
-/// After so many half-lives a record has expired: by then it counts less than 0.4%.
+/// A record expires after this many half-lives, when it counts for less than 0.4%.
 const HALF_LIVES_UNTIL_EXPIRED: u64 = 8;
-/// Reported load says nothing of now after so long.
+/// Reported load older than this says nothing about the present.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(5);
-/// An endpoint's own slowdown counts as so many responses at most: the next few outweigh it, and the policy lets it
-/// decay within seconds, so that an endpoint that has recovered is at its fair share again within 30 s without health
-/// checks.
+/// Most responses that an endpoint's restored slowdown counts for. The next few responses outweigh it, and the policy
+/// lets it decay within seconds, so that an endpoint that has recovered is back at its fair share within 30 s without
+/// health checks.
 pub const MAX_SLOWDOWN_RESPONSES: f64 = 4.0;
-/// A baseline counts as so many responses at most: a fleet that has changed is known anew soon.
+/// Most responses that a restored baseline counts for, so that a fleet that has changed is soon measured anew.
 pub const MAX_BASELINE_RESPONSES: f64 = 200.0;
-/// Load and slowdown of a hardware class count as so many responses at most.
+/// Most responses that the restored load and slowdown of a hardware class count for.
 const MAX_HARDWARE_CLASS_RESPONSES: f64 = 20.0;
 /// An ejection is restored while its record counts at least this much: for one half-life.
 const MIN_EJECTION_WEIGHT: f64 = 0.5;
@@ -35,7 +35,7 @@
 pub enum ProcessMatch {
     /// Address, build and start are the same.
     Same,
-    /// The name is another process's now, or is not listed: neither answers for the record.
+    /// The name belongs to another process now, or is not listed; the record applies to neither.
     Different,
 }
 
@@ -60,7 +60,7 @@
 }
 
 impl Lifetime {
-    /// Short, as all suspicion: an endpoint may have recovered meanwhile.
+    /// Short, as for all suspicion: the endpoint may have recovered meanwhile.
     const ENDPOINT: Lifetime = Lifetime::fading(10);
     const OUTCOMES: Lifetime = Lifetime::fading(15);
     /// As long as the policy holds a rejected build.
@@ -69,9 +69,9 @@
         max_age: Duration::from_secs(60),
     };
     const FLEET: Lifetime = Lifetime::fading(60);
-    /// Long: what a kind of endpoint or request is like seldom changes.
+    /// Long: hardware and routes seldom change.
     const BASELINE: Lifetime = Lifetime::fading(600);
-    /// What binds does not fade, but ends.
+    /// A binding does not fade, but ends.
     const KEY_BUILD: Lifetime = Lifetime {
         half_life: Duration::MAX,
         max_age: Duration::from_secs(3600),
@@ -102,7 +102,7 @@
         }
     }
 
-    /// From 1 for what was just observed down to 0 for what has expired.
+    /// From 1 if just observed down to 0 once expired.
     fn weight(self, observed_at: Timestamp, now: Timestamp) -> f64 {
         match age(observed_at, now) {
             Some(age) if age < self.max_age => {
@@ -114,8 +114,8 @@
     }
 }
 
-/// How long ago; none for what cannot be: observed later than now, by more than clocks differ. A clock that leaps
-/// ahead only makes a record older.
+/// Age of a record; none if it was observed in the future by more than clocks differ. A clock that leaps ahead only
+/// makes a record older.
 pub fn age(observed_at: Timestamp, now: Timestamp) -> Option<Duration> {
     if observed_at > now + CLOCK_TOLERANCE {
         None
@@ -124,7 +124,7 @@
     }
 }
 
-/// How much the record counts now: from 1 for what was just observed down to 0 for what has expired.
+/// How much the record counts now: from 1 if it was just observed down to 0 once it has expired.
 pub fn weight(record: &Record, now: Timestamp) -> f64 {
     Lifetime::of(record).weight(record.observed_at(), now)
 }
@@ -138,7 +138,7 @@
     pub ejected: bool,
 }
 
-/// What still counts of an endpoint's record; none once it has expired or where the process is a different one.
+/// What still counts of an endpoint's record; none if it has expired or the process is a different one.
 pub fn restore_endpoint(
     record: &EndpointRecord,
     now: Timestamp,
@@ -195,8 +195,8 @@
     pub failures: Vec<f64>,
 }
 
-/// What still counts of an endpoint's outcomes; none once they have expired, where they make no sense or where the
-/// process is a different one.
+/// What still counts of an endpoint's outcomes; none if they have expired, are implausible or the process is a
+/// different one.
 pub fn restore_outcomes(
     record: &OutcomeRecord,
     now: Timestamp,
@@ -220,8 +220,8 @@
         && sums().all(|(outcomes, failures)| *failures <= *outcomes + FAILURE_TOLERANCE)
 }
 
-/// Sums of which the last counts responses, weighted and scaled down to at most so many of these; none where they
-/// make no sense or count nothing.
+/// Decaying sums, of which the last counts responses: weighted, and scaled down to at most `max_responses`. None if
+/// they are implausible or count nothing.
 fn weighted_sums<const N: usize>(
     sums: [f64; N],
     max_responses: f64,
--- a/crates/snapshot/src/format.rs
+++ b/crates/snapshot/src/format.rs
@@ -30,10 +30,10 @@
 
 /// The version that is written; every version up to it is read.
 pub const VERSION: u32 = 1;
-/// Most bytes of a file, so that a restart reads it within milliseconds; what would be longer is cut by leaving the
-/// last records out.
+/// Most bytes of a file, so that a restart reads it within milliseconds. Records that do not fit are left out, from
+/// the end.
 pub const MAX_FILE_BYTES: usize = 16 << 20;
-/// Most bytes that need to be read of a file to decode it or to see that it is too long.
+/// Bytes that a reader needs of a file to decode it or to see that it is too long.
 pub const READ_LIMIT: usize = MAX_FILE_BYTES + HEADER_BYTES;
 /// Length of the header.
 pub const HEADER_BYTES: usize = 44;
@@ -56,7 +56,7 @@
     pub(super) const RECORD_COUNT: Range<usize> = 40..44;
 }
 
-/// Numbers of the kinds of records. A number is never used again for anything else.
+/// Numbers of the kinds of records. A number is never reused for another kind.
 mod kind {
     pub(super) const ENDPOINT: u16 = 1;
     pub(super) const HARDWARE_CLASS: u16 = 2;
@@ -73,13 +73,13 @@
 /// One complete snapshot of what an instance has learned.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Snapshot {
-    /// One more with each snapshot that was written; the newer of two has the higher one.
+    /// Rises by one with each snapshot written; the higher of two is the newer.
     pub sequence: u64,
     /// When it was written.
     pub written_at: Timestamp,
-    /// What was learned, most important first.
+    /// What was learned; the most important records come first.
     pub records: Vec<Record>,
-    /// How many records of kinds that this version does not know were stepped over.
+    /// Records that were skipped because this version does not know their kind.
     pub unknown_records: usize,
 }
 
@@ -105,7 +105,7 @@
     /// It is longer than any file that is written.
     #[error("too long, over {MAX_FILE_BYTES} bytes")]
     TooLong,
-    /// It begins with something else.
+    /// It does not begin with the magic bytes.
     #[error("not a snapshot file")]
     NotASnapshot,
     /// Its version is later than [`VERSION`].
@@ -117,7 +117,7 @@
     /// Its bytes are not those that were written.
     #[error("checksum does not match")]
     ChecksumMismatch,
-    /// The checksum matches, and a record makes no sense all the same.
+    /// The checksum matches, but a record cannot be decoded.
     #[error("the record at byte {offset} can't be read: {reason}")]
     InvalidRecord {
         /// Where the record begins.
@@ -128,7 +128,7 @@
 }
 
 impl FormatError {
-    /// A word for it in the name of the file that is set aside.
+    /// One word for the reason, used in the name of the file that is set aside.
     pub fn label(&self) -> &'static str {
         match self {
             FormatError::Empty => "empty",
--- a/crates/snapshot/src/rate_limit.rs
+++ b/crates/snapshot/src/rate_limit.rs
@@ -1,4 +1,4 @@
-//! A budget that fills at a constant rate: how much background work may be done in a second on average.
+//! A token bucket: how much background work may be done in a second on average.
 
 use std::time::Duration;
 
@@ -6,25 +6,26 @@
 
 /// Microseconds in a second.
 const MICROS_PER_SECOND: f64 = 1e6;
-/// A lower rate counts as this one, so that a wait is finite.
+/// Lowest rate that waits are computed with, so that a rate of zero gives a finite wait.
 const MIN_RATE: f64 = 1e-9;
-/// The longest wait in microseconds, some eleven days: it fits a whole number whatever was overspent.
+/// Longest wait in microseconds, about eleven days, so that any amount overspent gives a wait that fits an integer.
 const MAX_WAIT_MICROS: f64 = 1e12;
 
-/// So much a second, saved up for at most a second; what was overspent is worked off first.
+/// A token bucket that refills at a constant rate and holds at most one second's worth.
 ///
-/// A clock that stands or goes back earns nothing.
+/// It may be overspent; the debt is paid off before anything is available again. A clock that stops or goes back
+/// refills nothing.
 #[derive(Clone, Copy, Debug)]
 pub struct RateLimit {
-    /// What comes in each second, and the most that is saved up.
+    /// Tokens per second, and the capacity.
     rate: f64,
-    /// Below zero where it was overspent.
+    /// Tokens left; negative after overspending.
     available: f64,
     updated_at: Timestamp,
 }
 
 impl RateLimit {
-    /// A full budget of `rate` a second, in whatever unit is spent.
+    /// A full bucket that refills at `rate` tokens per second.
     pub fn new(rate: f64, now: Timestamp) -> RateLimit {
         RateLimit {
             rate,
@@ -33,13 +34,13 @@
         }
     }
 
-    /// Takes this much, whether it is there or not.
+    /// Takes `amount` tokens, even if fewer are available.
     pub fn spend(&mut self, amount: f64, now: Timestamp) {
         self.refill(now);
         self.available -= amount;
     }
 
-    /// How long until there is something to spend again; zero where there is.
+    /// Time until tokens are available again; zero if some are now.
     pub fn wait(&mut self, now: Timestamp) -> Duration {
         self.refill(now);
         let missing = -self.available;
@@ -47,7 +48,7 @@
             return Duration::ZERO;
         }
         let micros = missing / self.rate.max(MIN_RATE) * MICROS_PER_SECOND;
-        // One more: the microsecond that was begun has to pass too.
+        // Rounded up, so that tokens are available after the wait.
         Duration::from_micros(micros.min(MAX_WAIT_MICROS) as u64 + 1)
     }
 
--- a/crates/snapshot/src/records.rs
+++ b/crates/snapshot/src/records.rs
@@ -4,8 +4,8 @@
 //! record's time, so that a later reader goes on from there.
 //!
 //! Invariants of the file: a field keeps its name there, whatever it is called here (`#[serde(rename = "…")]`), and
-//! fields keep their order. Every field that came after version 1 has a default, and a reader steps over fields that
-//! it does not know: a reader of any version understands what it knows of.
+//! fields keep their order. Every field added after version 1 has a default, and readers skip fields that they do not
+//! know, so that programs of different age read each other's files as long as the format's version is the same.
 
 mod endpoint;
 mod fleet;
@@ -71,7 +71,7 @@
         }
     }
 
-    /// The process whose behaviour the record describes; none for records of anything else.
+    /// The process whose behaviour the record describes; none for other kinds of records.
     pub fn observed_process(&self) -> Option<&Process> {
         match self {
             Record::Endpoint(record) => Some(&record.process),
--- a/crates/snapshot/src/scheduler.rs
+++ b/crates/snapshot/src/scheduler.rs
@@ -1,5 +1,5 @@
-//! Which background job runs next: the one that is due and matters most, as far as the budgets of time and bytes
-//! allow. It says what may run and never runs anything; the caller measures what a slice of work took.
+//! Decides which background job runs next: the due job of the highest priority, as far as the budgets of time and
+//! bytes allow. It never runs anything itself; the caller measures each slice of work and reports what it used.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -17,12 +17,12 @@
     pub bytes_per_second: u64,
 }
 
-/// Names a job of the scheduler that gave it out.
+/// Identifies a job of the scheduler that returned it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobId(usize);
 
 struct Job {
-    /// The higher goes first.
+    /// Higher runs first.
     priority: u8,
     interval: Duration,
     due_at: Timestamp,
@@ -36,7 +36,7 @@
 }
 
 impl Scheduler {
-    /// No jobs yet, and budgets that are full.
+    /// A scheduler without jobs, whose budgets are full.
     pub fn new(budgets: Budgets, now: Timestamp) -> Scheduler {
         let micros_per_second = whole_micros(budgets.time_per_second) as f64;
         Scheduler {
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Adds a job that is due for the first time at `first_due_at`, then each `interval` after its last end. Of jobs
-    /// that are due the one of the highest priority goes first, then the one due the longest.
+    /// Adds a job that is first due at `first_due_at`, and then `interval` after each time it finishes. Among due
+    /// jobs the highest priority runs first, then the one that has been due the longest.
     pub fn add(&mut self, priority: u8, first_due_at: Timestamp, interval: Duration) -> JobId {
         self.jobs.push(Job {
             priority,
@@ -69,24 +69,24 @@
             .map(|(index, _)| JobId(index))
     }
 
-    /// Records that a slice took this much of the loop's time.
+    /// Charges a slice's working time to the budget.
     pub fn record_time(&mut self, time: Duration, now: Timestamp) {
         self.time.spend(whole_micros(time) as f64, now);
     }
 
-    /// Records that so many bytes were written.
+    /// Charges bytes written to the budget.
     pub fn record_bytes(&mut self, bytes: usize, now: Timestamp) {
         self.bytes.spend(bytes as f64, now);
     }
 
-    /// Records that the job is done, or has to wait for something: it is due again after its interval.
+    /// Marks the job as done for now: it is due again after its interval.
     pub fn finish(&mut self, job: JobId, now: Timestamp) {
         if let Some(job) = self.jobs.get_mut(job.0) {
             job.due_at = now + job.interval;
         }
     }
 
-    /// When [`next`](Scheduler::next) is worth asking again; none without jobs.
+    /// Earliest time at which [`next`](Scheduler::next) may return a job; none without jobs.
     pub fn next_wake_up(&mut self, now: Timestamp) -> Option<Timestamp> {
         let first_due_at = self.jobs.iter().map(|job| job.due_at).min()?;
         Some(first_due_at.max(now + self.budget_wait(now)))
--- a/crates/snapshot/src/simulated_disk.rs
+++ b/crates/snapshot/src/simulated_disk.rs
@@ -1,7 +1,7 @@
-//! A disk that can do what a real one does once a year. Every write, sync, rename and sync of names is a step at
+//! A simulated disk with the faults that a real one shows once a year. Every write, sync, rename and sync of names is a step at
 //! which the power may fail; of what was not synced any part survives, sector by sector and name by name.
 //!
-//! The same seed and the same calls give the same faults.
+//! Deterministic: the same seed and the same calls give the same faults.
 
 mod file_content;
 
@@ -14,18 +14,18 @@
 
 use file_content::{FileContent, SECTOR_BYTES};
 
-/// One step in so many meets a fault short of a power loss, where faults are on: often enough for each kind to come
-/// up in a history of a few hundred steps, rarely enough for most saves to succeed.
+/// With random faults on, one step in so many fails: often enough for every kind of fault to come up, rarely enough
+/// for some saves to succeed.
 const STEPS_PER_FAULT: u64 = 12;
 /// The disk takes so many bytes at a time, so that a file is many steps.
 const MAX_WRITE_BYTES: usize = 3 * SECTOR_BYTES;
-/// What survives a power loss is drawn apart from what the disk does after it.
+/// Separates the random numbers for what survives a power loss from those for faults after it.
 const SURVIVAL_SEED_MASK: u128 = 0x5eed;
 
-/// What the disk only pretends to do, for tests that must be able to fail.
+/// A fault planted on purpose, to show that the tests can fail.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PlantedFault {
-    /// It does all that it says.
+    /// No planted fault.
     #[default]
     None,
     /// Syncs of files do nothing.
@@ -36,6 +36,17 @@
     BitRot,
 }
 
+/// Which faults a disk has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FaultPlan {
+    /// Single steps fail at random, short of a power loss.
+    pub random_faults: bool,
+    /// What the disk does wrong on purpose.
+    pub planted_fault: PlantedFault,
+    /// The step at which the power fails, counted from 1; never if there is none.
+    pub power_loss_at: Option<u64>,
+}
+
 /// A change of names that is not durable yet. Files are named by their index.
 #[derive(Clone)]
 enum NameChange {
@@ -63,13 +74,9 @@
     /// Changes since the names were durable, in order.
     name_changes: Vec<NameChange>,
     rng: Rand64,
-    /// Steps may fail short of a power loss.
-    faults_enabled: bool,
-    planted_fault: PlantedFault,
+    faults: FaultPlan,
     /// Steps since the power came on.
     steps: u64,
-    /// The step at which the power fails.
-    power_loss_at: Option<u64>,
     power_lost: bool,
 }
 
@@ -78,33 +85,26 @@
 }
 
 impl SimulatedDisk {
-    /// An empty disk, whose power fails at this step; never where none is given.
-    pub fn new(
-        seed: u64,
-        faults_enabled: bool,
-        planted_fault: PlantedFault,
-        power_loss_at: Option<u64>,
-    ) -> SimulatedDisk {
+    /// An empty disk.
+    pub fn new(seed: u64, faults: FaultPlan) -> SimulatedDisk {
         SimulatedDisk {
             files: Vec::new(),
             names: BTreeMap::new(),
             durable_names: BTreeMap::new(),
             name_changes: Vec::new(),
             rng: Rand64::new(u128::from(seed)),
-            faults_enabled,
-            planted_fault,
+            faults,
             steps: 0,
-            power_loss_at,
             power_lost: false,
         }
     }
 
-    /// Whether the power has failed; nothing works any more then.
+    /// Whether the power has failed, after which every call fails.
     pub fn power_lost(&self) -> bool {
         self.power_lost
     }
 
-    /// The disk as it is found after the power has failed, with the power on again until this step.
+    /// The disk as it is found once the power is on again, until it fails anew at step `power_loss_at`.
     pub fn after_power_loss(mut self, seed: u64, power_loss_at: Option<u64>) -> SimulatedDisk {
         let mut rng = Rand64::new(u128::from(seed) ^ SURVIVAL_SEED_MASK);
         for change in std::mem::take(&mut self.name_changes) {
@@ -115,16 +115,16 @@
         for file in &mut self.files {
             *file = file.after_power_loss(|| coin(&mut rng));
         }
-        if self.planted_fault == PlantedFault::BitRot {
+        if self.faults.planted_fault == PlantedFault::BitRot {
             self.rot_one_bit(&mut rng);
-            // Two generations stand one bit gone bad, not one in each.
-            self.planted_fault = PlantedFault::None;
+            // Two generations survive one bad bit, not one in each.
+            self.faults.planted_fault = PlantedFault::None;
         }
+        self.faults.power_loss_at = power_loss_at;
         SimulatedDisk {
             names: self.durable_names.clone(),
             rng: Rand64::new(u128::from(seed)),
             steps: 0,
-            power_loss_at,
             power_lost: false,
             ..self
         }
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Turns one bit of one file that has a name, if it has any.
+    /// Flips one durable bit of one file that still has a name, if there is any.
     fn rot_one_bit(&mut self, rng: &mut Rand64) {
         let named_files: Vec<usize> = self.durable_names.values().copied().collect();
         if named_files.is_empty() {
@@ -161,14 +161,14 @@
         }
     }
 
-    /// Begins one step; a number where it is to meet a fault.
+    /// Begins one step. Returns a random number if it is to fail, which picks the kind of fault.
     ///
     /// The step at which the power fails may still be carried out, but its caller never learns of it.
     fn begin_step(&mut self) -> io::Result<Option<u64>> {
         self.check_power()?;
         self.steps += 1;
         let fault = self.draw_fault();
-        if self.power_loss_at != Some(self.steps) {
+        if self.faults.power_loss_at != Some(self.steps) {
             return Ok(fault);
         }
         self.power_lost = true;
@@ -180,7 +180,7 @@
     }
 
     fn draw_fault(&mut self) -> Option<u64> {
-        if !self.faults_enabled {
+        if !self.faults.random_faults {
             return None;
         }
         let drawn = self.rng.rand_u64();
@@ -241,7 +241,8 @@
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
         let fails = self.begin_step()?.is_some();
-        let is_skipped = self.planted_fault == PlantedFault::SkippedFileSync || self.power_lost;
+        let is_skipped =
+            self.faults.planted_fault == PlantedFault::SkippedFileSync || self.power_lost;
         let file = self.file(name)?;
         if fails {
             file.drop_dirty();
@@ -283,7 +284,7 @@
         if self.begin_step()?.is_some() {
             return Err(io::Error::other("input/output error"));
         }
-        if self.planted_fault != PlantedFault::SkippedNameSync && !self.power_lost {
+        if self.faults.planted_fault != PlantedFault::SkippedNameSync && !self.power_lost {
             self.durable_names = self.names.clone();
             self.name_changes.clear();
         }
--- a/crates/snapshot/src/simulated_disk/file_content.rs
+++ b/crates/snapshot/src/simulated_disk/file_content.rs
@@ -1,9 +1,9 @@
-//! Content of one file: what has reached the disk, and what a reader sees.
+//! Content of one file on a simulated disk: what is durable, and what a reader sees.
 
 use std::collections::BTreeSet;
 use std::ops::Range;
 
-/// What a disk writes whole or not at all.
+/// A disk writes a sector whole or not at all.
 pub(super) const SECTOR_BYTES: usize = 512;
 
 /// One file's content.
@@ -25,12 +25,12 @@
         &self.visible
     }
 
-    /// How many bits survive any power loss.
+    /// Number of bits that survive any power loss.
     pub(super) fn durable_bits(&self) -> usize {
         self.durable.len() * 8
     }
 
-    /// Writes bytes, at least one, to the end.
+    /// Appends bytes, of which there is at least one.
     pub(super) fn append(&mut self, bytes: &[u8]) {
         let start = self.visible.len();
         self.visible.extend_from_slice(bytes);
@@ -38,7 +38,7 @@
         self.dirty.extend(start / SECTOR_BYTES..=last_sector);
     }
 
-    /// Makes what was written durable, but for sectors that were dropped.
+    /// Makes everything written durable, except for sectors that were dropped.
     pub(super) fn sync(&mut self) {
         for sector in std::mem::take(&mut self.dirty) {
             let range = self.sector_range(sector);
@@ -46,14 +46,14 @@
         }
     }
 
-    /// Fails a sync: what was written is marked clean and never reaches the disk, so that the next sync has nothing
-    /// to do and says that all is well.
+    /// A failed sync: written sectors are marked clean and never reach the disk, so that the next sync has nothing to
+    /// do and succeeds.
     pub(super) fn drop_dirty(&mut self) {
         let dirty = std::mem::take(&mut self.dirty);
         self.dropped.extend(dirty);
     }
 
-    /// The content after a power loss: of sectors that were not synced those survive for which `survives` says so.
+    /// The content after a power loss; `survives` is asked for each sector that was not synced.
     pub(super) fn after_power_loss(&self, mut survives: impl FnMut() -> bool) -> FileContent {
         let mut found = self.durable.clone();
         for sector in self.dirty.union(&self.dropped) {
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Turns one bit, of those that survive any power loss.
+    /// Flips one of the durable bits.
     pub(super) fn flip_bit(&mut self, bit: usize) {
         self.durable[bit / 8] ^= 1 << (bit % 8);
         self.visible = self.durable.clone();
--- a/crates/snapshot/src/store.rs
+++ b/crates/snapshot/src/store.rs
@@ -1,4 +1,4 @@
-//! Two generations of snapshots in one directory.
+//! Stores two generations of snapshots in one directory.
 //!
 //! A snapshot is written to a file of its own, synced, and only then takes the place of the older generation; the
 //! newer one is never touched. Whatever breaks off in between leaves one of the last two complete snapshots.
@@ -22,7 +22,7 @@
 const SLOTS: [&str; 2] = ["memory.0", "memory.1"];
 /// A snapshot that is being written.
 const NEW_FILE: &str = "memory.new";
-/// So many interruptions in a row a write stands, against a signal that never stops coming.
+/// Interruptions in a row after which a write fails, in case a signal never stops coming.
 const MAX_INTERRUPTIONS: usize = 100;
 
 /// Reads the bytes of a file.
@@ -57,13 +57,13 @@
 }
 
 impl<D: Disk> Store<D> {
-    /// Takes up the directory as it is: reads the newest whole snapshot, sets aside files that cannot be read and
-    /// removes what was being written.
+    /// Opens the directory: reads the newest whole snapshot, sets unreadable files aside and removes an unfinished
+    /// one.
     pub fn open(disk: D) -> (Store<D>, Opened) {
         Store::open_with(disk, format::decode)
     }
 
-    /// The same with another decoder, for tests that have to show what a decoder is good for.
+    /// The same with another decoder, for tests that show what the decoder's checks are needed for.
     pub fn open_with(mut disk: D, decode: Decoder) -> (Store<D>, Opened) {
         let mut opened = Opened::default();
         let mut sequences = [0, 0];
@@ -84,7 +84,7 @@
                 }
             }
         }
-        // Broken off before it took a slot: it was never reported as saved.
+        // A write that was cut short before the rename: it was never reported as saved.
         let _ = disk.remove(NEW_FILE);
         let [first, second] = sequences;
         let store = Store {
@@ -95,18 +95,18 @@
         (store, opened)
     }
 
-    /// Saves a snapshot and says how many bytes it has. Once this returns without an error, the snapshot outlives a
+    /// Saves a snapshot and returns its length in bytes. Once this returns without an error, the snapshot survives a
     /// power loss.
     ///
     /// # Errors
     ///
-    /// The first step that fails; the last snapshot that was saved still outlives a power loss.
+    /// The first step that fails; the last snapshot that was saved still survives a power loss.
     pub fn save(
         &mut self,
         written_at: Timestamp,
         records: Vec<Record>,
     ) -> Result<usize, SaveError> {
-        // One that failed may be on the disk all the same: its number is not used again.
+        // A failed save may have reached the disk all the same, so its number is not used again.
         self.sequence += 1;
         let bytes = format::encode(&Snapshot {
             sequence: self.sequence,
@@ -115,7 +115,7 @@
             unknown_records: 0,
         });
         if let Err(error) = self.replace_older(&bytes) {
-            // What a failed sync left in the page cache reads well and is not on the disk.
+            // After a failed sync the file reads well from the page cache but may not be on the disk.
             let _ = self.disk.remove(NEW_FILE);
             return Err(error);
         }
@@ -162,18 +162,18 @@
         Ok(())
     }
 
-    /// The disk, to look at.
+    /// The disk, for inspection.
     pub(crate) fn disk(&self) -> &D {
         &self.disk
     }
 
-    /// Gives the disk back.
+    /// Returns the disk.
     pub fn into_disk(self) -> D {
         self.disk
     }
 }
 
-/// Removes what a store has written, and nothing else; says how many files that were.
+/// Removes all files that a store has written, and nothing else. Returns how many.
 ///
 /// # Errors
 ///
--- a/crates/snapshot/src/store/quarantine.rs
+++ b/crates/snapshot/src/store/quarantine.rs
@@ -1,4 +1,4 @@
-//! Files that cannot be read are kept under another name for inspection, and only so many of them.
+//! Renames files that cannot be read, so that they can be inspected, and limits how many of them there are.
 
 use std::io;
 
@@ -6,9 +6,9 @@
 
 use super::Quarantine;
 
-/// Names of files that were set aside: this, a number that rises, a dot and why.
+/// Prefix of the names of files set aside; a rising number, a dot and the reason follow.
 const PREFIX: &str = "set-aside.";
-/// Files set aside that are kept for inspection; the oldest go first, so that repeated faults do not fill the disk.
+/// Most files set aside; the oldest are removed first, so that repeated faults do not fill the disk.
 pub const MAX_QUARANTINED_FILES: usize = 4;
 
 /// Whether a file of this name was set aside.
@@ -16,7 +16,7 @@
     name.starts_with(PREFIX)
 }
 
-/// Gives the file a name of its own with why it is not used.
+/// Renames the file to a name that says why it is not used.
 pub(super) fn set_aside<D: Disk>(disk: &mut D, name: &str, label: &str) -> Quarantine {
     match rename(disk, name, label) {
         Ok(new_name) => Quarantine::SetAside(new_name),
@@ -44,7 +44,7 @@
     Ok(new_name)
 }
 
-/// The number in the name of a file that was set aside; none in other names.
+/// The number in the name of a file that was set aside; none for other names.
 fn number(name: &str) -> Option<u64> {
     let number = name.strip_prefix(PREFIX)?.split('.').next()?;
     number.parse().ok()
--- a/crates/snapshot/src/store/read.rs
+++ b/crates/snapshot/src/store/read.rs
@@ -22,7 +22,7 @@
 }
 
 impl ReadError {
-    /// A word for it in the name of the file that is set aside.
+    /// One word for the reason, used in the name of the file that is set aside.
     pub fn label(&self) -> &'static str {
         match self {
             ReadError::Unreadable(_) => "unreadable",
@@ -34,11 +34,11 @@
 /// What became of a file that is not used.
 #[derive(Debug)]
 pub enum Quarantine {
-    /// It was only looked at.
+    /// The directory was only inspected.
     NotAttempted,
-    /// It has this name now.
+    /// It was renamed to this.
     SetAside(String),
-    /// It could not be renamed and is still in its place.
+    /// It could not be renamed.
     Failed(io::Error),
 }
 
@@ -68,10 +68,10 @@
     }
 }
 
-/// What a directory held.
+/// What was found in a directory.
 #[derive(Debug, Default)]
 pub struct Opened {
-    /// The newest whole snapshot; none where there is none.
+    /// The newest whole snapshot, if there is any.
     pub snapshot: Option<Snapshot>,
     /// Files that are not used.
     pub unusable_files: Vec<UnusableFile>,
@@ -90,7 +90,7 @@
     }
 }
 
-/// The newest whole snapshot in a directory, and the files that are not whole, without a change to anything.
+/// Finds the newest whole snapshot in a directory, and the files that are not whole. Changes nothing.
 pub fn newest<D: Disk>(disk: &mut D) -> Opened {
     let mut opened = Opened::default();
     for name in SLOTS {
@@ -107,7 +107,7 @@
     opened
 }
 
-/// One generation; none where there is no such file.
+/// Reads one generation; none if there is no such file.
 pub(super) fn read_slot<D: Disk>(
     disk: &mut D,
     name: &str,
