--- /dev/null
+++ b/crates/snapshot/src/scheduler.rs
@@ -0,0 +1,99 @@
+//! Decides which background job runs next: the due job of the highest priority, as far as the budgets of time and
+//! bytes allow. It never runs anything itself; the caller measures each slice of work and reports what it used.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use tidescale_policy::types::{Timestamp, whole_micros};
+
+use crate::rate_limit::RateLimit;
+
+/// What background work may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budgets {
+    /// Working time in each second.
+    pub time_per_second: Duration,
+    /// Bytes written in each second.
+    pub bytes_per_second: u64,
+}
+
+/// Identifies a job of the scheduler that returned it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobId(usize);
+
+struct Job {
+    /// Higher runs first.
+    priority: u8,
+    interval: Duration,
+    due_at: Timestamp,
+}
+
+/// The jobs and their common budgets.
+pub struct Scheduler {
+    jobs: Vec<Job>,
+    time: RateLimit,
+    bytes: RateLimit,
+}
+
+impl Scheduler {
+    /// A scheduler without jobs, whose budgets are full.
+    pub fn new(budgets: Budgets, now: Timestamp) -> Scheduler {
+        let micros_per_second = whole_micros(budgets.time_per_second) as f64;
+        Scheduler {
+            jobs: Vec::new(),
+            time: RateLimit::new(micros_per_second, now),
+            bytes: RateLimit::new(budgets.bytes_per_second as f64, now),
+        }
+    }
+
+    /// Adds a job that is first due at `first_due_at`, and then `interval` after each time it finishes. Among due
+    /// jobs the highest priority runs first, then the one that has been due the longest.
+    pub fn add(&mut self, priority: u8, first_due_at: Timestamp, interval: Duration) -> JobId {
+        self.jobs.push(Job {
+            priority,
+            interval,
+            due_at: first_due_at,
+        });
+        JobId(self.jobs.len() - 1)
+    }
+
+    /// The job that may do one slice of its work now.
+    pub fn next(&mut self, now: Timestamp) -> Option<JobId> {
+        if !self.budget_wait(now).is_zero() {
+            return None;
+        }
+        let due_jobs = self.jobs.iter().enumerate();
+        due_jobs
+            .filter(|(_, job)| job.due_at <= now)
+            .max_by_key(|(index, job)| (job.priority, Reverse((job.due_at, *index))))
+            .map(|(index, _)| JobId(index))
+    }
+
+    /// Charges a slice's working time to the budget.
+    pub fn record_time(&mut self, time: Duration, now: Timestamp) {
+        self.time.spend(whole_micros(time) as f64, now);
+    }
+
+    /// Charges bytes written to the budget.
+    pub fn record_bytes(&mut self, bytes: usize, now: Timestamp) {
+        self.bytes.spend(bytes as f64, now);
+    }
+
+    /// Marks the job as done for now: it is due again after its interval.
+    pub fn finish(&mut self, job: JobId, now: Timestamp) {
+        if let Some(job) = self.jobs.get_mut(job.0) {
+            job.due_at = now + job.interval;
+        }
+    }
+
+    /// Earliest time at which [`next`](Scheduler::next) may return a job; none without jobs.
+    pub fn next_wake_up(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let first_due_at = self.jobs.iter().map(|job| job.due_at).min()?;
+        Some(first_due_at.max(now + self.budget_wait(now)))
+    }
+
+    /// How long until neither budget is overspent.
+    fn budget_wait(&mut self, now: Timestamp) -> Duration {
+        self.time.wait(now).max(self.bytes.wait(now))
+    }
+}
