--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint doc run
 
 build:
 	cargo build --release --locked
@@ -10,7 +10,10 @@
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
-# A front without machines, for a look at its log; PROXY_CONFIG names another configuration.
+doc:
+	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
+
+# An instance without endpoints, for a look at its log; PROXY_CONFIG names another configuration.
 PROXY_CONFIG ?= crates/proxy/tests/config.json
 run: build
 	PROXY_CONFIG=$(PROXY_CONFIG) exec target/release/tidescale
