Proxy: event loop, shutdown, reload, streams and votes as modules with one job each

The loop's file held the signals, budgets, panics, decisions and start-up in one state with flags; the stream and platform files mixed decoding, connections and reconnection; errors were strings.

Now: proxy (parts and the steps of an iteration, dispatch by owner, panics caught in one place), event_loop (ProxyInstance), shutdown (running, draining, finished; no I/O), reload, clock, resource_budget, start. stream is ReconnectingStream with its state as an enum, and PersistentStream for hand-overs; endpoint_list and rollout_status/event decode; votes is an enum of call states. Typed errors (ConfigError, OperatorsError, StartError, EventLoopError, StreamError, EndpointListError, EventError, HttpError). Operators' figures are Duration and ByteSize; the file's keys stay.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,114 +1,183 @@
-//! What the front is told at its start.
+//! The configuration file that the platform writes: decoded at the start and again at each SIGHUP.
 
+use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use serde::Deserialize;
 use serde_json::Value;
 use tidescale_policy::settings::Settings;
 use tidescale_settings::{ConnectionSettings, RawSettings};
 
-use crate::discovery::Listing;
-use crate::rollout_status::News;
+use crate::endpoint_list::EndpointList;
+use crate::rollout_status::StatusMessage;
 
-#[derive(Deserialize)]
-struct Limits {
-    memory_mb: usize,
-    sockets: usize,
+/// Why a configuration cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error(transparent)]
+    Unreadable(#[from] io::Error),
+    /// It is not JSON, or a field is missing or of another form.
+    #[error(transparent)]
+    Form(#[from] serde_json::Error),
+    /// The seed is no hexadecimal number.
+    #[error("seed: not hexadecimal: {seed}")]
+    Seed {
+        /// What stands there.
+        seed: String,
+    },
+    /// A setting is missing or out of its range.
+    #[error("settings: {0}")]
+    Settings(String),
+    /// The protocol has no answer that goes on after its first row.
+    #[error("settings: {field}: answers do not stream over this protocol")]
+    StreamingRoute {
+        /// The setting that asks for it.
+        field: String,
+    },
 }
 
-#[derive(Deserialize)]
-struct Pipeline {
-    address: SocketAddr,
-    news: Option<News>,
+impl ConfigError {
+    fn settings(error: impl ToString) -> ConfigError {
+        ConfigError::Settings(error.to_string())
+    }
 }
 
+/// All that the configuration says, decoded and checked.
+pub struct Config {
+    /// The address that clients connect to.
+    pub listen: SocketAddr,
+    /// Where the endpoint list comes from.
+    pub discovery: SocketAddr,
+    /// Where the rollout status comes from and votes go to.
+    pub platform: SocketAddr,
+    /// What all random choices derive from.
+    pub seed: u64,
+    /// Memory that the process may take, in MiB.
+    pub memory_mb: usize,
+    /// Descriptors that the process may hold.
+    pub descriptor_limit: usize,
+    /// The rollout's status, until the platform announces a newer one.
+    pub rollout_status: Option<StatusMessage>,
+    /// The endpoint list, until discovery sends a newer one.
+    pub known_endpoints: EndpointList,
+    /// What the policy reads.
+    pub settings: Settings,
+    /// What connections are kept by.
+    pub connections: ConnectionSettings,
+}
+
+/// The file's own form; its keys are the platform's.
 #[derive(Deserialize)]
-struct File {
+struct ConfigFile {
     listen: SocketAddr,
     discovery: SocketAddr,
     seed: String,
     limits: Limits,
     pipeline: Pipeline,
-    known: Listing,
+    known: EndpointList,
     settings: Value,
 }
 
-pub struct Config {
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub platform: SocketAddr,
-    pub seed: u64,
-    pub memory_mb: usize,
-    pub sockets: usize,
-    pub news: Option<News>,
-    pub known: Listing,
-    pub settings: Settings,
-    pub connections: ConnectionSettings,
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
 }
 
-/// Lays nested settings flat: `a.b`, lists of objects as `a.count` and `a.0.b`, other lists joined by commas.
-fn lay_flat(path: &str, value: &Value, flat: &mut Vec<(String, String)>) {
-    let under = |name: &str| {
-        if path.is_empty() {
-            name.to_string()
-        } else {
-            format!("{path}.{name}")
-        }
-    };
-    match value {
-        Value::Object(fields) => fields
-            .iter()
-            .for_each(|(name, v)| lay_flat(&under(name), v, flat)),
-        Value::Array(items) => {
-            flat.push((under("count"), items.len().to_string()));
-            items
-                .iter()
-                .enumerate()
-                .for_each(|(i, v)| lay_flat(&under(&i.to_string()), v, flat));
-            let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), String::from);
-            flat.push((
-                path.into(),
-                items.iter().map(plain).collect::<Vec<_>>().join(","),
-            ));
-        }
-        Value::String(text) => flat.push((path.into(), text.clone())),
-        Value::Null => flat.push((path.into(), "-".into())),
-        other => flat.push((path.into(), other.to_string())),
-    }
+#[derive(Deserialize)]
+struct Pipeline {
+    address: SocketAddr,
+    news: Option<StatusMessage>,
 }
 
-pub fn read(text: &str) -> Result<Config, String> {
-    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    let seed = u64::from_str_radix(&file.seed, 16)
-        .map_err(|_| format!("seed: not hexadecimal: {}", file.seed))?;
-    let mut flat = Vec::new();
-    lay_flat("", &file.settings, &mut flat);
-    let told: RawSettings = flat.into_iter().collect();
+/// Reads a configuration file.
+///
+/// # Errors
+///
+/// Where the file cannot be read, and those of [`read`].
+pub fn read_file(path: &Path) -> Result<Config, ConfigError> {
+    read(&std::fs::read_to_string(path)?)
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+///
+/// Where it is not of the expected form; names the field.
+pub fn read(text: &str) -> Result<Config, ConfigError> {
+    let file: ConfigFile = serde_json::from_str(text)?;
+    let Ok(seed) = u64::from_str_radix(&file.seed, 16) else {
+        return Err(ConfigError::Seed { seed: file.seed });
+    };
+    let raw = flatten_settings(&file.settings);
     let connections =
-        tidescale_settings::connection_settings(&told).map_err(|e| format!("settings: {e}"))?;
-    // The protocol has no answer that goes on after its first row.
-    for i in 0..told
-        .count("classes")
-        .map_err(|e| format!("settings: {e}"))?
-    {
-        let stream = format!("classes.{i}.stream");
-        if told.flag(&stream) == Ok(true) {
-            return Err(format!(
-                "settings: {stream}: answers do not stream over this protocol"
-            ));
-        }
-    }
-    let settings = tidescale_settings::decode(&told).map_err(|e| format!("settings: {e}"))?;
+        tidescale_settings::connection_settings(&raw).map_err(ConfigError::settings)?;
+    reject_streaming_routes(&raw)?;
+    let settings = tidescale_settings::decode(&raw).map_err(ConfigError::settings)?;
     Ok(Config {
         listen: file.listen,
         discovery: file.discovery,
         platform: file.pipeline.address,
         seed,
         memory_mb: file.limits.memory_mb,
-        sockets: file.limits.sockets,
-        news: file.pipeline.news,
-        known: file.known,
+        descriptor_limit: file.limits.sockets,
+        rollout_status: file.pipeline.news,
+        known_endpoints: file.known,
         settings,
         connections,
     })
 }
+
+fn reject_streaming_routes(raw: &RawSettings) -> Result<(), ConfigError> {
+    for index in 0..raw.count("classes").map_err(ConfigError::settings)? {
+        let field = format!("classes.{index}.stream");
+        if matches!(raw.flag(&field), Ok(true)) {
+            return Err(ConfigError::StreamingRoute { field });
+        }
+    }
+    Ok(())
+}
+
+/// Nested settings as pairs of path and text: fields as `a.b`, lists as `a.count`, `a.0`, … and, joined by commas, `a`.
+fn flatten_settings(settings: &Value) -> RawSettings {
+    let mut pairs = Vec::new();
+    flatten("", settings, &mut pairs);
+    pairs.into_iter().collect()
+}
+
+fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
+    match value {
+        Value::Object(fields) => {
+            for (name, field) in fields {
+                flatten(&join_path(path, name), field, pairs);
+            }
+        }
+        Value::Array(items) => {
+            pairs.push((join_path(path, "count"), items.len().to_string()));
+            for (index, item) in items.iter().enumerate() {
+                flatten(&join_path(path, &index.to_string()), item, pairs);
+            }
+            let texts: Vec<String> = items.iter().map(plain_text).collect();
+            pairs.push((path.into(), texts.join(",")));
+        }
+        Value::Null => pairs.push((path.into(), "-".into())),
+        other => pairs.push((path.into(), plain_text(other))),
+    }
+}
+
+fn join_path(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_string()
+    } else {
+        format!("{path}.{name}")
+    }
+}
+
+/// A string without its quotes, anything else as JSON.
+fn plain_text(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), String::from)
+}
--- a/crates/proxy/src/explain.rs
+++ b/crates/proxy/src/explain.rs
@@ -1,10 +1,27 @@
-//! Verdicts out of a front's log, as a table that a release engineer can follow.
+//! Rollback verdicts out of a proxy's log, as a table that a release engineer can follow.
+//!
+//! The line's text, its keys and its names of tests are those of every release so far: older logs stay readable.
 
 use std::collections::BTreeMap;
 
 use comfy_table::{ContentArrangement, Table, presets};
 use tidescale_policy::types::EvidenceTest;
 
+/// What a verdict's line says before its values.
+const VERDICT_MARK: &str = "verdict: to go back, ";
+/// Stands for what a line does not say, as one that was cut off.
+const UNKNOWN: &str = "?";
+const HEADER: [&str; 8] = [
+    "when",
+    "build",
+    "stage",
+    "test",
+    "new build",
+    "compared with",
+    "score of bound",
+    "what was compared",
+];
+
 /// Name of a test in the log.
 pub fn test_name(test: EvidenceTest) -> &'static str {
     match test {
@@ -15,16 +32,81 @@
     }
 }
 
-const MARK: &str = "verdict: to go back, ";
+/// A table of all verdicts in the log; none where there are none.
+pub fn table(log: &str) -> Option<String> {
+    let mut table = Table::new();
+    table
+        .load_style(presets::ASCII_MARKDOWN)
+        .set_content_arrangement(ContentArrangement::Disabled)
+        .set_header(HEADER);
+    let verdicts: Vec<VerdictLine> = log.lines().filter_map(VerdictLine::parse).collect();
+    for verdict in &verdicts {
+        table.add_row(verdict.row());
+    }
+    (!verdicts.is_empty()).then(|| table.to_string())
+}
 
-/// The names and values of a verdict's line; none of any other line.
-fn values(line: &str) -> Option<BTreeMap<&str, &str>> {
-    let told = line.split_once(MARK)?.1;
-    Some(
-        told.split(", ")
-            .filter_map(|pair| pair.split_once(": "))
-            .collect(),
-    )
+/// A verdict's line of the log.
+struct VerdictLine<'a> {
+    logged_at: &'a str,
+    values: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> VerdictLine<'a> {
+    /// None of any other line.
+    fn parse(line: &'a str) -> Option<VerdictLine<'a>> {
+        let (_, pairs) = line.split_once(VERDICT_MARK)?;
+        let logged_at = line.split(" INFO").next().unwrap_or_default();
+        Some(VerdictLine {
+            logged_at: logged_at.trim(),
+            values: pairs
+                .split(", ")
+                .filter_map(|pair| pair.split_once(": "))
+                .collect(),
+        })
+    }
+
+    fn value(&self, name: &str) -> &'a str {
+        self.values.get(name).copied().unwrap_or(UNKNOWN)
+    }
+
+    fn row(&self) -> [String; HEADER.len()] {
+        [
+            self.logged_at.into(),
+            self.value("build").into(),
+            self.value("stage").into(),
+            self.value("test").into(),
+            self.failure_share("new_hits", "new_outcomes"),
+            self.failure_share("old_hits", "old_outcomes"),
+            format!("{} of {}", self.value("score"), self.value("bound")),
+            self.comparison(),
+        ]
+    }
+
+    fn failure_share(&self, failures: &str, outcomes: &str) -> String {
+        let failures = self.value(failures);
+        let outcomes = self.value(outcomes);
+        let (Ok(failure_count), Ok(outcome_count)) =
+            (failures.parse::<f64>(), outcomes.parse::<f64>())
+        else {
+            return UNKNOWN.into();
+        };
+        let percentage = 100.0 * failure_count / outcome_count.max(1e-9);
+        format!("{failures} of {outcomes} ({percentage:.1}%)")
+    }
+
+    fn comparison(&self) -> String {
+        let mut text = compared(self.value("test")).to_string();
+        let restored = self.value("recalled");
+        if restored != "0.00" && restored != UNKNOWN {
+            text += &format!("; {restored} outcomes from before a restart");
+        }
+        let ejected = self.value("aside");
+        if ejected != "0" && ejected != UNKNOWN {
+            text += &format!("; {ejected} of its machines were set aside meanwhile");
+        }
+        text
+    }
 }
 
 /// What the test compares, in words.
@@ -41,60 +123,3 @@
         _ => "a test that this program does not know",
     }
 }
-
-fn share(hits: &str, outcomes: &str) -> Option<String> {
-    let (k, n): (f64, f64) = (hits.parse().ok()?, outcomes.parse().ok()?);
-    Some(format!(
-        "{hits} of {outcomes} ({:.1}%)",
-        100.0 * k / n.max(1e-9)
-    ))
-}
-
-/// A table of all verdicts in the log; none where there are none.
-pub fn table(log: &str) -> Option<String> {
-    let mut table = Table::new();
-    table
-        .load_style(presets::ASCII_MARKDOWN)
-        .set_content_arrangement(ContentArrangement::Disabled);
-    table.set_header([
-        "when",
-        "build",
-        "stage",
-        "test",
-        "new build",
-        "compared with",
-        "score of bound",
-        "what was compared",
-    ]);
-    let mut rows = 0;
-    for line in log.lines() {
-        let Some(v) = values(line) else { continue };
-        let of = |name: &str| v.get(name).copied().unwrap_or("?");
-        let sides = ["new", "old"].map(|side| {
-            share(of(&format!("{side}_hits")), of(&format!("{side}_outcomes")))
-                .unwrap_or_else(|| "?".into())
-        });
-        let [new, old] = sides;
-        let mut what = compared(of("test")).to_string();
-        if of("recalled") != "0.00" && of("recalled") != "?" {
-            what += &format!("; {} outcomes from before a restart", of("recalled"));
-        }
-        if of("aside") != "0" && of("aside") != "?" {
-            what += &format!("; {} of its machines were set aside meanwhile", of("aside"));
-        }
-        let when = line.split(" INFO").next().unwrap_or_default().trim();
-        let score = format!("{} of {}", of("score"), of("bound"));
-        table.add_row([
-            when,
-            of("build"),
-            of("stage"),
-            of("test"),
-            &new,
-            &old,
-            &score,
-            &what,
-        ]);
-        rows += 1;
-    }
-    (rows > 0).then(|| table.to_string())
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,21 +1,32 @@
-//! The decision module as a front on real sockets. `front` holds the loop; each other file has one job, and
-//! the codecs (`pg`, `http`) and tables (`slots`, `deadlines`, `buffers`) do no I/O.
+//! The policy as a proxy on real sockets.
+//!
+//! [`event_loop`] runs one iteration after the other; `proxy` owns all connections and hands events to the component
+//! that they belong to: [`clients`], [`upstream`], [`discovery`], [`rollout_status`] and [`votes`]. The codecs
+//! ([`postgres`], [`http`]) and the tables ([`slots`], [`deadlines`], [`buffers`]) do no I/O.
 
 pub mod buffers;
 pub mod cli;
 pub mod clients;
+pub mod clock;
 pub mod config;
 pub mod connection;
 pub mod deadlines;
 pub mod discovery;
+pub mod endpoint_list;
 pub mod event_loop;
 pub mod explain;
 pub mod http;
 pub mod logging;
 pub mod operators;
 pub mod postgres;
+mod proxy;
+pub mod reload;
+pub mod resource_budget;
 pub mod rollout_status;
+pub mod shutdown;
 pub mod slots;
 pub mod snapshot_writer;
+pub mod start;
 pub mod stream;
 pub mod upstream;
+pub mod votes;
--- a/crates/proxy/src/operators.rs
+++ b/crates/proxy/src/operators.rs
@@ -1,109 +1,219 @@
-//! The operators' file: what an installation has beyond what the platform tells. What it does not name is off.
+//! The operators' file: what an installation has beyond what the platform configures. What it does not name is off.
 
-use std::path::PathBuf;
+use std::fmt;
+use std::io;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
 use std::str::FromStr;
 use std::time::Duration;
 
 use bytesize::ByteSize;
 use serde::{Deserialize, Deserializer, de};
+use tidescale_policy::types::whole_micros;
 
-/// A time with its unit, in whole microseconds.
-fn span<'d, D: Deserializer<'d>>(d: D) -> Result<u64, D::Error> {
-    let text = String::deserialize(d)?;
-    let time: Duration = humantime::parse_duration(&text).map_err(|e| {
-        de::Error::custom(format!(
-            "`{text}` is no time with a unit, as in \"30 s\": {e}"
-        ))
-    })?;
-    Ok(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+/// Why an operators' file cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorsError {
+    /// The file cannot be read.
+    #[error(transparent)]
+    Unreadable(#[from] io::Error),
+    /// It is not TOML, or a field is unknown, missing or of another form.
+    #[error("line {line}, `{text}`: {message}")]
+    Form {
+        /// Number of the line, from 1.
+        line: usize,
+        /// What stands on it.
+        text: String,
+        /// What is wrong with it.
+        message: String,
+    },
+    /// A value is too small or too large.
+    #[error(
+        "{field}: out of its bounds: {value} is not within {least} and {most}, see docs/operators-memory.md"
+    )]
+    OutOfBounds {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// The least that it may be.
+        least: String,
+        /// The most that it may be.
+        most: String,
+    },
+    /// The snapshots' folder has no name.
+    #[error("memory.folder: empty")]
+    EmptyFolder,
 }
 
-/// A size with its unit, in bytes.
-fn size<'d, D: Deserializer<'d>>(d: D) -> Result<u64, D::Error> {
-    let text = String::deserialize(d)?;
-    let fault = |e: &str| {
-        de::Error::custom(format!(
-            "`{text}` is no size with a unit, as in \"4 MiB\": {e}"
-        ))
-    };
-    if !text.ends_with(|c: char| c.is_ascii_alphabetic()) {
-        return Err(fault("unit missing"));
-    }
-    ByteSize::from_str(&text)
-        .map(|s| s.as_u64())
-        .map_err(|e| fault(&e))
+/// The file's contents; the keys in it are fixed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operators {
+    /// Snapshots of what the instance has learned; none are kept where this is missing.
+    #[serde(rename = "memory")]
+    pub snapshot: Option<SnapshotSettings>,
 }
 
-const MS: u64 = 1000;
-const SECOND: u64 = 1000 * MS;
-
-/// What a front has learned is kept in a folder.
+/// How snapshots are kept.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Memory {
+pub struct SnapshotSettings {
+    /// Where they are kept.
     pub folder: PathBuf,
     /// How much may be lost.
-    #[serde(default = "every", deserialize_with = "span")]
-    pub every: u64,
-    /// At SIGTERM, once all is answered.
-    #[serde(default = "stop_within", deserialize_with = "span")]
-    pub stop_within: u64,
-    /// Of the loop's time in a second.
-    #[serde(default = "time_a_second", deserialize_with = "span")]
-    pub time_a_second: u64,
-    #[serde(default = "bytes_a_second", deserialize_with = "size")]
-    pub bytes_a_second: u64,
+    #[serde(
+        rename = "every",
+        default = "default_write_interval",
+        deserialize_with = "duration_with_unit"
+    )]
+    pub write_interval: Duration,
+    /// What the last one may take at SIGTERM, once all requests are answered.
+    #[serde(
+        rename = "stop_within",
+        default = "default_final_write_timeout",
+        deserialize_with = "duration_with_unit"
+    )]
+    pub final_write_timeout: Duration,
+    /// What gathering may take of the loop's time in a second.
+    #[serde(
+        rename = "time_a_second",
+        default = "default_loop_time_per_second",
+        deserialize_with = "duration_with_unit"
+    )]
+    pub loop_time_per_second: Duration,
+    /// What may be written in a second.
+    #[serde(
+        rename = "bytes_a_second",
+        default = "default_bytes_per_second",
+        deserialize_with = "size_with_unit"
+    )]
+    pub bytes_per_second: ByteSize,
 }
 
-fn every() -> u64 {
-    5 * SECOND
-}
-fn stop_within() -> u64 {
-    100 * MS
+fn default_write_interval() -> Duration {
+    Duration::from_secs(5)
 }
-fn time_a_second() -> u64 {
-    20 * MS
+
+fn default_final_write_timeout() -> Duration {
+    Duration::from_millis(100)
 }
-fn bytes_a_second() -> u64 {
-    4 << 20
+
+fn default_loop_time_per_second() -> Duration {
+    Duration::from_millis(20)
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Operators {
-    pub memory: Option<Memory>,
+fn default_bytes_per_second() -> ByteSize {
+    ByteSize::mib(4)
 }
 
-/// Of a fault the first line says where it is and what; fields are named.
-pub fn read(text: &str) -> Result<Operators, String> {
-    let operators: Operators = toml::from_str(text).map_err(|e| {
-        let line = e
-            .span()
-            .map_or(0, |s| text[..s.start].matches('\n').count());
-        let told = text.lines().nth(line).unwrap_or_default().trim();
-        format!(
-            "line {}, `{told}`: {}",
-            line + 1,
-            e.message().replace('\n', " ")
-        )
+/// A time with its unit, in whole microseconds.
+fn duration_with_unit<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    let duration = humantime::parse_duration(&text).map_err(|error| {
+        de::Error::custom(format!(
+            "`{text}` is no time with a unit, as in \"30 s\": {error}"
+        ))
     })?;
-    if let Some(m) = &operators.memory {
-        let bounds = [
-            ("every", m.every, 100 * MS, 3600 * SECOND),
-            ("stop_within", m.stop_within, 0, 5 * SECOND),
-            ("time_a_second", m.time_a_second, MS, 500 * MS),
-            ("bytes_a_second", m.bytes_a_second, 1 << 10, 1 << 30),
-        ];
-        for (name, value, least, most) in bounds {
-            if !(least..=most).contains(&value) {
-                return Err(format!(
-                    "memory.{name}: out of its bounds, see docs/operators-memory.md"
-                ));
-            }
-        }
-        if m.folder.as_os_str().is_empty() {
-            return Err("memory.folder: empty".into());
+    Ok(Duration::from_micros(whole_micros(duration)))
+}
+
+/// A size with its unit.
+fn size_with_unit<'de, D: Deserializer<'de>>(deserializer: D) -> Result<ByteSize, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    let invalid = |why: &str| {
+        de::Error::custom(format!(
+            "`{text}` is no size with a unit, as in \"4 MiB\": {why}"
+        ))
+    };
+    if !text.ends_with(|last: char| last.is_ascii_alphabetic()) {
+        return Err(invalid("unit missing"));
+    }
+    ByteSize::from_str(&text).map_err(|why| invalid(&why))
+}
+
+/// Reads an operators' file.
+///
+/// # Errors
+///
+/// Where the file cannot be read, and those of [`read`].
+pub fn read_file(path: &Path) -> Result<Operators, OperatorsError> {
+    read(&std::fs::read_to_string(path)?)
+}
+
+/// Reads the text of an operators' file.
+///
+/// # Errors
+///
+/// Names the line or the field, and what is wrong there.
+pub fn read(text: &str) -> Result<Operators, OperatorsError> {
+    let operators: Operators = toml::from_str(text).map_err(|error| form_error(text, &error))?;
+    if let Some(snapshot) = &operators.snapshot {
+        check_bounds(snapshot)?;
+        if snapshot.folder.as_os_str().is_empty() {
+            return Err(OperatorsError::EmptyFolder);
         }
     }
     Ok(operators)
 }
+
+fn form_error(text: &str, error: &toml::de::Error) -> OperatorsError {
+    let before = error.span().and_then(|span| text.get(..span.start));
+    let line_index = before.map_or(0, |before| before.matches('\n').count());
+    OperatorsError::Form {
+        line: line_index + 1,
+        text: text
+            .lines()
+            .nth(line_index)
+            .unwrap_or_default()
+            .trim()
+            .into(),
+        message: error.message().replace('\n', " "),
+    }
+}
+
+fn check_bounds(settings: &SnapshotSettings) -> Result<(), OperatorsError> {
+    let millis = Duration::from_millis;
+    let duration = |value| humantime::format_duration(value);
+    check(
+        "memory.every",
+        settings.write_interval,
+        millis(100)..=Duration::from_secs(3600),
+        duration,
+    )?;
+    check(
+        "memory.stop_within",
+        settings.final_write_timeout,
+        Duration::ZERO..=Duration::from_secs(5),
+        duration,
+    )?;
+    check(
+        "memory.time_a_second",
+        settings.loop_time_per_second,
+        millis(1)..=millis(500),
+        duration,
+    )?;
+    check(
+        "memory.bytes_a_second",
+        settings.bytes_per_second,
+        ByteSize::kib(1)..=ByteSize::gib(1),
+        |size| size,
+    )
+}
+
+fn check<T: Copy + PartialOrd, D: fmt::Display>(
+    field: &'static str,
+    value: T,
+    bounds: RangeInclusive<T>,
+    display: impl Fn(T) -> D,
+) -> Result<(), OperatorsError> {
+    if bounds.contains(&value) {
+        return Ok(());
+    }
+    Err(OperatorsError::OutOfBounds {
+        field,
+        value: display(value).to_string(),
+        least: display(*bounds.start()).to_string(),
+        most: display(*bounds.end()).to_string(),
+    })
+}
--- a/crates/proxy/src/snapshot_writer.rs
+++ b/crates/proxy/src/snapshot_writer.rs
@@ -13,7 +13,7 @@
     EndpointRecord, FleetBaselineRecord, HardwareClassRecord, OutcomeRecord, RolloutRecord,
     RouteRecord, SnapshotSink,
 };
-use tidescale_policy::types::{EndpointState, RolloutPhase, Timestamp};
+use tidescale_policy::types::{EndpointState, RolloutPhase, Timestamp, whole_micros};
 use tidescale_snapshot::disk::Folder;
 use tidescale_snapshot::expiry::{self, Listed};
 use tidescale_snapshot::format::Image;
@@ -21,7 +21,7 @@
 use tidescale_snapshot::records::*;
 use tidescale_snapshot::store::Store;
 
-use crate::operators::Memory;
+use crate::operators::SnapshotSettings;
 use crate::upstream::Upstream;
 
 /// Machines, or machines' evidence, in a slice.
@@ -280,7 +280,7 @@
 impl SnapshotWriter {
     /// What the folder holds, and what keeps it from now on; none where it can't be held.
     pub fn open(
-        set: &Memory,
+        set: &SnapshotSettings,
         now: Timestamp,
         log: Logger,
     ) -> Option<(SnapshotWriter, Option<Image>)> {
@@ -309,9 +309,14 @@
             warn!(log, "memory is off"; "why" => %e);
             return None;
         }
-        let mut schedule = Schedule::new(set.time_a_second as f64, set.bytes_a_second as f64, now);
-        let job = schedule.add(PRIORITY, now + set.every, set.every);
-        let stop_within = Duration::from_micros(set.stop_within);
+        let mut schedule = Schedule::new(
+            whole_micros(set.loop_time_per_second) as f64,
+            set.bytes_per_second.as_u64() as f64,
+            now,
+        );
+        let every = whole_micros(set.write_interval);
+        let job = schedule.add(PRIORITY, now + every, every);
+        let stop_within = set.final_write_timeout;
         let (facts, cursor, out, longest) = (Vec::new(), Cursor::Machines(0), 0, Duration::ZERO);
         Some((
             SnapshotWriter {
--- a/crates/proxy/tests/codecs.rs
+++ b/crates/proxy/tests/codecs.rs
@@ -2,7 +2,7 @@
 
 use tidescale_policy::types::{AttemptOutcome, Timestamp, VoteResult};
 use tidescale_proxy::buffers::{Chain, Pool};
-use tidescale_proxy::{config, http, postgres, rollout_status, upstream};
+use tidescale_proxy::{config, http, postgres, rollout_status, upstream, votes};
 
 fn chain(bytes: &[u8]) -> Chain {
     let mut chain = Chain::new(&Pool::new(64));
@@ -301,11 +301,15 @@
     ];
     for (sent, body, done) in table {
         for split in 0..=sent.len() {
-            let (mut answer, mut input) = (http::Answer::default(), chain(&sent[..split]));
+            let (mut answer, mut input) = (http::Response::default(), chain(&sent[..split]));
             answer.read(&mut input).unwrap();
             input.push(&sent[split..]);
             answer.read(&mut input).unwrap();
-            assert_eq!((answer.status, answer.is_done()), (200, done), "{split}");
+            assert_eq!(
+                (answer.status, answer.is_complete()),
+                (200, done),
+                "{split}"
+            );
             assert_eq!(answer.body, body.as_bytes(), "{split}");
         }
     }
@@ -318,7 +322,7 @@
     ];
     for sent in malformed {
         assert!(
-            http::Answer::default().read(&mut chain(sent)).is_err(),
+            http::Response::default().read(&mut chain(sent)).is_err(),
             "{}",
             String::from_utf8_lossy(sent)
         );
@@ -328,16 +332,16 @@
 #[test]
 fn lines_are_handed_over_when_they_are_whole() {
     let (mut answer, mut input) = (
-        http::Answer::default(),
+        http::Response::default(),
         chain(b"HTTP/1.1 200 OK\r\n\r\none\r\n\ntw"),
     );
     let mut got = Vec::new();
     answer.read(&mut input).unwrap();
-    answer.lines(|l| got.push(l.to_string())).unwrap();
+    answer.take_lines(|l| got.push(l.to_string())).unwrap();
     assert_eq!(got, ["one", ""]);
     input.push(b"o\n");
     answer.read(&mut input).unwrap();
-    answer.lines(|l| got.push(l.to_string())).unwrap();
+    answer.take_lines(|l| got.push(l.to_string())).unwrap();
     assert_eq!(got, ["one", "", "two"]);
 }
 
@@ -360,14 +364,14 @@
         (200, String::new(), None),
     ];
     for (status, body, wanted) in table {
-        let got = rollout_status::vote_answer(status, body.as_bytes());
+        let response = votes::parse_response(status, body.as_bytes());
         assert_eq!(
-            got.as_ref().map(|(answer, _)| *answer),
+            response.as_ref().map(|response| response.result),
             wanted,
             "{status} {body}"
         );
         assert_eq!(
-            got.is_some_and(|(_, news)| news.is_some()),
+            response.is_some_and(|response| response.rollout_status.is_some()),
             wanted == Some(VoteResult::Accepted)
         );
     }
@@ -399,8 +403,8 @@
         } else {
             whole.replacen(name, "\"x\":", 1)
         };
-        let fault = config::read(&text).err().unwrap();
-        assert!(fault.contains(wanted), "{name}: {fault}");
+        let error = config::read(&text).err().unwrap().to_string();
+        assert!(error.contains(wanted), "{name}: {error}");
     }
     for (from, to) in [
         ("127.0.0.1:6432", "here"),
--- a/crates/proxy/tests/loopback/clients.rs
+++ b/crates/proxy/tests/loopback/clients.rs
@@ -165,7 +165,7 @@
     let (_, (struck, other)) = with_front(
         &told(&[addr], 128),
         // The module knows nothing of the second route any more.
-        |front| front.module.settings.routes.truncate(1),
+        |front| front.policy.settings.routes.truncate(1),
         |addr| {
             let [mut struck, mut other] = [(); 2].map(|()| Client::open(addr));
             for client in [&mut struck, &mut other] {
--- a/crates/proxy/tests/loopback/common.rs
+++ b/crates/proxy/tests/loopback/common.rs
@@ -411,12 +411,12 @@
 /// A front in this process, and what a client thread gets from it meanwhile.
 pub fn with_front<T: Send + 'static>(
     config: &str,
-    change: impl FnOnce(&mut event_loop::Front),
+    change: impl FnOnce(&mut event_loop::ProxyInstance),
     client: impl FnOnce(SocketAddr) -> T + Send + 'static,
-) -> (event_loop::Front, T) {
+) -> (event_loop::ProxyInstance, T) {
     let config = config::read(config).ok().unwrap();
     let listener = TcpListener::bind(config.listen).unwrap();
-    let mut front = event_loop::Front::new(
+    let mut front = event_loop::ProxyInstance::new(
         &config,
         "".into(),
         || Ok(listener),
@@ -426,7 +426,7 @@
     change(&mut front);
     let client = thread::spawn(move || client(config.listen));
     while !client.is_finished() {
-        front.turn().unwrap();
+        front.run_iteration().unwrap();
     }
     (front, client.join().unwrap())
 }
--- a/crates/proxy/tests/loopback/list.rs
+++ b/crates/proxy/tests/loopback/list.rs
@@ -12,7 +12,7 @@
 use tidescale_proxy::connection::{Component, IoContext, Owner, TurnEvents};
 use tidescale_proxy::deadlines::Deadlines;
 use tidescale_proxy::discovery::Discovery;
-use tidescale_proxy::stream::{self, Pace, Stream};
+use tidescale_proxy::stream::{PersistentStream, ReconnectingStream, StreamTimeouts};
 use tidescale_proxy::upstream::Upstream;
 
 use crate::common::*;
@@ -48,10 +48,10 @@
         let mut events = calloop::EventLoop::try_new().unwrap();
         let mut context = context(&events);
         let (begun, mut ready) = (Instant::now(), TurnEvents::default());
-        let mut stream = Stream::new(
+        let mut stream = ReconnectingStream::new(
             Owner::new(Component::EndpointList, 0),
             addr,
-            Pace::near(Duration::from_millis(50)),
+            StreamTimeouts::responsive_server(Duration::from_millis(50)),
             7,
         );
         stream.open("/there", &mut context);
@@ -129,10 +129,10 @@
     let mut events = calloop::EventLoop::try_new().unwrap();
     let mut context = context(&events);
     let (begun, mut ready, mut lines) = (Instant::now(), TurnEvents::default(), Vec::new());
-    let mut streams = stream::PersistentStream::new(
+    let mut streams = PersistentStream::new(
         Component::EndpointList,
         old,
-        Pace::near(Duration::from_millis(60)),
+        StreamTimeouts::responsive_server(Duration::from_millis(60)),
         7,
     );
     streams.open("/there", &mut context);
@@ -497,10 +497,10 @@
         let events: calloop::EventLoop<'static, TurnEvents> =
             calloop::EventLoop::try_new().unwrap();
         let mut context = context(&events);
-        let mut stream = Stream::new(
+        let mut stream = ReconnectingStream::new(
             Owner::new(Component::EndpointList, 0),
             gate.addr(),
-            Pace::near(Duration::from_millis(60)),
+            StreamTimeouts::responsive_server(Duration::from_millis(60)),
             seed,
         );
         let mut times = Vec::new();
--- a/crates/proxy/tests/loopback/start.rs
+++ b/crates/proxy/tests/loopback/start.rs
@@ -64,10 +64,13 @@
         ("folder = \"\"", "memory.folder: empty"),
     ];
     for (text, wanted) in table {
-        let fault = operators::read(&format!("[memory]\n{text}")).unwrap_err();
-        assert!(fault.contains(wanted), "{text}: {fault}");
+        let error = operators::read(&format!("[memory]\n{text}")).unwrap_err();
+        let error = error.to_string();
+        assert!(error.contains(wanted), "{text}: {error}");
     }
-    assert!(operators::read("[memroy]").is_err() && operators::read("").unwrap().memory.is_none());
+    assert!(
+        operators::read("[memroy]").is_err() && operators::read("").unwrap().snapshot.is_none()
+    );
 }
 
 #[test]
--- a/crates/proxy/tests/loopback/upstream.rs
+++ b/crates/proxy/tests/loopback/upstream.rs
@@ -101,7 +101,7 @@
         },
     );
     assert_eq!(tags.1, "TDCZ");
-    let status = front.module.endpoint_status("s-0").unwrap();
+    let status = front.policy.endpoint_status("s-0").unwrap();
     assert_eq!((status.reported_load, status.in_flight), (7.0, 0.0));
 }
 
--- a/crates/proxy/tests/tables.rs
+++ b/crates/proxy/tests/tables.rs
@@ -7,7 +7,7 @@
 use tidescale_proxy::buffers::{Chain, Fill, Pool, SIZE};
 use tidescale_proxy::deadlines::Deadlines;
 use tidescale_proxy::explain;
-use tidescale_proxy::logging::Counts;
+use tidescale_proxy::logging::{RateLimiter, SourceLine};
 use tidescale_proxy::slots::Slots;
 use tidescale_proxy::upstream::{Cause, Failure, Reached};
 
@@ -156,8 +156,12 @@
 
 #[test]
 fn a_line_that_repeats_itself_is_left_out_and_counted() {
-    let (mut counts, start) = (Counts::default(), Instant::now());
-    let mut at = |line, ms| counts.admit(("file", line), start + Duration::from_millis(ms));
+    let mut limiter = RateLimiter::default();
+    let start = Instant::now();
+    let mut at = |line, ms| {
+        let place = SourceLine { file: "file", line };
+        limiter.admit(place, start + Duration::from_millis(ms))
+    };
     let admitted: Vec<_> = (0..8).map(|ms| at(1, ms)).collect();
     assert_eq!(
         admitted,
