--- a/crates/proxy/tests/loopback/clients.rs
+++ b/crates/proxy/tests/loopback/clients.rs
@@ -13,19 +13,19 @@
 fn answers_come_whole_and_in_order_however_the_bytes_come() {
     let value: Vec<u8> = (0..60_000u32).map(|i| (i * 7) as u8).collect();
     let long = value.clone();
-    let (addr, seen) = machine(move |n| {
+    let (addr, seen) = start_endpoint(move |n| {
         if n == 0 {
-            Act::Row(long.clone())
+            EndpointAction::Row(long.clone())
         } else {
-            Act::Row(vec![n as u8])
+            EndpointAction::Row(vec![n as u8])
         }
     });
-    let front = start(&told(&[addr], 128));
-    let mut client = Client::open(front.addr);
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
+    let mut client = Client::open(proxy.addr);
     let all = [
         startup(),
         query("look", 1, 900),
-        out(|o| postgres::put_query(o, b"")),
+        encode(|o| postgres::put_query(o, b"")),
         query("pay", 2, 800),
     ]
     .concat();
@@ -46,10 +46,10 @@
 
 #[test]
 fn malformed_clients_are_told_and_reach_no_machine() {
-    let (addr, seen) = machine(|_| Act::Row(vec![1]));
-    let front = start(&told(&[addr], 128));
-    let odd = |statement: &str| out(|o| postgres::put_query(o, statement.as_bytes()));
-    // What is sent once admitted -> tags, code; a dot where the front closes.
+    let (addr, seen) = start_endpoint(|_| EndpointAction::Row(vec![1]));
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
+    let odd = |statement: &str| encode(|o| postgres::put_query(o, statement.as_bytes()));
+    // What is sent once admitted -> tags, code; a dot where the proxy closes.
     let table: [(Vec<u8>, &str, &str); 10] = [
         (odd("SELECT 1"), "EZ", "42601"),
         (
@@ -76,7 +76,7 @@
         (message(b'X', b""), ".", ""),
     ];
     for (sent, tags, code) in table {
-        let mut client = Client::open(front.addr);
+        let mut client = Client::open(proxy.addr);
         client.send(&startup());
         assert_eq!(client.answer().0, "RSSSZ");
         client.send(&sent);
@@ -86,7 +86,7 @@
             assert_eq!(client.answer().0, "TDCZ", "{sent:?}");
         }
     }
-    let mut client = Client::open(front.addr);
+    let mut client = Client::open(proxy.addr);
     client.send(&[0, 0, 0, 8, 4, 210, 22, 47]);
     let mut one = [0];
     client.0.read_exact(&mut one).unwrap();
@@ -97,7 +97,7 @@
         &[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 1][..],
         &[0, 0, 0, 8, 0, 2, 0, 0],
     ] {
-        let mut client = Client::open(front.addr);
+        let mut client = Client::open(proxy.addr);
         client.send(first);
         assert!(client.answer().0.ends_with('.'));
     }
@@ -106,9 +106,9 @@
 
 #[test]
 fn a_client_that_goes_away_has_its_try_given_up() {
-    let (addr, seen) = machine(|_| Act::Silence);
-    let front = start(&told(&[addr], 128));
-    let mut client = Client::open(front.addr);
+    let (addr, seen) = start_endpoint(|_| EndpointAction::Silence);
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
+    let mut client = Client::open(proxy.addr);
     client.send(&[startup(), query("look", 1, 1200)].concat());
     let wait_for = |n: usize| {
         let begun = Instant::now();
@@ -129,18 +129,18 @@
 
 #[test]
 fn a_full_budget_closes_idle_connections_and_ends_nothing() {
-    let (addr, _) = machine(|_| {
+    let (addr, _) = start_endpoint(|_| {
         thread::sleep(Duration::from_millis(40));
-        Act::Row(vec![5])
+        EndpointAction::Row(vec![5])
     });
     // Six clients and six connections to machines.
-    let front = start(&told(&[addr], 50));
-    let mut idle: Vec<Client> = (0..6).map(|_| Client::open(front.addr)).collect();
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 50));
+    let mut idle: Vec<Client> = (0..6).map(|_| Client::open(proxy.addr)).collect();
     for client in &mut idle {
         client.send(&startup());
         assert_eq!(client.answer().0, "RSSSZ");
     }
-    let mut busy: Vec<Client> = (0..9).map(|_| Client::open(front.addr)).collect();
+    let mut busy: Vec<Client> = (0..9).map(|_| Client::open(proxy.addr)).collect();
     for (i, client) in busy.iter_mut().enumerate() {
         client.send(&[startup(), query("look", i as u32, 1200)].concat());
     }
@@ -161,11 +161,11 @@
 
 #[test]
 fn a_panic_ends_the_connection_that_it_came_from_and_no_other() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
-    let (_, (struck, other)) = with_front(
-        &told(&[addr], 128),
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
+    let (_, (struck, other)) = with_proxy(
+        &config_with_endpoints(&[addr], 128),
         // The module knows nothing of the second route any more.
-        |front| front.policy.settings.routes.truncate(1),
+        |proxy| proxy.policy.settings.routes.truncate(1),
         |addr| {
             let [mut struck, mut other] = [(); 2].map(|()| Client::open(addr));
             for client in [&mut struck, &mut other] {
@@ -183,11 +183,11 @@
 
 #[test]
 fn whatever_clients_send_they_are_told_or_closed_in_time() {
-    let (addr, seen) = machine(|_| Act::Row(vec![5]));
-    let front = start(&told(&[addr], 128));
+    let (addr, seen) = start_endpoint(|_| EndpointAction::Row(vec![5]));
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
     let half = startup();
     let begun = Instant::now();
-    let mut silent: Vec<Client> = (0..3).map(|_| Client::open(front.addr)).collect();
+    let mut silent: Vec<Client> = (0..3).map(|_| Client::open(proxy.addr)).collect();
     silent[1].send(&half[..9]);
     silent[2].send(&startup());
     assert_eq!(silent[2].answer().0, "RSSSZ");
@@ -200,7 +200,7 @@
     let told: Vec<_> = table
         .into_iter()
         .map(|(sent, within)| {
-            let mut client = Client::open(front.addr);
+            let mut client = Client::open(proxy.addr);
             client.send(&[startup(), sent].concat());
             thread::spawn(move || {
                 assert_eq!(client.answer().0, "RSSSZ");
@@ -215,7 +215,7 @@
         })
         .collect();
     // One that sends megabytes reads why it is turned down, however late it looks.
-    let mut sender = Client::open(front.addr);
+    let mut sender = Client::open(proxy.addr);
     sender.send(&[startup(), b"Q\x03\x93\x87\0".to_vec()].concat());
     thread::sleep(Duration::from_millis(50));
     let _ = sender.0.write_all(&vec![b'x'; 200_000]);
@@ -224,7 +224,7 @@
         ("RSSSZ".into(), "E.".into())
     );
     // Hundreds at once, more than is read at a time and more answers than may pile up: all in their order.
-    let mut many = Client::open(front.addr);
+    let mut many = Client::open(proxy.addr);
     let mut all = startup();
     let (good, bad) = (|i| query("look", i, 5000), query("nowhere", 1, 900));
     for i in 0..400 {
@@ -252,12 +252,12 @@
 
 #[test]
 fn an_id_that_is_open_is_no_other_reqs_and_a_resting_client_is_closed() {
-    let (addr, seen) = machine(|_| {
+    let (addr, seen) = start_endpoint(|_| {
         thread::sleep(Duration::from_millis(300));
-        Act::Row(vec![5])
+        EndpointAction::Row(vec![5])
     });
-    let front = start(&told(&[addr], 128));
-    let mut clients = [(); 2].map(|()| Client::open(front.addr));
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
+    let mut clients = [(); 2].map(|()| Client::open(proxy.addr));
     for client in &mut clients {
         client.send(&startup());
         assert_eq!(client.answer().0, "RSSSZ");
@@ -283,11 +283,11 @@
 
 #[test]
 fn clients_that_ask_once_and_stay_leave_room_for_others() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     // Sixteen may rest.
-    let front = start(&told(&[addr], 128));
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
     let begun = Instant::now();
-    let mut clients: Vec<Client> = (0..24).map(|_| Client::open(front.addr)).collect();
+    let mut clients: Vec<Client> = (0..24).map(|_| Client::open(proxy.addr)).collect();
     for (i, client) in clients.iter_mut().enumerate() {
         client.send(&[startup(), query("look", i as u32, 900)].concat());
         assert_eq!(
@@ -308,15 +308,15 @@
 
 #[test]
 fn a_client_that_leaves_behind_much_that_is_unread_has_gone() {
-    let (addr, seen) = machine(|n| {
+    let (addr, seen) = start_endpoint(|n| {
         if n == 0 {
-            Act::Silence
+            EndpointAction::Silence
         } else {
-            Act::Row(vec![5])
+            EndpointAction::Row(vec![5])
         }
     });
-    let front = start(&told(&[addr], 128));
-    let mut client = Client::admitted(front.addr);
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
+    let mut client = Client::admitted(proxy.addr);
     client.send(&query("look", 1, 1200));
     let wait_for = |n: usize| {
         let begun = Instant::now();
@@ -338,7 +338,7 @@
     drop(client);
     wait_for(2);
     assert_eq!(seen.lock().unwrap()[1], "gone");
-    assert_eq!(one_query(front.addr, 0xffff).0, "TDCZ");
+    assert_eq!(one_query(proxy.addr, 0xffff).0, "TDCZ");
     let others = seen
         .lock()
         .unwrap()
@@ -351,21 +351,23 @@
 
 #[test]
 fn where_buffers_run_out_an_unfinished_message_is_told_before_it_gives_way() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     // 85 buffers for what clients send; each message takes nine.
-    let front = start(&told(&[addr], 128).replace("\"memory_mb\":64", "\"memory_mb\":8"));
+    let proxy = start_proxy(
+        &config_with_endpoints(&[addr], 128).replace("\"memory_mb\":64", "\"memory_mb\":8"),
+    );
     let text = format!(
         "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x{}') RETURNING data /* id=1,c=look,d=900 */",
         "0".repeat(131_072)
     );
-    let whole = out(|o| postgres::put_query(o, text.as_bytes()));
-    let mut begun: Vec<Client> = (0..9).map(|_| Client::admitted(front.addr)).collect();
+    let whole = encode(|o| postgres::put_query(o, text.as_bytes()));
+    let mut begun: Vec<Client> = (0..9).map(|_| Client::admitted(proxy.addr)).collect();
     for client in &mut begun {
         client.send(&whole[..whole.len() - 40]);
     }
     // It is old enough to give way once it has stood for a tenth of a second.
     thread::sleep(Duration::from_millis(300));
-    let mut more: Vec<Client> = (0..2).map(|_| Client::admitted(front.addr)).collect();
+    let mut more: Vec<Client> = (0..2).map(|_| Client::admitted(proxy.addr)).collect();
     for client in &mut more {
         client.send(&whole[..whole.len() - 40]);
     }
@@ -378,14 +380,19 @@
 
 #[test]
 fn the_time_of_a_req_runs_while_it_waits_behind_another() {
-    let gate = Gate::new();
+    let gate = ManualServer::new();
     let silent = TcpListener::bind("127.0.0.1:0")
         .unwrap()
         .local_addr()
         .unwrap();
-    let (platform, _) = http(|_| String::new());
-    let front = start(&told_by(&[(gate.addr(), 41)], 128, silent, platform));
-    let mut client = Client::admitted(front.addr);
+    let (platform, _) = start_http_server(|_| String::new());
+    let proxy = start_proxy(&config_with_control(
+        &[(gate.addr(), 41)],
+        128,
+        silent,
+        platform,
+    ));
+    let mut client = Client::admitted(proxy.addr);
     // Both at once; the first is held until the second's time is over.
     client.send(&[query("look", 1, 1200), query("look", 2, 300)].concat());
     let mut machine = gate.accept();
--- a/crates/proxy/tests/loopback/common.rs
+++ b/crates/proxy/tests/loopback/common.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for machines, discovery and the platform, a front under test and its clients.
+//! Stand-ins for endpoints, discovery and the platform, a proxy under test and its clients.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -11,23 +11,26 @@
 use tidescale_proxy::buffers::{Chain, Pool};
 use tidescale_proxy::{config, event_loop, postgres};
 
-pub const PATIENCE: Duration = Duration::from_secs(5);
+/// Whatever a test waits for comes within this, or the test fails.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// What a stand-in machine does with a query.
-pub enum Act {
+/// What a stand-in endpoint does with a query.
+pub enum EndpointAction {
     Row(Vec<u8>),
     Error(&'static str),
     Silence,
     Close,
     Bytes(&'static [u8]),
-    /// A good row, then this report, then more than belongs to it.
-    Spoilt(&'static [u8], &'static [u8]),
+    /// A good row, then this load report, then these bytes, which belong to no response.
+    RowThen(&'static [u8], &'static [u8]),
 }
 
+/// A message of the main protocol.
 pub fn message(tag: u8, body: &[u8]) -> Vec<u8> {
     [&[tag][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
 }
 
+/// A response of one row.
 pub fn row(value: &[u8]) -> Vec<u8> {
     let field = [
         &b"data\0"[..],
@@ -46,6 +49,7 @@
     .concat()
 }
 
+/// An error response.
 pub fn error(code: &str) -> Vec<u8> {
     message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
 }
@@ -71,27 +75,34 @@
     Some((all[0], all[5..].to_vec()))
 }
 
-pub type Seen = Arc<Mutex<Vec<String>>>;
+/// What a stand-in has received.
+pub type Notes = Arc<Mutex<Vec<String>>>;
 
-/// Notes each query and, where a connection ends while one is out, `gone`.
-pub fn machine(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> (SocketAddr, Seen) {
+/// Starts an endpoint that acts by the query's index. Notes each query and, where a connection ends while one is in
+/// flight, `gone`.
+pub fn start_endpoint(
+    act: impl Fn(usize) -> EndpointAction + Send + Sync + 'static,
+) -> (SocketAddr, Notes) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (addr, seen, act) = (
-        listener.local_addr().unwrap(),
-        Seen::default(),
-        Arc::new(act),
-    );
-    let noted = seen.clone();
+    let addr = listener.local_addr().unwrap();
+    let notes = Notes::default();
+    let act = Arc::new(act);
+    let noted = notes.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (noted, act) = (noted.clone(), act.clone());
             thread::spawn(move || serve(stream, &noted, &*act));
         }
     });
-    (addr, seen)
+    (addr, notes)
 }
 
-pub fn serve(mut stream: TcpStream, noted: &Seen, act: &dyn Fn(usize) -> Act) -> Option<()> {
+/// One connection of an endpoint's.
+pub fn serve(
+    mut stream: TcpStream,
+    noted: &Notes,
+    act: &dyn Fn(usize) -> EndpointAction,
+) -> Option<()> {
     let mut bytes = Vec::new();
     read_to(&mut stream, &mut bytes, 4).then_some(())?;
     let len = u32::from_be_bytes(bytes[..4].try_into().unwrap()) as usize;
@@ -107,10 +118,10 @@
             noted.len() - 1
         };
         let answer = match act(n) {
-            Act::Row(value) => row(&value),
-            Act::Error(code) => error(code),
-            Act::Bytes(bytes) => bytes.to_vec(),
-            Act::Spoilt(report, more) => {
+            EndpointAction::Row(value) => row(&value),
+            EndpointAction::Error(code) => error(code),
+            EndpointAction::Bytes(bytes) => bytes.to_vec(),
+            EndpointAction::RowThen(report, more) => {
                 let all = [
                     row(&[5]),
                     message(b'S', report),
@@ -121,8 +132,8 @@
                 stream.write_all(&all).ok()?;
                 continue;
             }
-            Act::Close => return None,
-            Act::Silence => {
+            EndpointAction::Close => return None,
+            EndpointAction::Silence => {
                 read_to(&mut stream, &mut bytes, usize::MAX);
                 noted.lock().unwrap().push("gone".into());
                 return None;
@@ -139,14 +150,14 @@
     Some(())
 }
 
-/// Answers each request and keeps the connection; notes what was asked.
-pub fn http(answer: impl Fn(&str) -> String + Send + Sync + 'static) -> (SocketAddr, Seen) {
+/// Starts a server that answers each request and keeps the connection; notes the requests.
+pub fn start_http_server(
+    answer: impl Fn(&str) -> String + Send + Sync + 'static,
+) -> (SocketAddr, Notes) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (addr, notes, answer) = (
-        listener.local_addr().unwrap(),
-        Seen::default(),
-        Arc::new(answer),
-    );
+    let addr = listener.local_addr().unwrap();
+    let notes = Notes::default();
+    let answer = Arc::new(answer);
     let noted = notes.clone();
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
@@ -164,13 +175,14 @@
     (addr, noted)
 }
 
-/// One entry of a list, in discovery's form.
-pub fn entry(id: &str, addr: SocketAddr, state: &str, started: u64, build: u32) -> String {
+/// One entry of an endpoint list, in discovery's form.
+pub fn list_entry(id: &str, addr: SocketAddr, state: &str, started: u64, build: u32) -> String {
     format!(
         r#"{{"id":"{id}","addr":"{addr}","zone":"z1","kind":"k","cell":0,"state":"{state}","weight":1.0,"started_ms":{started},"image_id":{build}}}"#
     )
 }
 
+/// An endpoint list, in discovery's form.
 pub fn list(version: u64, full: bool, entries: &[String]) -> String {
     format!(
         r#"{{"version":{version},"full":{full},"servers":[{}]}}"#,
@@ -178,24 +190,26 @@
     )
 }
 
-pub fn listing(machines: &[(SocketAddr, u32)]) -> String {
-    let entries = machines.iter().enumerate();
+/// A complete list of these endpoints and their builds, `s-0` and so on, at version 41.
+pub fn complete_list(endpoints: &[(SocketAddr, u32)]) -> String {
+    let entries = endpoints.iter().enumerate();
     let entries =
-        entries.map(|(i, (addr, build))| entry(&format!("s-{i}"), *addr, "active", 0, *build));
+        entries.map(|(i, (addr, build))| list_entry(&format!("s-{i}"), *addr, "active", 0, *build));
     list(41, true, &entries.collect::<Vec<_>>())
 }
 
-pub static NEXT: AtomicU8 = AtomicU8::new(1);
+/// The last part of the address that the next proxy listens on.
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
 
-/// A configuration with these machines known.
-pub fn told_by(
-    machines: &[(SocketAddr, u32)],
+/// A configuration with these endpoints known, and so many descriptors, discovery and the platform.
+pub fn config_with_control(
+    endpoints: &[(SocketAddr, u32)],
     sockets: usize,
     discovery: SocketAddr,
     platform: SocketAddr,
 ) -> String {
     // An address of its own: between here and its start no connection of another test takes the port.
-    let own = Ipv4Addr::new(127, 0, 77, NEXT.fetch_add(1, Ordering::Relaxed));
+    let own = Ipv4Addr::new(127, 0, 77, NEXT_HOST.fetch_add(1, Ordering::Relaxed));
     let listen = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap();
     include_str!("../config.json")
         .replace("127.0.0.1:6432\"", &format!("{listen}\""))
@@ -203,55 +217,56 @@
         .replace("127.0.0.1:6400\"", &format!("{platform}\""))
         .replace(
             r#"{"version":41,"full":true,"servers":[]}"#,
-            &listing(machines),
+            &complete_list(endpoints),
         )
         .replace("\"sockets\":128", &format!("\"sockets\":{sockets}"))
 }
 
-/// A peer that takes connections and answers only as the test says.
-pub struct Gate(TcpListener);
+/// A server whose connections the test accepts and answers by hand.
+pub struct ManualServer(TcpListener);
 
-impl Gate {
-    pub fn new() -> Gate {
+impl ManualServer {
+    pub fn new() -> ManualServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
-        Gate(listener)
+        ManualServer(listener)
     }
     pub fn addr(&self) -> SocketAddr {
         self.0.local_addr().unwrap()
     }
-    pub fn try_accept(&self) -> Option<Peer> {
+    pub fn try_accept(&self) -> Option<ManualConnection> {
         let (stream, _) = self.0.accept().ok()?;
         stream.set_nonblocking(false).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Some(Peer(stream, Vec::new()))
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        Some(ManualConnection(stream, Vec::new()))
     }
-    pub fn accept(&self) -> Peer {
+    pub fn accept(&self) -> ManualConnection {
         let begun = Instant::now();
         loop {
             if let Some(peer) = self.try_accept() {
                 return peer;
             }
-            assert!(begun.elapsed() < PATIENCE, "nobody connects");
+            assert!(begun.elapsed() < TEST_TIMEOUT, "nobody connects");
             thread::sleep(Duration::from_millis(1));
         }
     }
 }
 
-pub struct Peer(pub TcpStream, Vec<u8>);
+/// A connection to the proxy, in the hands of the test.
+pub struct ManualConnection(pub TcpStream, Vec<u8>);
 
-impl Peer {
+impl ManualConnection {
     pub fn send(&mut self, bytes: &[u8]) {
         self.0.write_all(bytes).unwrap();
     }
-    /// Of a machine: waits for the startup message, and lets nobody in yet.
+    /// Of an endpoint: waits for the startup message, and lets nobody in yet.
     pub fn startup(&mut self) {
         assert!(read_to(&mut self.0, &mut self.1, 4));
         let len = u32::from_be_bytes(self.1[..4].try_into().unwrap()) as usize;
         assert!(read_to(&mut self.0, &mut self.1, len));
         self.1.drain(..len);
     }
-    /// Goes unheard where the front has closed.
+    /// Lets the proxy in; goes unheard where that has closed.
     pub fn let_in(&mut self) {
         let _ = self
             .0
@@ -270,7 +285,7 @@
         self.send(&[row(&[value]), message(b'Z', b"I")].concat());
     }
     /// Of discovery: waits for what is asked and begins a stream.
-    pub fn stream(&mut self) {
+    pub fn begin_stream(&mut self) {
         while !self.1.ends_with(b"\r\n\r\n") {
             let n = self.1.len() + 1;
             assert!(read_to(&mut self.0, &mut self.1, n));
@@ -282,51 +297,55 @@
     }
 }
 
-/// The same; discovery can't be reached and the platform says nothing that can be read.
-pub fn told(machines: &[SocketAddr], sockets: usize) -> String {
+/// A configuration with these endpoints known; discovery can't be reached and the platform sends nothing that can be
+/// read.
+pub fn config_with_endpoints(endpoints: &[SocketAddr], sockets: usize) -> String {
     let silent = TcpListener::bind("127.0.0.1:0")
         .unwrap()
         .local_addr()
         .unwrap();
-    let (platform, _) = http(|_| "HTTP/1.1 200 OK\r\n\r\nevent: stage\ndata: noise\n\n".into());
-    let known: Vec<_> = machines.iter().map(|addr| (*addr, 41)).collect();
-    told_by(&known, sockets, silent, platform)
+    let (platform, _) =
+        start_http_server(|_| "HTTP/1.1 200 OK\r\n\r\nevent: stage\ndata: noise\n\n".into());
+    let known: Vec<_> = endpoints.iter().map(|addr| (*addr, 41)).collect();
+    config_with_control(&known, sockets, silent, platform)
 }
 
-pub struct Running {
+/// A proxy in a process of its own; killed when dropped.
+pub struct RunningProxy {
     pub child: Child,
     pub addr: SocketAddr,
     pub config: String,
 }
 
-impl Running {
+impl RunningProxy {
     pub fn signal(&mut self, name: &str) {
-        let told = Command::new("kill")
+        let sent = Command::new("kill")
             .args([name, &self.child.id().to_string()])
             .status()
             .unwrap();
-        assert!(told.success() && self.child.try_wait().unwrap().is_none());
+        assert!(sent.success() && self.child.try_wait().unwrap().is_none());
     }
 }
 
-impl Drop for Running {
+impl Drop for RunningProxy {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 }
 
-pub fn start(config: &str) -> Running {
-    start_with(config, &[])
+/// Starts a proxy and waits until it listens.
+pub fn start_proxy(config: &str) -> RunningProxy {
+    start_proxy_with(config, &[])
 }
 
 /// With these words on the command line.
-pub fn start_with(config: &str, words: &[&str]) -> Running {
-    start_logging(config, words, Stdio::null())
+pub fn start_proxy_with(config: &str, words: &[&str]) -> RunningProxy {
+    start_proxy_logging_to(config, words, Stdio::null())
 }
 
 /// With its log going there.
-pub fn start_logging(config: &str, words: &[&str], log: impl Into<Stdio>) -> Running {
+pub fn start_proxy_logging_to(config: &str, words: &[&str], log: impl Into<Stdio>) -> RunningProxy {
     let addr = config::read(config).ok().unwrap().listen;
     let path = format!("{}/config-{}.json", env!("CARGO_TARGET_TMPDIR"), addr.ip());
     std::fs::write(&path, config).unwrap();
@@ -337,32 +356,36 @@
         .stderr(log)
         .spawn()
         .unwrap();
-    let running = Running {
+    let running = RunningProxy {
         child,
         addr,
         config: path,
     };
     let begun = Instant::now();
     while TcpStream::connect(addr).is_err() {
-        assert!(begun.elapsed() < PATIENCE, "it does not listen");
+        assert!(begun.elapsed() < TEST_TIMEOUT, "it does not listen");
         thread::sleep(Duration::from_millis(5));
     }
     running
 }
 
+/// A client, with what it has read beyond the last message.
 pub struct Client(pub TcpStream, pub Vec<u8>);
 
-pub fn out(write: impl FnOnce(&mut Chain)) -> Vec<u8> {
-    let (mut chain, mut bytes) = (Chain::new(&Pool::new(64)), Vec::new());
+/// The bytes that a codec writes.
+pub fn encode(write: impl FnOnce(&mut Chain)) -> Vec<u8> {
+    let mut chain = Chain::new(&Pool::new(64));
     write(&mut chain);
+    let mut bytes = Vec::new();
     chain.copy(0..chain.len(), &mut bytes);
     bytes
 }
 
+/// A statement of this route, request id and wait in milliseconds, as a message.
 pub fn query(route: &str, id: u32, wait: u64) -> Vec<u8> {
     let statement =
         format!("SELECT data FROM facts WHERE code = '7f3a' /* id={id:x},c={route},d={wait} */");
-    out(|o| postgres::put_query(o, statement.as_bytes()))
+    encode(|o| postgres::put_query(o, statement.as_bytes()))
 }
 
 impl Client {
@@ -375,7 +398,7 @@
     }
     pub fn open(addr: SocketAddr) -> Client {
         let stream = TcpStream::connect(addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
         Client(stream, Vec::new())
     }
     pub fn send(&mut self, bytes: &[u8]) {
@@ -404,42 +427,57 @@
     }
 }
 
+/// A client's startup message.
 pub fn startup() -> Vec<u8> {
-    out(postgres::put_startup)
+    encode(postgres::put_startup)
 }
 
-/// A front in this process, and what a client thread gets from it meanwhile.
-pub fn with_front<T: Send + 'static>(
+/// Runs a proxy in this process, changed as the test wants, and what a client thread gets from it meanwhile.
+pub fn with_proxy<T: Send + 'static>(
     config: &str,
     change: impl FnOnce(&mut event_loop::ProxyInstance),
     client: impl FnOnce(SocketAddr) -> T + Send + 'static,
 ) -> (event_loop::ProxyInstance, T) {
     let config = config::read(config).ok().unwrap();
     let listener = TcpListener::bind(config.listen).unwrap();
-    let mut front = event_loop::ProxyInstance::new(
+    let mut proxy = event_loop::ProxyInstance::new(
         &config,
         "".into(),
         || Ok(listener),
         slog::Logger::root(slog::Discard, slog::o!()),
     )
     .unwrap();
-    change(&mut front);
+    change(&mut proxy);
     let client = thread::spawn(move || client(config.listen));
     while !client.is_finished() {
-        front.run_iteration().unwrap();
+        proxy.run_iteration().unwrap();
     }
-    (front, client.join().unwrap())
+    (proxy, client.join().unwrap())
 }
 
-pub fn tidescale(words: &[&str]) -> (Option<i32>, String, String) {
+/// What a run of `tidescale` came to.
+pub struct CommandOutput {
+    pub exit_code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+/// Runs `tidescale` with these arguments.
+pub fn run_tidescale(words: &[&str]) -> CommandOutput {
     let done = Command::new(env!("CARGO_BIN_EXE_tidescale"))
         .args(words)
         .output()
         .unwrap();
-    let [told, complaint] = [done.stdout, done.stderr].map(|b| String::from_utf8(b).unwrap());
-    (done.status.code(), told, complaint)
+    let [stdout, stderr] =
+        [done.stdout, done.stderr].map(|bytes| String::from_utf8(bytes).unwrap());
+    CommandOutput {
+        exit_code: done.status.code(),
+        stdout,
+        stderr,
+    }
 }
 
+/// A new client's one request: the tags of its response's messages, and the row or the error's code.
 pub fn one_query(addr: SocketAddr, id: u32) -> (String, Vec<u8>) {
     let mut client = Client::open(addr);
     client.send(&[startup(), query("look", id, 1200)].concat());
--- a/crates/proxy/tests/loopback/files.rs
+++ b/crates/proxy/tests/loopback/files.rs
@@ -30,17 +30,17 @@
     let seen_by = healed.clone();
     let act = move |_| {
         if seen_by.load(Ordering::Relaxed) == 1 {
-            Act::Row(vec![5])
+            EndpointAction::Row(vec![5])
         } else {
-            Act::Silence
+            EndpointAction::Silence
         }
     };
-    let (silent, asked) = machine(act);
-    let (good, _) = machine(|_| Act::Row(vec![5]));
+    let (silent, asked) = start_endpoint(act);
+    let (good, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     let (_, operators) = memory_folder("silent");
-    let config = told(&[silent, good], 128);
+    let config = config_with_endpoints(&[silent, good], 128);
     let words = ["run", "--operators", &operators];
-    let front = start_with(&config, &words);
+    let proxy = start_proxy_with(&config, &words);
     // One req goes to the silent machine and waits in vain; after its objective the machine is set aside.
     let count = |word: &str| {
         asked
@@ -52,18 +52,18 @@
     };
     let begun = Instant::now();
     for id in 0.. {
-        one_query(front.addr, id);
+        one_query(proxy.addr, id);
         if count("facts") > 0 {
             break;
         }
-        assert!(begun.elapsed() < PATIENCE * 4);
+        assert!(begun.elapsed() < TEST_TIMEOUT * 4);
     }
     thread::sleep(Duration::from_millis(1200));
-    drop(front);
+    drop(proxy);
     let before = count("facts");
-    let front = start_with(&config, &words);
+    let proxy = start_proxy_with(&config, &words);
     for id in 1000..1030 {
-        let (tags, value) = one_query(front.addr, id);
+        let (tags, value) = one_query(proxy.addr, id);
         assert_eq!((tags.as_str(), &value[..]), ("TDCZ", &[5][..]));
     }
     assert_eq!(
@@ -74,12 +74,12 @@
     healed.store(1, Ordering::Relaxed);
     let begun = Instant::now();
     for id in 2000.. {
-        one_query(front.addr, id);
+        one_query(proxy.addr, id);
         if count("facts") > before {
             break;
         }
         assert!(
-            begun.elapsed() < PATIENCE * 4,
+            begun.elapsed() < TEST_TIMEOUT * 4,
             "it is shunned though it has healed"
         );
         thread::sleep(Duration::from_millis(20));
@@ -88,7 +88,7 @@
 
 #[test]
 fn files_that_cannot_be_read_are_set_aside_and_the_front_serves() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     let newer = [&b"tidemem\n"[..], &[0, 0, 0, 9], &[0; 40]].concat();
     let huge = [
         &b"tidemem\n"[..],
@@ -108,8 +108,11 @@
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(format!("{folder}/memory.0"), bytes).unwrap();
         std::fs::create_dir_all(format!("{folder}/memory.1")).unwrap();
-        let front = start_with(&told(&[addr], 128), &["run", "--operators", &operators]);
-        assert_eq!(one_query(front.addr, 1).0, "TDCZ", "{name}");
+        let proxy = start_proxy_with(
+            &config_with_endpoints(&[addr], 128),
+            &["run", "--operators", &operators],
+        );
+        assert_eq!(one_query(proxy.addr, 1).0, "TDCZ", "{name}");
         let files: Vec<String> = std::fs::read_dir(&folder)
             .unwrap()
             .map(|e| e.unwrap().file_name().into_string().unwrap())
@@ -127,7 +130,7 @@
 
 #[test]
 fn the_last_state_is_written_at_sigterm_and_a_second_front_goes_without() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     let (folder, operators) = memory_folder("sigterm");
     std::fs::write(
         &operators,
@@ -135,27 +138,44 @@
     )
     .unwrap();
     let words = ["run", "--operators", &operators];
-    let mut front = start_with(&told(&[addr], 128), &words);
-    let second = start_with(&told(&[addr], 128), &words);
-    for front in [&front, &second] {
-        assert_eq!(one_query(front.addr, 1).0, "TDCZ");
+    let mut proxy = start_proxy_with(&config_with_endpoints(&[addr], 128), &words);
+    let second = start_proxy_with(&config_with_endpoints(&[addr], 128), &words);
+    for proxy in [&proxy, &second] {
+        assert_eq!(one_query(proxy.addr, 1).0, "TDCZ");
     }
-    assert_eq!(tidescale(&["memory", "check", &folder]).0, Some(1));
     assert_eq!(
-        tidescale(&["memory", "clear", &folder]).0,
+        run_tidescale(&["memory", "check", &folder]).exit_code,
+        Some(1)
+    );
+    assert_eq!(
+        run_tidescale(&["memory", "clear", &folder]).exit_code,
         Some(1),
-        "a front holds it"
+        "a proxy holds it"
     );
-    front.signal("-TERM");
+    proxy.signal("-TERM");
     let begun = Instant::now();
-    while front.child.try_wait().unwrap().is_none() {
-        assert!(begun.elapsed() < PATIENCE);
+    while proxy.child.try_wait().unwrap().is_none() {
+        assert!(begun.elapsed() < TEST_TIMEOUT);
         thread::sleep(Duration::from_millis(5));
     }
-    let (code, told, _) = tidescale(&["memory", "check", &folder]);
-    assert!(code == Some(0) && told.contains("is whole"), "{told}");
-    let (code, told, _) = tidescale(&["memory", "show", "--json", &folder]);
-    assert!(code == Some(0) && told.contains("\"Machine\""), "{told}");
-    assert_eq!(tidescale(&["memory", "clear", &folder]).0, Some(0));
-    assert_eq!(tidescale(&["memory", "show", &folder]).0, Some(1));
+    let check = run_tidescale(&["memory", "check", &folder]);
+    assert!(
+        check.exit_code == Some(0) && check.stdout.contains("is whole"),
+        "{}",
+        check.stdout
+    );
+    let shown = run_tidescale(&["memory", "show", "--json", &folder]);
+    assert!(
+        shown.exit_code == Some(0) && shown.stdout.contains("\"Machine\""),
+        "{}",
+        shown.stdout
+    );
+    assert_eq!(
+        run_tidescale(&["memory", "clear", &folder]).exit_code,
+        Some(0)
+    );
+    assert_eq!(
+        run_tidescale(&["memory", "show", &folder]).exit_code,
+        Some(1)
+    );
 }
--- a/crates/proxy/tests/loopback/list.rs
+++ b/crates/proxy/tests/loopback/list.rs
@@ -17,6 +17,7 @@
 
 use crate::common::*;
 
+/// What discovery needs of a proxy.
 fn context(events: &calloop::EventLoop<'static, TurnEvents>) -> IoContext {
     let [pool, clients_pool, streams_pool] = [8, 8, 8].map(Pool::new);
     let (log, deadlines) = (
@@ -44,7 +45,7 @@
         "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
     ];
     for head in heads {
-        let (addr, asked) = http(|_| head.into());
+        let (addr, asked) = start_http_server(|_| head.into());
         let mut events = calloop::EventLoop::try_new().unwrap();
         let mut context = context(&events);
         let (begun, mut ready) = (Instant::now(), TurnEvents::default());
@@ -56,7 +57,7 @@
         );
         stream.open("/there", &mut context);
         while asked.lock().unwrap().len() < 3 {
-            assert!(begun.elapsed() < PATIENCE, "{head}");
+            assert!(begun.elapsed() < TEST_TIMEOUT, "{head}");
             events
                 .dispatch(Duration::from_millis(5), &mut ready)
                 .unwrap();
@@ -82,30 +83,36 @@
 
 #[test]
 fn what_discovery_lists_takes_the_place_of_what_was_known() {
-    let [(earlier, none), (later, some)] = [(); 2].map(|()| machine(|_| Act::Row(vec![5])));
-    let list = listing(&[(later, 41)]);
-    let (discovery, asked) = http(move |_| {
+    let [(earlier, earlier_queries), (later, later_queries)] =
+        [(); 2].map(|()| start_endpoint(|_| EndpointAction::Row(vec![5])));
+    let list = complete_list(&[(later, 41)]);
+    let (discovery, asked) = start_http_server(move |_| {
         format!(
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\n\r\n",
             list.len() + 1
         )
     });
-    let (platform, _) = http(|_| String::new());
-    let front = start(&told_by(&[(earlier, 41)], 128, discovery, platform));
-    let mut client = Client::open(front.addr);
+    let (platform, _) = start_http_server(|_| String::new());
+    let proxy = start_proxy(&config_with_control(
+        &[(earlier, 41)],
+        128,
+        discovery,
+        platform,
+    ));
+    let mut client = Client::open(proxy.addr);
     client.send(&startup());
     client.answer();
     let begun = Instant::now();
-    while some.lock().unwrap().is_empty() {
-        assert!(begun.elapsed() < PATIENCE);
+    while later_queries.lock().unwrap().is_empty() {
+        assert!(begun.elapsed() < TEST_TIMEOUT);
         client.send(&query("look", 1, 900));
         assert_eq!(client.answer().0, "TDCZ");
     }
     // An idle connection to the earlier address is not used for the later one.
-    let before = none.lock().unwrap().len();
+    let before = earlier_queries.lock().unwrap().len();
     client.send(&query("look", 2, 900));
     assert_eq!(
-        (client.answer().0, none.lock().unwrap().len()),
+        (client.answer().0, earlier_queries.lock().unwrap().len()),
         ("TDCZ".into(), before)
     );
     assert!(
@@ -114,11 +121,11 @@
 }
 
 #[test]
-fn a_stream_is_left_only_when_the_one_in_its_place_has_told_something() {
-    let (old, _) = http(|_| "HTTP/1.1 200 OK\r\n\r\nold\n".into());
+fn a_stream_is_left_only_when_the_one_in_its_place_has_delivered_something() {
+    let (old, _) = start_http_server(|_| "HTTP/1.1 200 OK\r\n\r\nold\n".into());
     // The new address says nothing on the first connection.
     let calls = Mutex::new(0);
-    let (new, _) = http(move |_| {
+    let (new, _) = start_http_server(move |_| {
         *calls.lock().unwrap() += 1;
         if *calls.lock().unwrap() == 1 {
             String::new()
@@ -138,7 +145,7 @@
     streams.open("/there", &mut context);
     let mut left = None;
     while !lines.contains(&"new".to_string()) {
-        assert!(begun.elapsed() < PATIENCE, "{lines:?}");
+        assert!(begun.elapsed() < TEST_TIMEOUT, "{lines:?}");
         events
             .dispatch(Duration::from_millis(5), &mut ready)
             .unwrap();
@@ -177,13 +184,13 @@
 }
 
 #[test]
-fn a_watch_that_only_shows_life_is_opened_anew() {
-    let (machine, seen) = machine(|_| Act::Row(vec![5]));
-    let list = listing(&[(machine, 41)]);
+fn a_stream_that_only_shows_life_is_opened_again() {
+    let (endpoint, notes) = start_endpoint(|_| EndpointAction::Row(vec![5]));
+    let list = complete_list(&[(endpoint, 41)]);
     let calls = Mutex::new(0);
-    let (discovery, _) = http(move |_| {
+    let (discovery, _) = start_http_server(move |_| {
         *calls.lock().unwrap() += 1;
-        // The first goes on with empty lines and never tells of the machine.
+        // The first goes on with empty lines and never lists the endpoint.
         let line = if *calls.lock().unwrap() == 1 {
             ""
         } else {
@@ -192,13 +199,13 @@
         let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1)
     });
-    let (platform, _) = http(|_| String::new());
-    let front = start(&told_by(&[], 128, discovery, platform));
-    let mut client = Client::open(front.addr);
+    let (platform, _) = start_http_server(|_| String::new());
+    let proxy = start_proxy(&config_with_control(&[], 128, discovery, platform));
+    let mut client = Client::open(proxy.addr);
     client.send(&startup());
     client.answer();
     let begun = Instant::now();
-    while seen.lock().unwrap().is_empty() {
+    while notes.lock().unwrap().is_empty() {
         assert!(begun.elapsed() < Duration::from_millis(4500));
         client.send(&query("look", 1, 200));
         client.answer();
@@ -213,32 +220,32 @@
 
 #[test]
 fn a_list_over_several_lines_is_read_like_one_on_a_single_line() {
-    let (machine, seen) = machine(|_| Act::Row(vec![5]));
-    let [gate, discovery] = [(); 2].map(|()| Gate::new());
-    let (platform, _) = http(|_| String::new());
-    let front = start(&told_by(
+    let (endpoint, notes) = start_endpoint(|_| EndpointAction::Row(vec![5]));
+    let [gate, discovery] = [(); 2].map(|()| ManualServer::new());
+    let (platform, _) = start_http_server(|_| String::new());
+    let proxy = start_proxy(&config_with_control(
         &[(gate.addr(), 41)],
         128,
         discovery.addr(),
         platform,
     ));
-    let mut watch = discovery.accept();
-    watch.stream();
+    let mut stream = discovery.accept();
+    stream.begin_stream();
     let text = indented(&list(
         42,
         true,
-        &[entry("s-{1}\\\"", machine, "active", 0, 41)],
+        &[list_entry("s-{1}\\\"", endpoint, "active", 0, 41)],
     ));
     // In pieces that end within a line and within a word, with a sign of life before and behind.
-    watch.chunk("\n");
+    stream.chunk("\n");
     let (middle, end) = (text.len() / 2, text.len() - 3);
     [&text[..middle], &text[middle..end], &text[end..]]
         .into_iter()
-        .for_each(|piece| watch.chunk(piece));
-    watch.chunk("\n");
-    let mut client = Client::admitted(front.addr);
+        .for_each(|piece| stream.chunk(piece));
+    stream.chunk("\n");
+    let mut client = Client::admitted(proxy.addr);
     let begun = Instant::now();
-    while seen.lock().unwrap().is_empty() {
+    while notes.lock().unwrap().is_empty() {
         assert!(
             begun.elapsed() < Duration::from_millis(2000),
             "the list was not read"
@@ -249,12 +256,12 @@
 }
 
 #[test]
-fn a_list_that_breaks_off_is_asked_for_anew_at_once() {
-    let [gate, discovery] = [(); 2].map(|()| Gate::new());
-    let (platform, _) = http(|_| String::new());
-    // An end in the middle, with a sign of life behind it or with nothing; what can't be read; less than was told.
+fn a_list_that_breaks_off_is_asked_for_again_at_once() {
+    let [gate, discovery] = [(); 2].map(|()| ManualServer::new());
+    let (platform, _) = start_http_server(|_| String::new());
+    // An end in the middle, with a sign of life behind it or with nothing; what can't be read; less than its size says.
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
-    let spoilt = [
+    let broken = [
         chunk("{\"version\":42,\n\n"),
         chunk("{\"version\":42,\n"),
         chunk("{\"version\":42,\"full\":true,\"serv"),
@@ -262,53 +269,53 @@
         chunk("noise\n"),
         "ff\r\n{\"version\"".to_string(),
     ];
-    for spoilt in spoilt {
-        let _front = start(&told_by(
+    for broken in broken {
+        let _proxy = start_proxy(&config_with_control(
             &[(gate.addr(), 41)],
             128,
             discovery.addr(),
             platform,
         ));
-        let mut watch = discovery.accept();
-        watch.stream();
+        let mut stream = discovery.accept();
+        stream.begin_stream();
         let begun = Instant::now();
-        watch.send(spoilt.as_bytes());
-        let _anew = discovery.accept();
-        // Long before it would be opened anew without cause.
-        assert!(begun.elapsed() < Duration::from_millis(1500), "{spoilt}");
+        stream.send(broken.as_bytes());
+        let _again = discovery.accept();
+        // Long before it would be opened again without cause.
+        assert!(begun.elapsed() < Duration::from_millis(1500), "{broken}");
     }
 }
 
-/// Discovery's part of a front alone, its turns driven by hand, its clock told.
-struct Watching {
+/// A proxy's discovery alone, its iterations and its clock driven by hand.
+struct DiscoveryFixture {
     events: calloop::EventLoop<'static, TurnEvents>,
     ready: TurnEvents,
     context: IoContext,
     upstream: Upstream,
-    module: Balancer,
+    policy: Balancer,
     discovery: Discovery,
 }
 
-impl Watching {
-    fn at(addr: SocketAddr, ask: bool) -> Watching {
-        let config = config::read(&told(&[], 128)).ok().unwrap();
+impl DiscoveryFixture {
+    fn at(address: SocketAddr, polled: bool) -> DiscoveryFixture {
+        let config = config::read(&config_with_endpoints(&[], 128)).ok().unwrap();
         let events = calloop::EventLoop::try_new().unwrap();
         let mut context = context(&events);
         context.now = Timestamp::from_micros(1_000_000);
-        let mut discovery = Discovery::new(addr, ask, 7);
+        let mut discovery = Discovery::new(address, polled, 7);
         discovery.open(&mut context);
         let upstream = Upstream::new(config.connections.clone(), 8);
-        let module = Balancer::new(config.settings.clone(), 1, Timestamp::ZERO);
-        Watching {
+        let policy = Balancer::new(config.settings.clone(), 1, Timestamp::ZERO);
+        DiscoveryFixture {
             events,
             ready: TurnEvents::default(),
             context,
             upstream,
-            module,
+            policy,
             discovery,
         }
     }
-    fn turn(&mut self) {
+    fn iterate(&mut self) {
         self.events
             .dispatch(Duration::from_millis(5), &mut self.ready)
             .unwrap();
@@ -320,90 +327,100 @@
             .into_iter()
             .for_each(|(owner, readiness)| self.discovery.on_ready(owner.slot, readiness));
         self.discovery
-            .serve(&mut self.context, &mut self.upstream, &mut self.module);
+            .serve(&mut self.context, &mut self.upstream, &mut self.policy);
     }
-    /// Until it has come for another watch.
-    fn opened(&mut self, gate: &Gate) -> Peer {
+    /// Runs until it has connected again.
+    fn reconnect(&mut self, gate: &ManualServer) -> ManualConnection {
         let begun = Instant::now();
         loop {
             if let Some(peer) = gate.try_accept() {
                 return peer;
             }
-            assert!(begun.elapsed() < PATIENCE);
+            assert!(begun.elapsed() < TEST_TIMEOUT);
             self.context.now = self.context.now + Duration::from_micros(5_000);
-            self.turn();
+            self.iterate();
         }
     }
-    /// Until the list stands at this version and its only machine so.
-    fn until(&mut self, version: u64, standing: EndpointState) {
+    /// Runs until the list has this version and its only endpoint this state.
+    fn run_until(&mut self, version: u64, standing: EndpointState) {
         let begun = Instant::now();
-        let now = |w: &Watching| {
+        let now = |fixture: &DiscoveryFixture| {
             (
-                w.discovery.list_version(),
-                w.module.endpoint_status("s-0").map(|e| e.state),
+                fixture.discovery.list_version(),
+                fixture.policy.endpoint_status("s-0").map(|e| e.state),
             )
         };
         while now(self) != (version, Some(standing)) {
-            assert!(begun.elapsed() < PATIENCE, "{:?}", now(self));
-            self.turn();
+            assert!(begun.elapsed() < TEST_TIMEOUT, "{:?}", now(self));
+            self.iterate();
         }
     }
 }
 
 #[test]
-fn of_two_watches_the_one_that_is_behind_changes_nothing() {
+fn of_two_streams_the_one_that_is_behind_changes_nothing() {
     let line = |version, full, state| {
         list(
             version,
             full,
-            &[entry("s-0", "127.0.0.1:1".parse().unwrap(), state, 0, 41)],
+            &[list_entry(
+                "s-0",
+                "127.0.0.1:1".parse().unwrap(),
+                state,
+                0,
+                41,
+            )],
         ) + "\n"
     };
-    let [first, second] = [(); 2].map(|()| Gate::new());
-    let mut w = Watching::at(first.addr(), false);
-    w.turn();
+    let [first, second] = [(); 2].map(|()| ManualServer::new());
+    let mut fixture = DiscoveryFixture::at(first.addr(), false);
+    fixture.iterate();
     let mut earlier = first.accept();
-    earlier.stream();
+    earlier.begin_stream();
     earlier.chunk(&line(44, true, "active"));
-    w.until(44, EndpointState::Ready);
-    assert!(w.discovery.change_address(second.addr(), &mut w.context));
-    w.turn();
+    fixture.run_until(44, EndpointState::Ready);
+    assert!(
+        fixture
+            .discovery
+            .change_address(second.addr(), &mut fixture.context)
+    );
+    fixture.iterate();
     let mut later = second.accept();
-    later.stream();
+    later.begin_stream();
     // A list that is not whole yet takes nobody's place: the earlier one still tells.
     later.chunk("{\n");
-    (0..20).for_each(|_| w.turn());
+    (0..20).for_each(|_| fixture.iterate());
     earlier.chunk(&line(45, false, "leaving"));
-    w.until(45, EndpointState::Draining);
+    fixture.run_until(45, EndpointState::Draining);
     // The one in its place is still behind, with a whole list and with a change.
     later.chunk(&line(44, true, "active")[1..]);
     later.chunk(&line(44, false, "active"));
     later.chunk(&line(46, false, "leaving"));
-    w.until(46, EndpointState::Draining);
-    // A whole list that stays behind is discovery that counts anew; a change that does is not.
-    // The watch was silent meanwhile and is opened anew.
-    w.context.now = w.context.now + Duration::from_micros(7_000_000);
-    let mut later = w.opened(&second);
-    later.stream();
+    fixture.run_until(46, EndpointState::Draining);
+    // A whole list that stays behind is discovery that has begun to count anew; a change that does is not.
+    // The stream was silent meanwhile and is opened again.
+    fixture.context.now = fixture.context.now + Duration::from_micros(7_000_000);
+    let mut later = fixture.reconnect(&second);
+    later.begin_stream();
     later.chunk(&line(3, false, "active"));
     later.chunk(&line(2, true, "active"));
-    w.until(2, EndpointState::Ready);
+    fixture.run_until(2, EndpointState::Ready);
 }
 
 #[test]
-fn a_watch_that_opens_and_tells_nothing_at_all_is_opened_anew_within_four_seconds() {
-    let gate = Gate::new();
-    let mut w = Watching::at(gate.addr(), false);
-    w.turn();
+fn a_stream_that_opens_and_delivers_nothing_at_all_is_opened_again_within_four_seconds() {
+    let gate = ManualServer::new();
+    let mut fixture = DiscoveryFixture::at(gate.addr(), false);
+    fixture.iterate();
     let mut silent = gate.accept();
-    silent.stream();
+    silent.begin_stream();
     // Its head has been read.
-    (0..20).for_each(|_| w.turn());
-    let begun = w.context.now;
+    (0..20).for_each(|_| fixture.iterate());
+    let begun = fixture.context.now;
     while gate.try_accept().is_none() {
-        assert!(w.context.now - begun < Duration::from_secs(4));
-        w.context.now = w.context.now + Duration::from_micros(50_000);
-        w.turn();
+        assert!(fixture.context.now - begun < Duration::from_secs(4));
+        fixture.context.now = fixture.context.now + Duration::from_micros(50_000);
+        fixture.iterate();
     }
 }
 
@@ -413,46 +430,60 @@
         list(
             version,
             true,
-            &[entry("s-0", "127.0.0.1:1".parse().unwrap(), state, 0, 41)],
+            &[list_entry(
+                "s-0",
+                "127.0.0.1:1".parse().unwrap(),
+                state,
+                0,
+                41,
+            )],
         ) + "\n"
     };
-    let [first, never, last] = [(); 3].map(|()| Gate::new());
-    let mut w = Watching::at(first.addr(), false);
-    w.turn();
+    let [first, never, last] = [(); 3].map(|()| ManualServer::new());
+    let mut fixture = DiscoveryFixture::at(first.addr(), false);
+    fixture.iterate();
     let mut earlier = first.accept();
-    earlier.stream();
+    earlier.begin_stream();
     earlier.chunk(&line(44, "active"));
-    w.until(44, EndpointState::Ready);
-    // The second address takes the connection and says nothing; the third is told before that is over.
-    assert!(w.discovery.change_address(never.addr(), &mut w.context));
-    w.turn();
+    fixture.run_until(44, EndpointState::Ready);
+    // The second address takes the connection and sends nothing; the third comes before that is over.
+    assert!(
+        fixture
+            .discovery
+            .change_address(never.addr(), &mut fixture.context)
+    );
+    fixture.iterate();
     let _unanswered = never.accept();
     earlier.chunk(&line(45, "leaving"));
-    w.until(45, EndpointState::Draining);
-    assert!(w.discovery.change_address(last.addr(), &mut w.context));
-    w.turn();
+    fixture.run_until(45, EndpointState::Draining);
+    assert!(
+        fixture
+            .discovery
+            .change_address(last.addr(), &mut fixture.context)
+    );
+    fixture.iterate();
     let mut later = last.accept();
-    later.stream();
+    later.begin_stream();
     earlier.chunk(&line(46, "active"));
-    w.until(46, EndpointState::Ready);
+    fixture.run_until(46, EndpointState::Ready);
     later.chunk(&line(47, "leaving"));
-    w.until(47, EndpointState::Draining);
-    // The first is left now, and nothing that it tells counts.
+    fixture.run_until(47, EndpointState::Draining);
+    // The first is left now, and nothing that it sends counts.
     let _ = earlier.0.write_all(b"2\r\nxx\r\n");
     later.chunk(&line(48, "active"));
-    w.until(48, EndpointState::Ready);
+    fixture.run_until(48, EndpointState::Ready);
 }
 
 #[test]
 fn a_list_that_is_asked_for_is_waited_for_and_not_asked_for_again_without_cause() {
-    let gate = Gate::new();
-    let mut w = Watching::at(gate.addr(), true);
-    w.turn();
-    let mut watch = gate.accept();
+    let gate = ManualServer::new();
+    let mut fixture = DiscoveryFixture::at(gate.addr(), true);
+    fixture.iterate();
+    let mut stream = gate.accept();
     let line = list(
         44,
         true,
-        &[entry(
+        &[list_entry(
             "s-0",
             "127.0.0.1:1".parse().unwrap(),
             "active",
@@ -461,39 +492,40 @@
         )],
     ) + "\n";
     // Its turn comes late, and then it stands for as long as it shows life.
-    w.context.now = w.context.now + Duration::from_micros(3_000_000);
-    (0..5).for_each(|_| w.turn());
+    fixture.context.now = fixture.context.now + Duration::from_micros(3_000_000);
+    (0..5).for_each(|_| fixture.iterate());
     assert!(
         gate.try_accept().is_none(),
         "given up while it waits for its turn"
     );
-    watch.stream();
-    watch.chunk(&line);
-    w.until(44, EndpointState::Ready);
+    stream.begin_stream();
+    stream.chunk(&line);
+    fixture.run_until(44, EndpointState::Ready);
     for _ in 0..6 {
-        w.context.now = w.context.now + Duration::from_micros(2_000_000);
-        watch.chunk("\n");
-        let heard = w.context.now;
-        while w.discovery.list_confirmed_at() != heard {
-            w.turn();
+        fixture.context.now = fixture.context.now + Duration::from_micros(2_000_000);
+        stream.chunk("\n");
+        let sent_at = fixture.context.now;
+        while fixture.discovery.list_confirmed_at() != sent_at {
+            fixture.iterate();
         }
     }
     assert!(gate.try_accept().is_none(), "asked for again without cause");
     // Silent for longer than between two signs of life: within the six seconds that silence is allowed.
-    let begun = w.context.now;
-    w.opened(&gate);
+    let begun = fixture.context.now;
+    fixture.reconnect(&gate);
     assert!(
-        (Duration::from_millis(2_500)..Duration::from_secs(5)).contains(&(w.context.now - begun)),
+        (Duration::from_millis(2_500)..Duration::from_secs(5))
+            .contains(&(fixture.context.now - begun)),
         "{:?}",
-        w.context.now - begun
+        fixture.context.now - begun
     );
 }
 
 #[test]
-fn fronts_whose_streams_end_together_come_back_apart() {
-    // Told how long each of ten pauses lasts: no two fronts come back together at each try.
+fn instances_whose_streams_end_together_come_back_apart() {
+    // When each of ten pauses ends: no two instances come back together after any of them.
     let comes_back = |seed: u64| {
-        let gate = Gate::new();
+        let gate = ManualServer::new();
         let events: calloop::EventLoop<'static, TurnEvents> =
             calloop::EventLoop::try_new().unwrap();
         let mut context = context(&events);
@@ -533,16 +565,16 @@
 
 #[test]
 fn an_agent_that_comes_back_after_a_silence_is_heard_within_a_second() {
-    let gate = Gate::new();
-    let mut w = Watching::at(gate.addr(), false);
-    w.turn();
+    let gate = ManualServer::new();
+    let mut fixture = DiscoveryFixture::at(gate.addr(), false);
+    fixture.iterate();
     let mut first = gate.accept();
-    first.stream();
+    first.begin_stream();
     first.chunk(
         &(list(
             44,
             true,
-            &[entry(
+            &[list_entry(
                 "s-0",
                 "127.0.0.1:1".parse().unwrap(),
                 "active",
@@ -551,29 +583,29 @@
             )],
         ) + "\n"),
     );
-    w.until(44, EndpointState::Ready);
+    fixture.run_until(44, EndpointState::Ready);
     drop(first);
     // For eight seconds it takes connections and says nothing on any of them.
-    let down = w.context.now + Duration::from_secs(8);
+    let down = fixture.context.now + Duration::from_secs(8);
     let mut silent = Vec::new();
-    while w.context.now < down {
-        w.context.now = w.context.now + Duration::from_micros(20_000);
-        w.turn();
+    while fixture.context.now < down {
+        fixture.context.now = fixture.context.now + Duration::from_micros(20_000);
+        fixture.iterate();
         silent.extend(gate.try_accept());
     }
     // Whatever stands then goes on saying nothing; a new one is answered.
-    let mut back = w.opened(&gate);
+    let mut back = fixture.reconnect(&gate);
     assert!(
-        w.context.now - down < Duration::from_millis(950),
+        fixture.context.now - down < Duration::from_millis(950),
         "{:?}",
-        w.context.now - down
+        fixture.context.now - down
     );
-    back.stream();
+    back.begin_stream();
     back.chunk(
         &(list(
             45,
             false,
-            &[entry(
+            &[list_entry(
                 "s-0",
                 "127.0.0.1:1".parse().unwrap(),
                 "leaving",
@@ -582,5 +614,5 @@
             )],
         ) + "\n"),
     );
-    w.until(45, EndpointState::Draining);
+    fixture.run_until(45, EndpointState::Draining);
 }
--- a/crates/proxy/tests/loopback/main.rs
+++ b/crates/proxy/tests/loopback/main.rs
@@ -1,4 +1,4 @@
-//! The front on loopback sockets, with stand-ins for machines, discovery and the platform; by subject.
+//! The proxy on loopback sockets, with stand-ins for endpoints, discovery and the platform; by subject.
 
 mod clients;
 mod common;
--- a/crates/proxy/tests/loopback/start.rs
+++ b/crates/proxy/tests/loopback/start.rs
@@ -1,4 +1,4 @@
-//! Starting, with good and bad words.
+//! Starting, with good and bad arguments and files.
 
 use std::io::Write;
 use std::process::Command;
@@ -10,17 +10,23 @@
 #[test]
 fn a_bad_configuration_ends_with_one_line() {
     let path = format!("{}/bad.json", env!("CARGO_TARGET_TMPDIR"));
-    std::fs::write(&path, told(&[], 128).replace("\"rules\"", "\"rulez\"")).unwrap();
+    std::fs::write(
+        &path,
+        config_with_endpoints(&[], 128).replace("\"rules\"", "\"rulez\""),
+    )
+    .unwrap();
     for path in [Some(path.as_str()), Some("/nowhere/config.json"), None] {
         let mut command = Command::new(env!("CARGO_BIN_EXE_tidescale"));
         command
             .env_remove("PROXY_CONFIG")
             .envs(path.map(|p| ("PROXY_CONFIG", p)));
         let done = command.output().unwrap();
-        let said = String::from_utf8(done.stderr).unwrap();
+        let stderr = String::from_utf8(done.stderr).unwrap();
         assert!(
-            !done.status.success() && said.lines().count() == 1 && said.starts_with("tidescale: "),
-            "{said}"
+            !done.status.success()
+                && stderr.lines().count() == 1
+                && stderr.starts_with("tidescale: "),
+            "{stderr}"
         );
     }
 }
@@ -34,13 +40,16 @@
         &["memory", "show"],
         &["run", "x"],
     ] {
-        let (code, told, complaint) = tidescale(words);
+        let output = run_tidescale(words);
         assert!(
-            code == Some(2) && told.is_empty() && complaint.lines().count() == 1,
-            "{words:?}: {complaint}"
+            output.exit_code == Some(2)
+                && output.stdout.is_empty()
+                && output.stderr.lines().count() == 1,
+            "{words:?}: {}",
+            output.stderr
         );
     }
-    assert_eq!(tidescale(&["--version"]).0, Some(0));
+    assert_eq!(run_tidescale(&["--version"]).exit_code, Some(0));
 }
 
 #[test]
@@ -74,14 +83,14 @@
 }
 
 #[test]
-fn a_front_whose_log_nobody_reads_serves() {
+fn a_proxy_whose_log_nobody_reads_serves() {
     let (unread, mut full) = std::io::pipe().unwrap();
     // No byte more goes into it.
     rustix::io::ioctl_fionbio(&full, true).unwrap();
     while full.write(&[b'x'; 4096]).is_ok() {}
     rustix::io::ioctl_fionbio(&full, false).unwrap();
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
-    let front = start_logging(&told(&[addr], 128), &[], full);
-    assert_eq!(one_query(front.addr, 1).0, "TDCZ");
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
+    let proxy = start_proxy_logging_to(&config_with_endpoints(&[addr], 128), &[], full);
+    assert_eq!(one_query(proxy.addr, 1).0, "TDCZ");
     drop(unread);
 }
--- a/crates/proxy/tests/loopback/upstream.rs
+++ b/crates/proxy/tests/loopback/upstream.rs
@@ -11,44 +11,70 @@
 #[test]
 fn what_a_machine_does_becomes_the_clients_answer() {
     // What the only machine does first; then it answers -> for a route that may run again, for one that may not.
-    type First = fn() -> Act;
+    type First = fn() -> EndpointAction;
     let table: [(First, &str, &str); 15] = [
-        (|| Act::Row(vec![5]), "TDCZ", "TDCZ"),
-        (|| Act::Error("53300"), "TDCZ", "TDCZ"),
-        (|| Act::Error("XX000"), "TDCZ", "EZ 58000"),
-        (|| Act::Close, "TDCZ", "EZ 58000"),
-        (|| Act::Bytes(b"D\0\0\0\x03"), "TDCZ", "EZ 58000"),
-        (|| Act::Bytes(b"C\0\0\0\x0dSELECT 0\0"), "TDCZ", "EZ 58000"),
+        (|| EndpointAction::Row(vec![5]), "TDCZ", "TDCZ"),
+        (|| EndpointAction::Error("53300"), "TDCZ", "TDCZ"),
+        (|| EndpointAction::Error("XX000"), "TDCZ", "EZ 58000"),
+        (|| EndpointAction::Close, "TDCZ", "EZ 58000"),
+        (|| EndpointAction::Bytes(b"D\0\0\0\x03"), "TDCZ", "EZ 58000"),
+        (
+            || EndpointAction::Bytes(b"C\0\0\0\x0dSELECT 0\0"),
+            "TDCZ",
+            "EZ 58000",
+        ),
         // Noise, a value said to have gigabytes, parts out of order or spoilt: failed at once, and may have run.
-        (|| Act::Bytes(b"\xf7\x03noise"), "TDCZ", "EZ 58000"),
-        (|| Act::Bytes(b"D\xb2\xd0\x5e\0\0\x01"), "TDCZ", "EZ 58000"),
         (
-            || Act::Bytes(b"D\0\0\0\x0b\0\x01\0\0\0\x01\x05"),
+            || EndpointAction::Bytes(b"\xf7\x03noise"),
+            "TDCZ",
+            "EZ 58000",
+        ),
+        (
+            || EndpointAction::Bytes(b"D\xb2\xd0\x5e\0\0\x01"),
+            "TDCZ",
+            "EZ 58000",
+        ),
+        (
+            || EndpointAction::Bytes(b"D\0\0\0\x0b\0\x01\0\0\0\x01\x05"),
             "TDCZ",
             "EZ 58000",
         ),
-        (|| Act::Bytes(b"T\0\0\0\x06\0\x02"), "TDCZ", "EZ 58000"),
-        (|| Act::Bytes(b"E\0\0\0\x08XX00"), "TDCZ", "EZ 58000"),
-        (|| Act::Bytes(b""), "TDCZ", "EZ 58000"),
+        (
+            || EndpointAction::Bytes(b"T\0\0\0\x06\0\x02"),
+            "TDCZ",
+            "EZ 58000",
+        ),
+        (
+            || EndpointAction::Bytes(b"E\0\0\0\x08XX00"),
+            "TDCZ",
+            "EZ 58000",
+        ),
+        (|| EndpointAction::Bytes(b""), "TDCZ", "EZ 58000"),
         // The req's own fault: no other machine is asked.
-        (|| Act::Error("42601"), "EZ 42601", "EZ 42601"),
+        (|| EndpointAction::Error("42601"), "EZ 42601", "EZ 42601"),
         // A good answer stays good, whatever comes behind it; none of that answers what is asked next.
         (
-            || Act::Spoilt(b"vitals\0inflight=\xff\xfe\0", b""),
+            || EndpointAction::RowThen(b"vitals\0inflight=\xff\xfe\0", b""),
             "TDCZ",
             "TDCZ",
         ),
         (
-            || Act::Spoilt(b"vitals\0inflight=7\0", b"\xf7\x03"),
+            || EndpointAction::RowThen(b"vitals\0inflight=7\0", b"\xf7\x03"),
             "TDCZ",
             "TDCZ",
         ),
     ];
     for (i, (act, again, never)) in table.into_iter().enumerate() {
         for (route, wanted) in [("look", again), ("pay", never)] {
-            let (addr, _) = machine(move |n| if n == 0 { act() } else { Act::Row(vec![5]) });
-            let front = start(&told(&[addr], 128));
-            let mut client = Client::open(front.addr);
+            let (addr, _) = start_endpoint(move |n| {
+                if n == 0 {
+                    act()
+                } else {
+                    EndpointAction::Row(vec![5])
+                }
+            });
+            let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
+            let mut client = Client::open(proxy.addr);
             client.send(&[startup(), query(route, 1, 900)].concat());
             assert_eq!(client.answer().0, "RSSSZ");
             let (tags, value) = client.answer();
@@ -69,19 +95,25 @@
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let act = |n| if n < 2 { Act::Row(vec![5]) } else { Act::Close };
-            thread::spawn(move || serve(stream, &Seen::default(), &act));
+            let act = |n| {
+                if n < 2 {
+                    EndpointAction::Row(vec![5])
+                } else {
+                    EndpointAction::Close
+                }
+            };
+            thread::spawn(move || serve(stream, &Notes::default(), &act));
         }
     });
-    let front = start(&told(&[addr], 128));
-    let mut client = Client::open(front.addr);
+    let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
+    let mut client = Client::open(proxy.addr);
     client.send(&startup());
     client.answer();
     let mut ask = |route, id| {
         client.send(&query(route, id, 900));
         client.answer().0
     };
-    // Repeats hide it here, and the front learns of it.
+    // Repeats hide it here, and the proxy learns of it.
     (0..5).for_each(|id| assert_eq!(ask("look", id), "TDCZ"));
     for id in 10..20 {
         assert_eq!(ask("pay", id), "TDCZ", "{id}");
@@ -90,9 +122,9 @@
 
 #[test]
 fn a_report_that_follows_the_answer_is_told_with_it() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
-    let (front, tags) = with_front(
-        &told(&[addr], 128),
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
+    let (proxy, tags) = with_proxy(
+        &config_with_endpoints(&[addr], 128),
         |_| {},
         |addr| {
             let mut client = Client::open(addr);
@@ -101,16 +133,16 @@
         },
     );
     assert_eq!(tags.1, "TDCZ");
-    let status = front.policy.endpoint_status("s-0").unwrap();
+    let status = proxy.policy.endpoint_status("s-0").unwrap();
     assert_eq!((status.reported_load, status.in_flight), (7.0, 0.0));
 }
 
 #[test]
 fn a_build_that_fails_is_voted_back() {
-    let (good, _) = machine(|_| Act::Row(vec![1]));
-    let (bad, _) = machine(|_| Act::Error("XX000"));
-    let (discovery, _) = http(|_| String::new());
-    let (platform, asked) = http(|request| {
+    let (good, _) = start_endpoint(|_| EndpointAction::Row(vec![1]));
+    let (bad, _) = start_endpoint(|_| EndpointAction::Error("XX000"));
+    let (discovery, _) = start_http_server(|_| String::new());
+    let (platform, asked) = start_http_server(|request| {
         if request.starts_with("GET /bulletin ") {
             let event = "event: stage\ndata: version=42&step=1&status=trial&maxWeight=1.0&observedAgoMs=10\n\n";
             return format!(
@@ -125,8 +157,13 @@
             state.len()
         )
     });
-    let front = start(&told_by(&[(good, 41), (bad, 42)], 128, discovery, platform));
-    let mut client = Client::open(front.addr);
+    let proxy = start_proxy(&config_with_control(
+        &[(good, 41), (bad, 42)],
+        128,
+        discovery,
+        platform,
+    ));
+    let mut client = Client::open(proxy.addr);
     client.send(&startup());
     client.answer();
     let begun = Instant::now();
@@ -137,16 +174,20 @@
         .iter()
         .any(|a| a.starts_with("POST / HTTP/1.1\r\n") && a.ends_with(form))
     {
-        assert!(begun.elapsed() < PATIENCE, "{:?}", asked.lock().unwrap());
+        assert!(
+            begun.elapsed() < TEST_TIMEOUT,
+            "{:?}",
+            asked.lock().unwrap()
+        );
         client.send(&query("look", 1, 900));
         client.answer();
     }
 }
 
 /// Known are only machines that let nobody in until told to.
-fn known_only(gate: &Gate, discovery: &Gate) -> String {
-    let (platform, _) = http(|_| String::new());
-    told_by(&[(gate.addr(), 41)], 128, discovery.addr(), platform)
+fn known_only(gate: &ManualServer, discovery: &ManualServer) -> String {
+    let (platform, _) = start_http_server(|_| String::new());
+    config_with_control(&[(gate.addr(), 41)], 128, discovery.addr(), platform)
         .replace("\"connect_timeout\":250.0", "\"connect_timeout\":4000.0")
         .replace(
             "\"target\":500.0,\"deadline\":1200.0",
@@ -168,16 +209,17 @@
         ("active", 0, 42, true),
     ];
     for (state, started, build, moves) in table {
-        let (gate, discovery) = (Gate::new(), Gate::new());
-        let [(other, _), (moved, _)] = [5, 6].map(|value| machine(move |_| Act::Row(vec![value])));
-        let front = start(&known_only(&gate, &discovery));
+        let (gate, discovery) = (ManualServer::new(), ManualServer::new());
+        let [(other, _), (moved, _)] =
+            [5, 6].map(|value| start_endpoint(move |_| EndpointAction::Row(vec![value])));
+        let proxy = start_proxy(&known_only(&gate, &discovery));
         let mut watch = discovery.accept();
-        watch.stream();
-        let [mut first, mut second] = [(); 2].map(|()| Client::admitted(front.addr));
+        watch.begin_stream();
+        let [mut first, mut second] = [(); 2].map(|()| Client::admitted(proxy.addr));
         first.send(&query("look", 1, 8000));
         let mut late = gate.accept();
         late.startup();
-        let listed = entry(
+        let listed = list_entry(
             "s-0",
             if moves { moved } else { gate.addr() },
             state,
@@ -186,7 +228,11 @@
         );
         watch.chunk(&format!(
             "{}\n",
-            list(42, false, &[listed, entry("s-1", other, "active", 0, 41)])
+            list(
+                42,
+                false,
+                &[listed, list_entry("s-1", other, "active", 0, 41)]
+            )
         ));
         // Whoever is served elsewhere shows that the list has been read.
         second.send(&query("look", 2, 8000));
@@ -199,19 +245,19 @@
 
 #[test]
 fn nothing_begins_for_a_client_that_left_while_its_try_connects() {
-    let (gate, discovery) = (Gate::new(), Gate::new());
+    let (gate, discovery) = (ManualServer::new(), ManualServer::new());
     // Nor where a try that is out may not be given up.
     for cancel in ["true", "false"] {
         let config = known_only(&gate, &discovery)
             .replace("\"may_cancel\":true", &format!("\"may_cancel\":{cancel}"));
-        let front = start(&config);
-        let [mut leaves, mut stays] = [(); 2].map(|()| Client::admitted(front.addr));
+        let proxy = start_proxy(&config);
+        let [mut leaves, mut stays] = [(); 2].map(|()| Client::admitted(proxy.addr));
         leaves.send(&query("look", 1, 8000));
         let mut late = gate.accept();
         late.startup();
         drop(leaves);
-        // Answered by the front itself, after it has found that the other has gone.
-        stays.send(&out(|o| postgres::put_query(o, b"")));
+        // Answered by the proxy itself, after it has found that the other has gone.
+        stays.send(&encode(|o| postgres::put_query(o, b"")));
         assert_eq!(stays.answer().0, "IZ");
         late.let_in();
         stays.send(&query("look", 2, 8000));
@@ -230,15 +276,15 @@
 
 #[test]
 fn a_repeat_whose_window_ends_while_it_connects_is_not_written() {
-    let (gate, discovery) = (Gate::new(), Gate::new());
+    let (gate, discovery) = (ManualServer::new(), ManualServer::new());
     let config = known_only(&gate, &discovery).replace(
         "\"pay\",\"idempotency\":\"fragile\",\"target\":500.0,\"deadline\":1000.0",
         "\"pay\",\"idempotency\":\"dedup\",\"key_scope\":\"all\",\"repeat_window\":300.0,\"target\":4000.0,\"deadline\":8000.0",
     );
-    let front = start(&config);
-    let mut client = Client::admitted(front.addr);
+    let proxy = start_proxy(&config);
+    let mut client = Client::admitted(proxy.addr);
     let keyed = "SELECT data FROM facts WHERE code = '7f3a' /* id=1,c=pay,d=8000,k=5c */";
-    client.send(&out(|o| postgres::put_query(o, keyed.as_bytes())));
+    client.send(&encode(|o| postgres::put_query(o, keyed.as_bytes())));
     let mut first = gate.accept();
     first.startup();
     first.let_in();
@@ -252,15 +298,15 @@
     second.let_in();
     // No machine may run it again: the client is told at once.
     assert_eq!(client.answer().0, "EZ");
-    drop(front);
+    drop(proxy);
     assert_eq!(second.query(), None);
 }
 
 #[test]
 fn a_connection_that_is_turned_down_and_then_let_in_takes_no_query() {
-    let (gate, discovery) = (Gate::new(), Gate::new());
-    let front = start(&known_only(&gate, &discovery));
-    let mut client = Client::admitted(front.addr);
+    let (gate, discovery) = (ManualServer::new(), ManualServer::new());
+    let proxy = start_proxy(&known_only(&gate, &discovery));
+    let mut client = Client::admitted(proxy.addr);
     client.send(&query("pay", 1, 900));
     let mut odd = gate.accept();
     odd.startup();
@@ -272,15 +318,15 @@
     assert!(good.query().is_some());
     good.answer(5);
     assert_eq!(client.answer().0, "TDCZ");
-    drop(front);
+    drop(proxy);
     assert_eq!(odd.query(), None);
 }
 
 #[test]
 fn a_second_answer_that_comes_late_is_not_the_next_reqs() {
-    let (gate, discovery) = (Gate::new(), Gate::new());
-    let front = start(&known_only(&gate, &discovery));
-    let mut client = Client::admitted(front.addr);
+    let (gate, discovery) = (ManualServer::new(), ManualServer::new());
+    let proxy = start_proxy(&known_only(&gate, &discovery));
+    let mut client = Client::admitted(proxy.addr);
     client.send(&query("look", 1, 8000));
     let mut kept = gate.accept();
     kept.startup();
