Proxy: who serves the endpoint list is named, not a flag; two log keys by standard words

Discovery::new took a bool; it takes ListSource. The keys of the log's lines: again_ms is reconnect_ms, the vote's answer is its result. Comments say notified.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -17,16 +17,16 @@
 /// Three of the empty lines that come while nothing changes.
 const SILENCE: Duration = Duration::from_millis(6000);
 /// One service for all instances takes few calls a second, and has them wait in turn: whoever gives up early has had the
-/// work done in vain, and asks for it again. What an instance misses counts as told 6 s after its stream has fallen
-/// silent.
-const POLLED_SERVICE: StreamTimeouts = StreamTimeouts {
+/// work done in vain, and asks for it again. An instance counts as notified of what it misses 6 s after its stream has
+/// fallen silent.
+const SHARED_SERVICE: StreamTimeouts = StreamTimeouts {
     silence: Duration::from_millis(3500),
     response_start: Duration::from_millis(4000),
     max_backoff: Duration::from_millis(2000),
     renewal_interval: None,
 };
-/// An agent on this instance's host responds at once and for nothing. After a time of silence what it has got counts as
-/// told at once: a response's start and a backoff together stay under the grace period.
+/// An agent on this instance's host responds at once and for nothing. After a silence the instance counts as notified
+/// at once of all that the agent has got: a response's start and a backoff together stay under the grace period.
 const LOCAL_AGENT: StreamTimeouts = StreamTimeouts {
     response_start: Duration::from_millis(500),
     max_backoff: Duration::from_millis(200),
@@ -35,6 +35,24 @@
 /// What discovery has to send arrives within this, by whichever way.
 const PROPAGATION_TIME: Duration = Duration::from_millis(6000);
 
+/// Who serves the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListSource {
+    /// An agent on this instance's host, which pushes changes.
+    LocalAgent,
+    /// One service for all instances, which has to be asked.
+    SharedService,
+}
+
+impl ListSource {
+    fn timeouts(self) -> StreamTimeouts {
+        match self {
+            ListSource::LocalAgent => LOCAL_AGENT,
+            ListSource::SharedService => SHARED_SERVICE,
+        }
+    }
+}
+
 /// Which list is known, and since when.
 #[derive(Default)]
 struct ListProgress {
@@ -69,9 +87,9 @@
 }
 
 impl Discovery {
-    /// Not open yet. `polled`: the list has to be asked for, of one service for all instances.
-    pub fn new(address: SocketAddr, polled: bool, seed: u64) -> Discovery {
-        let timeouts = if polled { POLLED_SERVICE } else { LOCAL_AGENT };
+    /// Not open yet.
+    pub fn new(address: SocketAddr, source: ListSource, seed: u64) -> Discovery {
+        let timeouts = source.timeouts();
         Discovery {
             stream: PersistentStream::new(Component::EndpointList, address, timeouts, seed),
             list: ListProgress::default(),
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -21,7 +21,7 @@
 use crate::clients::Clients;
 use crate::config::Config;
 use crate::connection::{Component, IoContext, Owner, TurnEvents};
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, ListSource};
 use crate::event_loop::EventLoopError;
 use crate::reload::{self, Reloadable};
 use crate::resource_budget::ConnectionBudget;
@@ -63,6 +63,11 @@
             },
         )?;
         let settings = &config.settings;
+        let list_source = if settings.poll_endpoints {
+            ListSource::SharedService
+        } else {
+            ListSource::LocalAgent
+        };
         let clients = Clients::new(
             &context,
             listener,
@@ -72,7 +77,7 @@
         .map_err(EventLoopError::Listener)?;
         Ok(Proxy {
             upstream: Upstream::new(config.connections.clone(), budget.endpoints),
-            discovery: Discovery::new(config.discovery, settings.poll_endpoints, config.seed),
+            discovery: Discovery::new(config.discovery, list_source, config.seed),
             rollout_status: RolloutStatusStream::new(config.platform, config.seed),
             votes: Votes::new(config.platform, settings.vote_timeout),
             shutdown: Shutdown::new(config.connections.longest_deadline),
@@ -172,7 +177,7 @@
         self.votes.notify_failed_vote(policy);
     }
 
-    /// Notes which sockets have become ready; returns whom to serve for it, clients aside.
+    /// Notes which sockets have become ready; returns whom to serve for it. Clients note that themselves.
     fn note_readiness(&mut self, events: &mut TurnEvents) -> Vec<Owner> {
         let mut ready: Vec<Owner> = Vec::new();
         for (owner, readiness) in events.sockets.drain(..) {
--- a/crates/proxy/src/stream/persistent.rs
+++ b/crates/proxy/src/stream/persistent.rs
@@ -107,7 +107,7 @@
             return true;
         }
         // Open for so long and still nothing delivered, not even that nothing changes: it is as silent as one that has
-        // stopped, and what it misses counts as told before its silence would end it.
+        // stopped, and this instance would count as notified of what it misses before its silence ends it.
         if self.current.is_responding() {
             self.current
                 .close_for_now(&StreamError::NothingDelivered, context);
--- a/crates/proxy/src/stream/reconnecting.rs
+++ b/crates/proxy/src/stream/reconnecting.rs
@@ -150,7 +150,7 @@
     pub(super) fn close_for_now(&mut self, reason: &StreamError, context: &mut IoContext) {
         let pause = self.backoff.next_pause();
         info!(context.log, "stream ended"; "part" => ?self.owner.component,
-            "why" => %reason, "again_ms" => pause.as_millis());
+            "why" => %reason, "reconnect_ms" => pause.as_millis());
         self.state = State::Closed;
         context.deadlines.set(self.owner, context.now + pause);
     }
--- a/crates/proxy/src/votes.rs
+++ b/crates/proxy/src/votes.rs
@@ -233,7 +233,7 @@
 
 fn notify(result: VoteResult, context: &IoContext, policy: &mut Balancer) {
     if !matches!(result, VoteResult::Accepted | VoteResult::Superseded) {
-        info!(context.log, "vote not counted"; "answer" => ?result);
+        info!(context.log, "vote not counted"; "result" => ?result);
     }
     policy.on_vote_result(result);
 }
--- a/crates/proxy/tests/loopback/list.rs
+++ b/crates/proxy/tests/loopback/list.rs
@@ -11,7 +11,7 @@
 use tidescale_proxy::config;
 use tidescale_proxy::connection::{Component, IoContext, Owner, TurnEvents};
 use tidescale_proxy::deadlines::Deadlines;
-use tidescale_proxy::discovery::Discovery;
+use tidescale_proxy::discovery::{Discovery, ListSource};
 use tidescale_proxy::stream::{PersistentStream, ReconnectingStream, StreamTimeouts};
 use tidescale_proxy::upstream::Upstream;
 
@@ -297,12 +297,12 @@
 }
 
 impl DiscoveryFixture {
-    fn at(address: SocketAddr, polled: bool) -> DiscoveryFixture {
+    fn at(address: SocketAddr, source: ListSource) -> DiscoveryFixture {
         let config = config::read(&config_with_endpoints(&[], 128)).ok().unwrap();
         let events = calloop::EventLoop::try_new().unwrap();
         let mut context = context(&events);
         context.now = Timestamp::from_micros(1_000_000);
-        let mut discovery = Discovery::new(address, polled, 7);
+        let mut discovery = Discovery::new(address, source, 7);
         discovery.open(&mut context);
         let upstream = Upstream::new(config.connections.clone(), 8);
         let policy = Balancer::new(config.settings.clone(), 1, Timestamp::ZERO);
@@ -373,7 +373,7 @@
         ) + "\n"
     };
     let [first, second] = [(); 2].map(|()| ManualServer::new());
-    let mut fixture = DiscoveryFixture::at(first.addr(), false);
+    let mut fixture = DiscoveryFixture::at(first.addr(), ListSource::LocalAgent);
     fixture.iterate();
     let mut earlier = first.accept();
     earlier.begin_stream();
@@ -410,7 +410,7 @@
 #[test]
 fn a_stream_that_opens_and_delivers_nothing_at_all_is_opened_again_within_four_seconds() {
     let gate = ManualServer::new();
-    let mut fixture = DiscoveryFixture::at(gate.addr(), false);
+    let mut fixture = DiscoveryFixture::at(gate.addr(), ListSource::LocalAgent);
     fixture.iterate();
     let mut silent = gate.accept();
     silent.begin_stream();
@@ -440,7 +440,7 @@
         ) + "\n"
     };
     let [first, never, last] = [(); 3].map(|()| ManualServer::new());
-    let mut fixture = DiscoveryFixture::at(first.addr(), false);
+    let mut fixture = DiscoveryFixture::at(first.addr(), ListSource::LocalAgent);
     fixture.iterate();
     let mut earlier = first.accept();
     earlier.begin_stream();
@@ -477,7 +477,7 @@
 #[test]
 fn a_list_that_is_asked_for_is_waited_for_and_not_asked_for_again_without_cause() {
     let gate = ManualServer::new();
-    let mut fixture = DiscoveryFixture::at(gate.addr(), true);
+    let mut fixture = DiscoveryFixture::at(gate.addr(), ListSource::SharedService);
     fixture.iterate();
     let mut stream = gate.accept();
     let line = list(
@@ -566,7 +566,7 @@
 #[test]
 fn an_agent_that_comes_back_after_a_silence_is_heard_within_a_second() {
     let gate = ManualServer::new();
-    let mut fixture = DiscoveryFixture::at(gate.addr(), false);
+    let mut fixture = DiscoveryFixture::at(gate.addr(), ListSource::LocalAgent);
     fixture.iterate();
     let mut first = gate.accept();
     first.begin_stream();
