--- a/crates/proxy/tests/loopback/main.rs
+++ b/crates/proxy/tests/loopback/main.rs
@@ -2,9 +2,11 @@
 
 mod clients;
 mod common;
+mod discovery;
 mod files;
 mod list;
 mod reload;
 mod start;
 mod stop;
+mod stream;
 mod upstream;
