--- a/crates/proxy/src/snapshot_writer.rs
+++ b/crates/proxy/src/snapshot_writer.rs
@@ -27,7 +27,7 @@
 use tidescale_snapshot::scheduler::{Budgets, JobId, Scheduler};
 use tidescale_snapshot::store::Store;
 
-use crate::operators::Memory;
+use crate::operators::SnapshotSettings;
 
 use background::{BackgroundWriter, PendingWrite, WriteResult};
 use collector::Collection;
@@ -55,7 +55,7 @@
     /// Locks the directory and starts the thread. Returns the writer and the newest whole snapshot found. None if the
     /// directory cannot be used: the log says why, and the instance serves without snapshots.
     pub fn open(
-        settings: &Memory,
+        settings: &SnapshotSettings,
         now: Timestamp,
         log: Logger,
     ) -> Option<(SnapshotWriter, Option<Snapshot>)> {
@@ -78,10 +78,10 @@
             }
         };
         let budgets = Budgets {
-            time_per_second: Duration::from_micros(settings.time_a_second),
-            bytes_per_second: settings.bytes_a_second,
+            time_per_second: settings.loop_time_per_second,
+            bytes_per_second: settings.bytes_per_second.as_u64(),
         };
-        let interval = Duration::from_micros(settings.every);
+        let interval = settings.write_interval;
         let mut scheduler = Scheduler::new(budgets, now);
         let job = scheduler.add(PRIORITY, now + interval, interval);
         let writer = SnapshotWriter {
@@ -89,7 +89,7 @@
             job,
             collection: Collection::default(),
             background,
-            shutdown_timeout: Duration::from_micros(settings.stop_within),
+            shutdown_timeout: settings.final_write_timeout,
             longest_slice: Duration::ZERO,
             log,
         };
--- a/crates/proxy/tests/loopback/files.rs
+++ b/crates/proxy/tests/loopback/files.rs
@@ -6,7 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::common::{Act, PATIENCE, machine, one_query, start_with, tidescale, told};
+use crate::common::{
+    CommandOutput, EndpointAction, TEST_TIMEOUT, config_with_endpoints, one_query, run_tidescale,
+    start_endpoint, start_proxy_with,
+};
 
 /// What version 1 wrote, and what was printed of it then.
 const VERSION_1_FILE: &[u8] = include_bytes!("../../../snapshot/tests/version-1.memory");
@@ -40,17 +43,17 @@
     let healed_for_endpoint = healed.clone();
     let act = move |_| {
         if healed_for_endpoint.load(Ordering::Relaxed) {
-            Act::Row(vec![5])
+            EndpointAction::Row(vec![5])
         } else {
-            Act::Silence
+            EndpointAction::Silence
         }
     };
-    let (silent, received) = machine(act);
-    let (good, _) = machine(|_| Act::Row(vec![5]));
+    let (silent, received) = start_endpoint(act);
+    let (good, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     let operators = operators_file(&snapshot_directory("silent"), "100 ms");
-    let config = told(&[silent, good], 128);
+    let config = config_with_endpoints(&[silent, good], 128);
     let words = ["run", "--operators", &operators];
-    let instance = start_with(&config, &words);
+    let instance = start_proxy_with(&config, &words);
     let attempts_at_silent = || {
         let queries = received.lock().unwrap();
         queries
@@ -65,12 +68,12 @@
         if attempts_at_silent() > 0 {
             break;
         }
-        assert!(begun.elapsed() < PATIENCE * 4);
+        assert!(begun.elapsed() < TEST_TIMEOUT * 4);
     }
     thread::sleep(Duration::from_millis(1200));
     drop(instance);
     let before = attempts_at_silent();
-    let instance = start_with(&config, &words);
+    let instance = start_proxy_with(&config, &words);
     for id in 1000..1030 {
         let (tags, value) = one_query(instance.addr, id);
         assert_eq!((tags.as_str(), &value[..]), ("TDCZ", &[5][..]));
@@ -88,7 +91,7 @@
             break;
         }
         assert!(
-            begun.elapsed() < PATIENCE * 4,
+            begun.elapsed() < TEST_TIMEOUT * 4,
             "it stays ejected though it has healed"
         );
         thread::sleep(Duration::from_millis(20));
@@ -97,7 +100,7 @@
 
 #[test]
 fn files_that_cannot_be_read_are_set_aside_and_the_instance_serves() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     let newer = [&b"tidemem\n"[..], &[0, 0, 0, 9], &[0; 40]].concat();
     let huge = [
         &b"tidemem\n"[..],
@@ -118,7 +121,10 @@
         std::fs::create_dir_all(&directory).unwrap();
         std::fs::write(format!("{directory}/memory.0"), bytes).unwrap();
         std::fs::create_dir_all(format!("{directory}/memory.1")).unwrap();
-        let instance = start_with(&told(&[addr], 128), &["run", "--operators", &operators]);
+        let instance = start_proxy_with(
+            &config_with_endpoints(&[addr], 128),
+            &["run", "--operators", &operators],
+        );
         assert_eq!(one_query(instance.addr, 1).0, "TDCZ", "{name}");
         let files: Vec<String> = std::fs::read_dir(&directory)
             .unwrap()
@@ -137,36 +143,53 @@
 
 #[test]
 fn the_last_snapshot_is_written_at_sigterm_and_a_second_instance_goes_without() {
-    let (addr, _) = machine(|_| Act::Row(vec![5]));
+    let (addr, _) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     let directory = snapshot_directory("sigterm");
     let operators = operators_file(&directory, "1 h");
     let words = ["run", "--operators", &operators];
-    let mut first = start_with(&told(&[addr], 128), &words);
-    let second = start_with(&told(&[addr], 128), &words);
+    let mut first = start_proxy_with(&config_with_endpoints(&[addr], 128), &words);
+    let second = start_proxy_with(&config_with_endpoints(&[addr], 128), &words);
     for instance in [&first, &second] {
         assert_eq!(one_query(instance.addr, 1).0, "TDCZ");
     }
-    assert_eq!(tidescale(&["snapshot", "check", &directory]).0, Some(1));
     assert_eq!(
-        tidescale(&["snapshot", "clear", &directory]).0,
+        run_tidescale(&["snapshot", "check", &directory]).exit_code,
+        Some(1)
+    );
+    assert_eq!(
+        run_tidescale(&["snapshot", "clear", &directory]).exit_code,
         Some(1),
         "an instance has locked it"
     );
     first.signal("-TERM");
     let begun = Instant::now();
     while first.child.try_wait().unwrap().is_none() {
-        assert!(begun.elapsed() < PATIENCE);
+        assert!(begun.elapsed() < TEST_TIMEOUT);
         thread::sleep(Duration::from_millis(5));
     }
-    let (code, output, _) = tidescale(&["snapshot", "check", &directory]);
+    let CommandOutput {
+        exit_code: code,
+        stdout: output,
+        ..
+    } = run_tidescale(&["snapshot", "check", &directory]);
     assert!(code == Some(0) && output.contains("is whole"), "{output}");
-    let (code, output, _) = tidescale(&["snapshot", "show", "--json", &directory]);
+    let CommandOutput {
+        exit_code: code,
+        stdout: output,
+        ..
+    } = run_tidescale(&["snapshot", "show", "--json", &directory]);
     assert!(
         code == Some(0) && output.contains("\"Machine\""),
         "{output}"
     );
-    assert_eq!(tidescale(&["snapshot", "clear", &directory]).0, Some(0));
-    assert_eq!(tidescale(&["snapshot", "show", &directory]).0, Some(1));
+    assert_eq!(
+        run_tidescale(&["snapshot", "clear", &directory]).exit_code,
+        Some(0)
+    );
+    assert_eq!(
+        run_tidescale(&["snapshot", "show", &directory]).exit_code,
+        Some(1)
+    );
 }
 
 /// A directory with the version-1 file and nothing else.
@@ -182,7 +205,11 @@
     let directory = version_1_directory("json");
     let file = format!("{directory}/memory.0");
     for path in [&directory, &file] {
-        let (code, output, complaint) = tidescale(&["snapshot", "show", "--json", path]);
+        let CommandOutput {
+            exit_code: code,
+            stdout: output,
+            stderr: complaint,
+        } = run_tidescale(&["snapshot", "show", "--json", path]);
         assert_eq!((code, complaint.as_str()), (Some(0), ""));
         assert_eq!(output, VERSION_1_JSON);
     }
@@ -192,19 +219,37 @@
 fn the_commands_old_name_is_a_hidden_alias() {
     let directory = version_1_directory("alias");
     for name in ["snapshot", "memory"] {
-        let (code, output, _) = tidescale(&[name, "show", "--json", &directory]);
+        let CommandOutput {
+            exit_code: code,
+            stdout: output,
+            ..
+        } = run_tidescale(&[name, "show", "--json", &directory]);
         assert_eq!((code, output.as_str()), (Some(0), VERSION_1_JSON), "{name}");
-        let (code, output, _) = tidescale(&[name, "check", &directory]);
+        let CommandOutput {
+            exit_code: code,
+            stdout: output,
+            ..
+        } = run_tidescale(&[name, "check", &directory]);
         assert!(code == Some(0) && output.contains("is whole"), "{output}");
-        let (code, _, complaint) = tidescale(&[name, "show"]);
+        let CommandOutput {
+            exit_code: code,
+            stderr: complaint,
+            ..
+        } = run_tidescale(&[name, "show"]);
         assert_eq!((code, complaint.lines().count()), (Some(2), 1), "{name}");
-        assert_eq!(tidescale(&[name]).0, Some(2), "{name}");
+        assert_eq!(run_tidescale(&[name]).exit_code, Some(2), "{name}");
     }
-    let (_, help, _) = tidescale(&["--help"]);
+    let CommandOutput { stdout: help, .. } = run_tidescale(&["--help"]);
     assert!(
         help.contains("snapshot") && !help.contains("memory"),
         "{help}"
     );
-    assert_eq!(tidescale(&["memory", "clear", &directory]).0, Some(0));
-    assert_eq!(tidescale(&["snapshot", "check", &directory]).0, Some(1));
+    assert_eq!(
+        run_tidescale(&["memory", "clear", &directory]).exit_code,
+        Some(0)
+    );
+    assert_eq!(
+        run_tidescale(&["snapshot", "check", &directory]).exit_code,
+        Some(1)
+    );
 }
--- a/crates/proxy/tests/loopback/main.rs
+++ b/crates/proxy/tests/loopback/main.rs
@@ -1,10 +1,12 @@
-//! The front on loopback sockets, with stand-ins for machines, discovery and the platform; by subject.
+//! The proxy on loopback sockets, with stand-ins for endpoints, discovery and the platform; by subject.
 
 mod clients;
 mod common;
+mod discovery;
 mod files;
 mod list;
 mod reload;
 mod start;
 mod stop;
+mod stream;
 mod upstream;
