--- /dev/null
+++ b/crates/simulation/src/decision_digest.rs
@@ -0,0 +1,147 @@
+//! A digest over every decision of a trial, to compare two versions of the policy.
+//!
+//! Each decision adds the instance's index, a number for its kind and its arguments. What is added, and in which
+//! order, must not change: digests of two commits are compared.
+
+use std::time::Duration;
+
+use tidescale_policy::host::DecisionSink;
+use tidescale_policy::types::{
+    Ballot, EvidenceTest, RollbackVerdict, Timestamp, Vote, whole_micros,
+};
+
+use crate::decisions::InstanceDecisions;
+use crate::digest::Digest;
+
+/// Numbers that tell the kinds of decisions apart in the digest.
+mod decision {
+    pub(super) const ATTEMPT: u64 = 1;
+    pub(super) const CANCEL: u64 = 2;
+    pub(super) const REJECT: u64 = 3;
+    pub(super) const FAIL: u64 = 4;
+    pub(super) const VOTE: u64 = 5;
+    pub(super) const HEALTH_CHECK: u64 = 6;
+    pub(super) const POLL: u64 = 7;
+    pub(super) const WAKE_UP: u64 = 8;
+    pub(super) const ROLLBACK_VERDICT: u64 = 9;
+}
+
+/// Adds each decision to the digest and passes it on.
+pub(crate) struct DigestedDecisions<'a, 'w> {
+    digest: &'a mut Digest,
+    decisions: InstanceDecisions<'a, 'w>,
+}
+
+impl<'a, 'w> DigestedDecisions<'a, 'w> {
+    /// Adds to this digest what is passed on to these decisions.
+    pub(crate) fn new(digest: &'a mut Digest, decisions: InstanceDecisions<'a, 'w>) -> Self {
+        DigestedDecisions { digest, decisions }
+    }
+
+    fn add(&mut self, numbers: &[u64]) {
+        self.digest.add(self.decisions.instance() as u64);
+        for number in numbers {
+            self.digest.add(*number);
+        }
+    }
+
+    fn number_of(&self, endpoint: &str) -> u64 {
+        self.decisions.index_of(endpoint) as u64
+    }
+}
+
+impl DecisionSink for DigestedDecisions<'_, '_> {
+    fn start_attempt(&mut self, request: u64, endpoint: &str, deadline: Timestamp) {
+        let endpoint_number = self.number_of(endpoint);
+        self.add(&[
+            decision::ATTEMPT,
+            request,
+            endpoint_number,
+            deadline.as_micros(),
+        ]);
+        self.decisions.start_attempt(request, endpoint, deadline);
+    }
+
+    fn cancel_attempt(&mut self, request: u64, attempt_index: usize) {
+        self.add(&[decision::CANCEL, request, attempt_index as u64]);
+        self.decisions.cancel_attempt(request, attempt_index);
+    }
+
+    fn reject_request(&mut self, request: u64, retry_after: Duration) {
+        self.add(&[decision::REJECT, request, whole_micros(retry_after)]);
+        self.decisions.reject_request(request, retry_after);
+    }
+
+    fn fail_request(&mut self, request: u64) {
+        self.add(&[decision::FAIL, request]);
+        self.decisions.fail_request(request);
+    }
+
+    fn cast_vote(&mut self, ballot: Ballot) {
+        self.add(&[
+            decision::VOTE,
+            u64::from(ballot.build),
+            u64::from(ballot.stage),
+            number_of_vote(ballot.vote),
+        ]);
+        self.decisions.cast_vote(ballot);
+    }
+
+    fn start_health_check(&mut self, endpoint: &str, deadline: Timestamp) {
+        let endpoint_number = self.number_of(endpoint);
+        self.add(&[
+            decision::HEALTH_CHECK,
+            endpoint_number,
+            deadline.as_micros(),
+        ]);
+        self.decisions.start_health_check(endpoint, deadline);
+    }
+
+    fn poll_endpoints(&mut self) {
+        self.add(&[decision::POLL]);
+        self.decisions.poll_endpoints();
+    }
+
+    fn schedule_wake_up(&mut self, after: Duration) {
+        self.add(&[decision::WAKE_UP, whole_micros(after)]);
+        self.decisions.schedule_wake_up(after);
+    }
+
+    fn report_rollback_verdict(&mut self, verdict: &RollbackVerdict) {
+        self.add(&[
+            decision::ROLLBACK_VERDICT,
+            u64::from(verdict.build),
+            u64::from(verdict.stage),
+            number_of_test(verdict.test),
+            verdict.ejected_endpoints as u64,
+        ]);
+        let evidence = [
+            verdict.candidate.failures,
+            verdict.candidate.outcomes,
+            verdict.baseline.failures,
+            verdict.baseline.outcomes,
+            verdict.score,
+            verdict.bound,
+        ];
+        self.add(&evidence.map(f64::to_bits));
+        self.decisions.report_rollback_verdict(verdict);
+    }
+}
+
+fn number_of_vote(vote: Vote) -> u64 {
+    match vote {
+        Vote::Abstain => 0,
+        Vote::Advance => 1,
+        Vote::Hold => 2,
+        Vote::RollBack => 3,
+    }
+}
+
+fn number_of_test(test: EvidenceTest) -> u64 {
+    match test {
+        EvidenceTest::Failures => 0,
+        EvidenceTest::Slowness => 1,
+        EvidenceTest::Errors => 2,
+        EvidenceTest::FleetSlowdown => 3,
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/delivery.rs
@@ -0,0 +1,197 @@
+//! The host's side that tells an instance what has happened: one step's events, as calls on the policy.
+
+use std::cell::RefCell;
+
+use tidescale_policy::Balancer;
+use tidescale_policy::host::EventSource;
+use tidescale_policy::types::{
+    AttemptOutcome, AttemptResult, EndpointEntry, IncomingRequest, LoadReport,
+};
+
+use crate::clients::ClientRequest;
+use crate::events::{AnswerFlagged, AttemptFinished, Notice};
+use crate::parameters::{REQUEST_DEADLINE, ROUTES};
+use crate::settings::{hardware_class_name, zone_name};
+use crate::world::World;
+
+/// One instance's events of one step. The world is borrowed while they are delivered, and by the decisions
+/// afterwards, never by both at once.
+pub(crate) struct InstanceEvents<'a, 'w> {
+    world: &'a RefCell<&'w mut World>,
+    instance: usize,
+    notices: Vec<Notice>,
+}
+
+impl<'a, 'w> InstanceEvents<'a, 'w> {
+    /// What this instance gets to know now, in order.
+    pub(crate) fn new(
+        world: &'a RefCell<&'w mut World>,
+        instance: usize,
+        notices: Vec<Notice>,
+    ) -> Self {
+        InstanceEvents {
+            world,
+            instance,
+            notices,
+        }
+    }
+}
+
+impl EventSource for InstanceEvents<'_, '_> {
+    fn deliver(&mut self, policy: &mut Balancer) {
+        let mut world = self.world.borrow_mut();
+        let mut delivery = Delivery {
+            world: &mut world,
+            policy,
+            instance: self.instance,
+        };
+        for notice in std::mem::take(&mut self.notices) {
+            delivery.deliver(notice);
+        }
+    }
+}
+
+/// The delivery of one step's events.
+struct Delivery<'a> {
+    world: &'a mut World,
+    policy: &'a mut Balancer,
+    instance: usize,
+}
+
+impl Delivery<'_> {
+    fn deliver(&mut self, notice: Notice) {
+        let now = self.world.now;
+        match notice {
+            Notice::RequestArrived => self.on_request_arrived(),
+            Notice::ClientRetry(retry) => self.send_request(retry.route, true),
+            Notice::AttemptFinished(finished) => self.on_attempt_finished(&finished),
+            Notice::EndpointListed(endpoint) => self.on_endpoint_listed(endpoint),
+            Notice::RolloutAnnounced(announcement) => {
+                self.policy.on_rollout_status(announcement.status(now));
+            }
+            Notice::VoteAnswered(result) => self.policy.on_vote_result(result),
+            Notice::AnswerFlagged(flagged) => {
+                let name = &self.world.fleet.endpoint(flagged.endpoint).name;
+                self.policy.on_answer_flagged(name, now - flagged.sent_at);
+            }
+            Notice::HealthCheckFinished(finished) => {
+                let name = &self.world.fleet.endpoint(finished.endpoint).name;
+                self.policy.on_health_check(name, finished.outcome, None);
+            }
+        }
+    }
+
+    fn on_request_arrived(&mut self) {
+        let pattern = self.world.traffic_pattern();
+        let route = self.world.clients.draw_route(pattern);
+        self.send_request(route, false);
+        let until_next = self.world.clients.draw_next_arrival(self.instance, pattern);
+        let next_at = self.world.now + until_next;
+        self.world
+            .network
+            .queue
+            .notify(next_at, self.instance, Notice::RequestArrived);
+    }
+
+    fn send_request(&mut self, route: usize, is_retry: bool) {
+        let number = self.world.open_request(ClientRequest {
+            instance: self.instance,
+            route,
+            arrived_at: self.world.now,
+            is_retry,
+        });
+        let key = self.world.idempotency_key(number);
+        let request = IncomingRequest {
+            route,
+            idempotency_key: key.as_deref(),
+            time_remaining: REQUEST_DEADLINE,
+            cost_hint: None,
+        };
+        self.policy.on_request(number, request);
+    }
+
+    fn on_attempt_finished(&mut self, finished: &AttemptFinished) {
+        let now = self.world.now;
+        let succeeded = finished.outcome == AttemptOutcome::Succeeded;
+        let Some(effect) = self.world.clients.end_attempt(finished.request, succeeded) else {
+            return;
+        };
+        if self.is_candidate_failure(finished) {
+            self.world.rollout.on_candidate_failure(self.instance, now);
+        }
+        if effect.answers_request {
+            self.on_request_answered(effect.request, finished);
+        }
+        let load_reported = succeeded && self.world.network.draw_load_report_arrives();
+        let load = load_reported.then_some(LoadReport {
+            in_flight: Some(finished.reported_in_flight as f64),
+            queued: None,
+        });
+        let result = AttemptResult {
+            outcome: finished.outcome,
+            duration: now - finished.sent_at,
+            request_finished: effect.request_finished,
+            load,
+        };
+        self.policy
+            .on_attempt_result(finished.request, finished.attempt_index, result);
+    }
+
+    fn is_candidate_failure(&self, finished: &AttemptFinished) -> bool {
+        let failed = matches!(
+            finished.outcome,
+            AttemptOutcome::Failed | AttemptOutcome::TimedOut
+        );
+        failed
+            && self
+                .world
+                .fleet
+                .endpoint(finished.endpoint)
+                .runs_candidate()
+    }
+
+    /// A right answer in time earns; a wrong one may be flagged by the client later.
+    fn on_request_answered(&mut self, request: ClientRequest, finished: &AttemptFinished) {
+        let now = self.world.now;
+        if finished.wrong_answer {
+            self.flag_wrong_answer(finished);
+            return;
+        }
+        let route = &ROUTES[request.route];
+        if now <= request.arrived_at + route.latency_objective {
+            self.world
+                .earnings
+                .add_earned(request.arrived_at, route.priority_weight);
+        }
+    }
+
+    fn flag_wrong_answer(&mut self, finished: &AttemptFinished) {
+        if !self.world.attempts.draw_flagged() {
+            return;
+        }
+        let at = self.world.now + self.world.network.draw_flag_delay();
+        let flagged = AnswerFlagged {
+            endpoint: finished.endpoint,
+            sent_at: finished.sent_at,
+        };
+        self.world
+            .network
+            .queue
+            .notify(at, self.instance, Notice::AnswerFlagged(flagged));
+    }
+
+    fn on_endpoint_listed(&mut self, index: usize) {
+        let endpoint = self.world.fleet.endpoint(index);
+        let zone = zone_name(endpoint.placement.zone);
+        let hardware_class = hardware_class_name(endpoint.placement.hardware_class);
+        self.policy.on_endpoint(EndpointEntry {
+            name: &endpoint.name,
+            zone: &zone,
+            cell: 0,
+            hardware_class: &hardware_class,
+            build: endpoint.build,
+            state: endpoint.state,
+            started_at: endpoint.started_at,
+        });
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/random_stream.rs
@@ -0,0 +1,80 @@
+//! Seeded random draws, each part of the model from a stream of its own, so that one part's draws do not move
+//! another's.
+
+use std::time::Duration;
+
+use oorandom::Rand64;
+use tidescale_policy::types::whole_micros;
+
+/// Numbers of the streams that a trial itself draws from. Callers that draw cases use other numbers.
+pub(crate) mod stream {
+    /// Sizes, rates and times that are fixed before a trial begins.
+    pub(crate) const SET_UP: u64 = 1;
+    /// Arrivals, routes and clients' retries.
+    pub(crate) const ARRIVALS: u64 = 2;
+    /// Costs of attempts.
+    pub(crate) const COSTS: u64 = 3;
+    /// How attempts end.
+    pub(crate) const OUTCOMES: u64 = 4;
+    /// How long messages take, and which of them are lost.
+    pub(crate) const DELAYS: u64 = 5;
+    /// Which endpoints a confounder strikes, and how hard.
+    pub(crate) const CONFOUNDER: u64 = 6;
+}
+
+/// One stream of random draws.
+#[derive(Debug)]
+pub struct RandomStream(Rand64);
+
+impl RandomStream {
+    /// Spreads neighbouring seeds and streams over the generator's 128 bits of state (an odd constant, from the
+    /// golden ratio).
+    const SEED_MULTIPLIER: u128 = 0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835;
+
+    /// `stream` tells the streams of one seed apart.
+    pub fn new(seed: u64, stream: u64) -> RandomStream {
+        let both = u128::from(seed) << 64 | u128::from(stream);
+        RandomStream(Rand64::new(both.wrapping_mul(Self::SEED_MULTIPLIER)))
+    }
+
+    /// Uniform in [0, 1).
+    pub fn uniform(&mut self) -> f64 {
+        self.0.rand_float()
+    }
+
+    /// True with this probability.
+    pub fn happens(&mut self, probability: f64) -> bool {
+        self.uniform() < probability
+    }
+
+    /// Uniform in [`low`, `high`).
+    pub fn between(&mut self, low: f64, high: f64) -> f64 {
+        low + (high - low) * self.uniform()
+    }
+
+    /// Uniform in [`low`, `high`), rounded down to whole microseconds.
+    pub fn duration_between(&mut self, low: Duration, high: Duration) -> Duration {
+        let micros = self.between(whole_micros(low) as f64, whole_micros(high) as f64);
+        Duration::from_micros(micros as u64)
+    }
+
+    /// An index below `count`; 0 where `count` is 0.
+    pub fn index_below(&mut self, count: usize) -> usize {
+        (self.0.rand_u64() % count.max(1) as u64) as usize
+    }
+
+    /// Exponentially distributed with this mean.
+    pub fn exponential(&mut self, mean: f64) -> f64 {
+        /// Keeps the logarithm finite.
+        const SMALLEST: f64 = 1e-12;
+        -mean * (1.0 - self.uniform()).max(SMALLEST).ln()
+    }
+
+    /// A sum of four exponentials: mean 1, standard deviation one half.
+    pub fn cost_factor(&mut self) -> f64 {
+        const TERMS: usize = 4;
+        (0..TERMS)
+            .map(|_| self.exponential(1.0 / TERMS as f64))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/settings.rs
@@ -0,0 +1,76 @@
+//! The settings that an instance is told.
+
+use std::time::Duration;
+
+use tidescale_policy::settings::{Route, Settings};
+
+use crate::case::{SettingsProfile, TrialCase};
+use crate::parameters::{ROUTES, STAGE_CAPS, VOTE_LIFETIME, WARM_UP_START, WARM_UP_TIME, ZONES};
+use crate::rollout::rollback_votes;
+
+/// Votes a second that the platform takes, for each instance: more than any casts.
+const VOTES_PER_SECOND_AND_INSTANCE: usize = 16;
+
+/// Settings of the instance with this index.
+pub(crate) fn instance_settings(case: TrialCase, index: usize) -> Settings {
+    let size = case.size;
+    let strict = case.profile == SettingsProfile::Strict;
+    Settings {
+        instance_index: index as u32,
+        instance_count: size.instances as u32,
+        zone: zone_name(index % ZONES),
+        routes: routes(),
+        poll_endpoints: strict,
+        max_poll_interval: if strict {
+            Duration::from_secs(2)
+        } else {
+            Duration::MAX
+        },
+        cross_zone_price: 0.01,
+        health_checks: true,
+        cancel_attempts: true,
+        hedging: !strict,
+        max_attempts: 4,
+        max_retry_after: Duration::from_secs(1),
+        grace_period: Duration::from_secs(1),
+        warm_up_start: WARM_UP_START,
+        warm_up_time: WARM_UP_TIME,
+        overload_multiple: 2.0,
+        overload_window: Duration::from_millis(1_500),
+        stage_caps: STAGE_CAPS.to_vec(),
+        exposure_allowance: 3.0,
+        exposure_window: Duration::from_secs(4),
+        exposure_by_route: strict,
+        guarded_stages: 1,
+        monotonic_key_builds: strict,
+        automatic_stages: !strict,
+        min_stage_time: Duration::from_millis(1_500),
+        rollback_votes: rollback_votes(size) as u32,
+        votes_per_second: (VOTES_PER_SECOND_AND_INSTANCE * size.instances) as f64,
+        vote_lifetime: VOTE_LIFETIME,
+        vote_timeout: Duration::from_millis(800),
+    }
+}
+
+/// Name of a zone by its index.
+pub(crate) fn zone_name(zone: usize) -> String {
+    format!("z{zone}")
+}
+
+/// Name of a hardware class by its index.
+pub(crate) fn hardware_class_name(hardware_class: usize) -> String {
+    format!("k{hardware_class}")
+}
+
+fn routes() -> Vec<Route> {
+    ROUTES
+        .iter()
+        .enumerate()
+        .map(|(index, route)| Route {
+            name: format!("r{index}"),
+            latency_objective: route.latency_objective,
+            priority_weight: route.priority_weight,
+            idempotency: route.idempotency,
+        })
+        .collect()
+}
