--- /dev/null
+++ b/crates/experiments/src/parquet_table.rs
@@ -0,0 +1,100 @@
+//! Rows of an experiment as a Parquet file: one required column for each figure, one row group.
+
+use std::fs::File;
+use std::path::Path;
+use std::sync::Arc;
+
+use parquet::data_type::{ByteArray, ByteArrayType, DoubleType};
+use parquet::errors::ParquetError;
+use parquet::file::properties::WriterProperties;
+use parquet::file::writer::SerializedFileWriter;
+use parquet::schema::parser::parse_message_type;
+use parquet::schema::types::Type;
+
+use crate::error::ExperimentError;
+
+/// A column; all columns of a table are equally long.
+pub enum Column {
+    /// A column of words.
+    Text {
+        /// Its name.
+        name: &'static str,
+        /// A word for each row.
+        values: Vec<String>,
+    },
+    /// A column of numbers; a figure that a row does not have is NaN.
+    Numbers {
+        /// Its name.
+        name: &'static str,
+        /// A number for each row.
+        values: Vec<f64>,
+    },
+}
+
+impl Column {
+    /// A column with a word of each row.
+    pub fn text<Row>(name: &'static str, rows: &[Row], word: impl Fn(&Row) -> &str) -> Column {
+        let values = rows.iter().map(|row| word(row).to_string()).collect();
+        Column::Text { name, values }
+    }
+
+    /// A column with a number of each row.
+    pub fn numbers<Row>(name: &'static str, rows: &[Row], number: impl Fn(&Row) -> f64) -> Column {
+        let values = rows.iter().map(number).collect();
+        Column::Numbers { name, values }
+    }
+
+    fn declaration(&self) -> String {
+        match self {
+            Column::Text { name, .. } => format!("required binary {name} (UTF8);"),
+            Column::Numbers { name, .. } => format!("required double {name};"),
+        }
+    }
+}
+
+/// Writes a table with these columns, in place of any file of this name.
+///
+/// # Errors
+///
+/// Where the file cannot be written.
+pub fn write(path: &Path, columns: &[Column]) -> Result<(), ExperimentError> {
+    let file = File::create(path).map_err(ExperimentError::at(path))?;
+    write_to(file, columns).map_err(|source| ExperimentError::Table {
+        path: path.to_path_buf(),
+        source,
+    })
+}
+
+fn write_to(file: File, columns: &[Column]) -> Result<(), ParquetError> {
+    let properties = Arc::new(WriterProperties::builder().build());
+    let mut writer = SerializedFileWriter::new(file, Arc::new(schema(columns)?), properties)?;
+    let mut group = writer.next_row_group()?;
+    for column in columns {
+        let mut target = group
+            .next_column()?
+            .ok_or_else(|| ParquetError::General("a column too many".into()))?;
+        match column {
+            Column::Text { values, .. } => {
+                let words: Vec<ByteArray> =
+                    values.iter().map(|word| word.as_str().into()).collect();
+                target
+                    .typed::<ByteArrayType>()
+                    .write_batch(&words, None, None)?;
+            }
+            Column::Numbers { values, .. } => {
+                target
+                    .typed::<DoubleType>()
+                    .write_batch(values, None, None)?;
+            }
+        }
+        target.close()?;
+    }
+    group.close()?;
+    writer.close()?;
+    Ok(())
+}
+
+fn schema(columns: &[Column]) -> Result<Type, ParquetError> {
+    let declarations: String = columns.iter().map(Column::declaration).collect();
+    parse_message_type(&format!("message rows {{ {declarations} }}"))
+}
--- /dev/null
+++ b/crates/experiments/src/restart/configuration.rs
@@ -0,0 +1,131 @@
+//! The files that a proxy instance starts with: its configuration and the operators' file.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value, json};
+
+use crate::error::ExperimentError;
+use crate::stand_ins::Announcement;
+
+/// An entry of the endpoint list, in the words of discovery's protocol.
+pub(super) struct ListedEndpoint<'a> {
+    /// Its name.
+    pub(super) name: &'a str,
+    /// Where it listens.
+    pub(super) address: SocketAddr,
+    /// The build that it runs.
+    pub(super) build: u32,
+    /// `active` or `leaving`.
+    pub(super) state: &'a str,
+}
+
+impl ListedEndpoint<'_> {
+    /// The entry as JSON.
+    pub(super) fn to_json(&self) -> Value {
+        json!({
+            "id": self.name, "addr": self.address.to_string(), "zone": "z1", "kind": "k", "cell": 0,
+            "state": self.state, "weight": 1.0, "started_ms": 0, "image_id": self.build,
+        })
+    }
+}
+
+/// A complete endpoint list as JSON.
+pub(super) fn endpoint_list(entries: &[Value]) -> Value {
+    json!({"version": 7, "full": true, "servers": entries})
+}
+
+/// What is told to a proxy instance of a small deployment.
+pub(super) struct Configuration<'a> {
+    /// Where it listens.
+    pub(super) listen: SocketAddr,
+    /// Where discovery is.
+    pub(super) discovery: SocketAddr,
+    /// Where the platform is.
+    pub(super) platform: SocketAddr,
+    /// The endpoints that it knows at its start.
+    pub(super) known_endpoints: &'a Value,
+    /// The rollout's state that it knows at its start.
+    pub(super) announcement: Announcement,
+    /// Seed of its draws.
+    pub(super) seed: u64,
+}
+
+impl Configuration<'_> {
+    /// Writes the configuration file into this folder and returns its path.
+    pub(super) fn write(&self, dir: &Path) -> Result<PathBuf, ExperimentError> {
+        let path = dir.join("config.json");
+        fs::write(&path, self.to_json().to_string()).map_err(ExperimentError::at(&path))?;
+        Ok(path)
+    }
+
+    fn to_json(&self) -> Value {
+        let Announcement {
+            build,
+            stage,
+            status,
+            traffic_cap,
+            age_ms,
+        } = self.announcement;
+        json!({
+            "name": "n0",
+            "listen": self.listen.to_string(),
+            "discovery": self.discovery.to_string(),
+            "seed": format!("{:x}", self.seed),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "pipeline": {
+                "address": self.platform.to_string(),
+                "news": {"version": build, "step": stage, "status": status, "maxWeight": traffic_cap,
+                    "observedAgoMs": age_ms},
+            },
+            "known": self.known_endpoints,
+            "settings": settings(),
+        })
+    }
+}
+
+/// The settings, with one route and times in milliseconds.
+fn settings() -> Value {
+    json!({
+        "me": 0, "balancers": 1, "zone": "z1", "zones": ["z1"], "parties": [],
+        "classes": [{"name": "look", "idempotency": "retryable", "target": 200.0, "deadline": 1200.0,
+            "value": 1.0}],
+        "membership_mode": "push",
+        "tariffs": {"cross_zone": 0.0},
+        "stats": {"how": "piggyback", "names": ["inflight"]},
+        "policy_limits": {"probes": true, "may_cancel": true, "second_copies": true, "max_attempts": 3,
+            "retry_after": true, "max_retry_after": 1000.0, "conn_idle": 5000.0, "connect_timeout": 250.0},
+        "rules": {"drain_grace": 500.0, "cold_from": 0.3, "cold": 4000.0, "fall_multiple": 2.0, "fall": 1500.0},
+        "family_info": {"stage_cap": [0.1, 0.5, 1.0], "allowance": 3.0, "exposure_window": 4000.0,
+            "counted_by": "all", "guarded_stages": 0, "forward_only": false, "gate_mode": "automatic",
+            "min_dwell": 1000.0, "to_abort": 1, "api_rate": 100.0, "vote_life": 5000.0, "vote_wait": 400.0},
+    })
+}
+
+/// Where and how often an instance saves its snapshot.
+pub(super) struct SnapshotSettings<'a> {
+    /// The folder.
+    pub(super) folder: &'a Path,
+    /// Time between two saves, as the operators' file writes it.
+    pub(super) interval: &'a str,
+    /// Time for the last save at shutdown, as the operators' file writes it; the default where none is named.
+    pub(super) stop_within: Option<&'a str>,
+}
+
+impl SnapshotSettings<'_> {
+    /// Writes the operators' file into this folder and returns its path.
+    pub(super) fn write(&self, dir: &Path) -> Result<PathBuf, ExperimentError> {
+        let mut text = format!(
+            "[memory]\nfolder = \"{}\"\nevery = \"{}\"\n",
+            self.folder.display(),
+            self.interval
+        );
+        if let Some(stop_within) = self.stop_within {
+            text += &format!("stop_within = \"{stop_within}\"\n");
+        }
+        let path = dir.join("operators.toml");
+        fs::write(&path, text).map_err(ExperimentError::at(&path))?;
+        Ok(path)
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/restart/mod.rs
@@ -0,0 +1,200 @@
+//! `restart`: a proxy instance killed under load and started again, with and without its snapshot, against stand-ins on
+//! loopback; and what snapshots of several sizes cost.
+
+mod configuration;
+mod instance;
+mod load;
+mod report;
+mod run;
+mod scenario;
+mod snapshot_cost;
+
+use std::fs;
+use std::path::PathBuf;
+
+use clap::Args;
+use rayon::prelude::*;
+
+use crate::error::ExperimentError;
+use report::Report;
+use run::{RunPlan, RunRow};
+use scenario::{RestartKind, Scenario};
+use snapshot_cost::SnapshotCost;
+
+/// Endpoints that the snapshots whose cost is measured know of.
+const SNAPSHOT_SIZES: [usize; 3] = [10, 400, 5000];
+/// Windows after the restart in which answers are counted, in seconds.
+const WINDOWS: [u64; 3] = [1, 3, 10];
+
+/// A bound on what a snapshot may do to the answers of a scenario.
+struct Bound {
+    scenario: Scenario,
+    /// Index into [`WINDOWS`].
+    window: usize,
+    /// The share within the objective must be higher by this than without a snapshot.
+    least_gain: f64,
+}
+
+/// A snapshot helps where there is trouble, and costs little where it is over.
+const BOUNDS: [Bound; 3] = [
+    Bound {
+        scenario: Scenario::Trouble,
+        window: 0,
+        least_gain: 0.0,
+    },
+    Bound {
+        scenario: Scenario::Healed,
+        window: 2,
+        least_gain: -0.03,
+    },
+    Bound {
+        scenario: Scenario::BadBuild,
+        window: 2,
+        least_gain: -0.03,
+    },
+];
+
+/// Arguments of `restart`.
+#[derive(Args)]
+pub struct RestartArgs {
+    /// Runs of each scenario, with and without a snapshot each; none measures the cost of snapshots alone.
+    #[arg(long, default_value_t = 5)]
+    runs: u64,
+    /// Seed of the first run; the others count on from it.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Folder for the tables and charts.
+    #[arg(long)]
+    out: PathBuf,
+    /// The proxy's program; the `tidescale` beside this one where none is named.
+    #[arg(long = "front")]
+    proxy: Option<PathBuf>,
+    /// Runs at a time.
+    #[arg(long, default_value_t = 4)]
+    lanes: usize,
+}
+
+/// What all runs need.
+struct Environment {
+    /// The proxy's program.
+    program: PathBuf,
+    /// Folder for their files, removed at the end.
+    dir: PathBuf,
+}
+
+/// Runs the scenarios, measures the cost of snapshots, writes the files and returns the summary line.
+///
+/// # Errors
+///
+/// Where a run fails, a file cannot be written, or a bound is broken.
+pub fn run(args: &RestartArgs) -> Result<String, ExperimentError> {
+    let environment = Environment {
+        program: proxy_program(args)?,
+        dir: std::env::temp_dir().join(format!("tidescale-restart-{}", std::process::id())),
+    };
+    fs::create_dir_all(&args.out).map_err(ExperimentError::at(&args.out))?;
+    let plans = plan_runs(args);
+    let rows = run_all(&plans, args.lanes, &environment)?;
+    let mut costs = Vec::new();
+    for (index, endpoints) in SNAPSHOT_SIZES.into_iter().enumerate() {
+        let address_number = (plans.len() + index) as u64;
+        costs.push(SnapshotCost::measure(
+            endpoints,
+            address_number,
+            &environment,
+        )?);
+    }
+    // What is left of the files does no harm, and must not hide the result.
+    let _ = fs::remove_dir_all(&environment.dir);
+    let report = Report {
+        rows: &rows,
+        costs: &costs,
+    };
+    report.write(&args.out)?;
+    check_bounds(&report)?;
+    Ok(summary(&report))
+}
+
+fn proxy_program(args: &RestartArgs) -> Result<PathBuf, ExperimentError> {
+    if let Some(program) = &args.proxy {
+        return Ok(program.clone());
+    }
+    let this = std::env::current_exe().map_err(ExperimentError::in_step("find this program"))?;
+    Ok(this.with_file_name("tidescale"))
+}
+
+/// Every scenario with each seed, without a snapshot and with one.
+fn plan_runs(args: &RestartArgs) -> Vec<RunPlan> {
+    let mut plans = Vec::new();
+    for index in 0..args.runs {
+        for scenario in Scenario::ALL {
+            for kind in RestartKind::ALL {
+                plans.push(RunPlan {
+                    number: plans.len() as u64,
+                    scenario,
+                    kind,
+                    seed: args.seed + index,
+                });
+            }
+        }
+    }
+    plans
+}
+
+fn run_all(
+    plans: &[RunPlan],
+    threads: usize,
+    environment: &Environment,
+) -> Result<Vec<RunRow>, ExperimentError> {
+    let pool = rayon::ThreadPoolBuilder::new()
+        .num_threads(threads)
+        .build()
+        .map_err(|source| ExperimentError::ThreadPool { threads, source })?;
+    pool.install(|| {
+        plans
+            .par_iter()
+            .map(|plan| run::run(plan, environment))
+            .collect()
+    })
+}
+
+/// Holds the runs against the bounds: nothing at a draining endpoint, and [`BOUNDS`].
+fn check_bounds(report: &Report) -> Result<(), ExperimentError> {
+    let runs = report
+        .rows
+        .iter()
+        .filter(|row| row.attempts_at_draining > 0.0)
+        .count();
+    if runs > 0 {
+        return Err(ExperimentError::DrainingEndpointUsed { runs });
+    }
+    for bound in &BOUNDS {
+        let share = |kind| {
+            report.median_of(bound.scenario, kind, |row| {
+                row.within_objective[bound.window]
+            })
+        };
+        let with = share(RestartKind::WithSnapshot);
+        let without = share(RestartKind::WithoutSnapshot);
+        if with < without + bound.least_gain {
+            return Err(ExperimentError::SnapshotDoesNotHelp {
+                scenario: bound.scenario.name(),
+                with,
+                without,
+            });
+        }
+    }
+    Ok(())
+}
+
+fn summary(report: &Report) -> String {
+    let first_second =
+        |kind| report.median_of(Scenario::Trouble, kind, |row| row.within_objective[0]);
+    format!(
+        "restart: {} plays, within objective in the first second under trouble {:.3} with memory, {:.3} without; \
+         no try at a draining machine",
+        report.rows.len(),
+        first_second(RestartKind::WithSnapshot),
+        first_second(RestartKind::WithoutSnapshot)
+    )
+}
--- /dev/null
+++ b/crates/experiments/src/restart/report.rs
@@ -0,0 +1,231 @@
+//! The runs as rows, tables and charts.
+
+use std::fs;
+use std::path::Path;
+
+use super::run::RunRow;
+use super::scenario::{RestartKind, Scenario};
+use super::snapshot_cost::SnapshotCost;
+use crate::bar_chart::{BarChart, Series};
+use crate::error::ExperimentError;
+use crate::parquet_table::{self, Column};
+
+/// Smaller figures than this are written with three decimals, others with none.
+const DECIMALS_BELOW: f64 = 10.0;
+
+const COST_TABLE_HEAD: &str = "\n| machines | bytes | encode ms | decode ms | up with ms | up without ms | longest slice us | longest turn us with | without |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n";
+
+/// A figure of a run, and its line in the table.
+struct Figure {
+    name: &'static str,
+    of: fn(&RunRow) -> f64,
+}
+
+const FIGURES: [Figure; 10] = [
+    Figure {
+        name: "within objective, 1 s",
+        of: |row| row.within_objective[0],
+    },
+    Figure {
+        name: "within objective, 3 s",
+        of: |row| row.within_objective[1],
+    },
+    Figure {
+        name: "within objective, 10 s",
+        of: |row| row.within_objective[2],
+    },
+    Figure {
+        name: "tries at the slow machine",
+        of: |row| row.attempts_at_slow,
+    },
+    Figure {
+        name: "tries at the silent one",
+        of: |row| row.attempts_at_unresponsive,
+    },
+    Figure {
+        name: "tries at the draining one",
+        of: |row| row.attempts_at_draining,
+    },
+    Figure {
+        name: "tries at the build on trial",
+        of: |row| row.attempts_at_candidate,
+    },
+    Figure {
+        name: "ms until voted back",
+        of: |row| row.rollback_vote_ms,
+    },
+    Figure {
+        name: "part of the once slow machine, last 5 s",
+        of: |row| row.slow_endpoint_share,
+    },
+    Figure {
+        name: "ms until it serves",
+        of: |row| row.start_up_ms,
+    },
+];
+
+/// All that was measured.
+pub(super) struct Report<'a> {
+    /// The runs.
+    pub(super) rows: &'a [RunRow],
+    /// The cost of snapshots.
+    pub(super) costs: &'a [SnapshotCost],
+}
+
+impl Report<'_> {
+    /// Prints the tables, and writes them, the rows and the charts into this folder.
+    pub(super) fn write(&self, out: &Path) -> Result<(), ExperimentError> {
+        self.write_rows(&out.join("rows.parquet"))?;
+        let text = self.figure_table() + &self.cost_table();
+        let tables = out.join("tables.md");
+        fs::write(&tables, &text).map_err(ExperimentError::at(&tables))?;
+        print!("{text}");
+        self.write_answers_chart(&out.join("within.svg"))?;
+        self.write_votes_chart(&out.join("found.svg"))
+    }
+
+    /// The median of a figure over the runs of a scenario that have it; NaN where none has.
+    pub(super) fn median_of(
+        &self,
+        scenario: Scenario,
+        kind: RestartKind,
+        figure: impl Fn(&RunRow) -> f64,
+    ) -> f64 {
+        let mut values: Vec<f64> = self
+            .rows
+            .iter()
+            .filter(|row| row.scenario == scenario && row.kind == kind)
+            .map(figure)
+            .filter(|value| value.is_finite())
+            .collect();
+        values.sort_unstable_by(f64::total_cmp);
+        values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+    }
+
+    fn write_rows(&self, path: &Path) -> Result<(), ExperimentError> {
+        let rows = self.rows;
+        let columns = [
+            Column::text("case_name", rows, |row| row.scenario.name()),
+            Column::numbers("seed", rows, |row| row.seed as f64),
+            Column::numbers("remembers", rows, |row| {
+                f64::from(row.kind == RestartKind::WithSnapshot)
+            }),
+            Column::numbers("within_1s", rows, |row| row.within_objective[0]),
+            Column::numbers("within_3s", rows, |row| row.within_objective[1]),
+            Column::numbers("within_10s", rows, |row| row.within_objective[2]),
+            Column::numbers("tries_slow", rows, |row| row.attempts_at_slow),
+            Column::numbers("tries_silent", rows, |row| row.attempts_at_unresponsive),
+            Column::numbers("tries_draining", rows, |row| row.attempts_at_draining),
+            Column::numbers("tries_on_trial", rows, |row| row.attempts_at_candidate),
+            Column::numbers("found_ms", rows, |row| row.rollback_vote_ms),
+            Column::numbers("share_of_healed", rows, |row| row.slow_endpoint_share),
+            Column::numbers("up_ms", rows, |row| row.start_up_ms),
+        ];
+        parquet_table::write(path, &columns)
+    }
+
+    /// A line for each figure: its medians by scenario, without and with a snapshot.
+    fn figure_table(&self) -> String {
+        let headings: Vec<String> = Scenario::ALL
+            .iter()
+            .map(|scenario| format!("{0}, without | {0}, with |", scenario.name()))
+            .collect();
+        let mut text = format!("| medians | {}\n", headings.join(" "));
+        text += &format!("| --- |{}\n", " ---: |".repeat(2 * Scenario::ALL.len()));
+        for figure in &FIGURES {
+            text += &format!("| {} |", figure.name);
+            for scenario in Scenario::ALL {
+                for kind in RestartKind::ALL {
+                    let median = self.median_of(scenario, kind, figure.of);
+                    text += &table_cell(median);
+                }
+            }
+            text.push('\n');
+        }
+        text
+    }
+
+    fn cost_table(&self) -> String {
+        let mut text = COST_TABLE_HEAD.to_string();
+        for cost in self.costs {
+            text += &format!(
+                "| {} | {:.0} | {:.2} | {:.2} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} |\n",
+                cost.endpoints,
+                cost.bytes,
+                cost.encode_ms,
+                cost.decode_ms,
+                cost.start_up_with_ms,
+                cost.start_up_without_ms,
+                cost.longest_slice_us,
+                cost.longest_iteration_with_us,
+                cost.longest_iteration_without_us
+            );
+        }
+        text
+    }
+
+    /// Shares within the objective, by scenario and window.
+    fn write_answers_chart(&self, path: &Path) -> Result<(), ExperimentError> {
+        let medians = |kind| {
+            let mut values = Vec::new();
+            for scenario in Scenario::ALL {
+                for window in 0..super::WINDOWS.len() {
+                    values.push(self.median_of(scenario, kind, |row| row.within_objective[window]));
+                }
+            }
+            values
+        };
+        let chart = BarChart {
+            title: "Reqs within their objective after a restart",
+            groups: &[
+                "trouble 1 s",
+                "3 s",
+                "10 s",
+                "healed 1 s",
+                "3 s",
+                "10 s",
+                "bad build 1 s",
+                "3 s",
+                "10 s",
+            ],
+            series: &without_and_with(medians),
+            maximum: 1.05,
+        };
+        chart.write(path)
+    }
+
+    /// Times to the first rollback vote.
+    fn write_votes_chart(&self, path: &Path) -> Result<(), ExperimentError> {
+        let median = |kind| self.median_of(Scenario::BadBuild, kind, |row| row.rollback_vote_ms);
+        let chart = BarChart {
+            title: "ms until a bad build that was known is voted back",
+            groups: &["bad build"],
+            series: &without_and_with(|kind| vec![median(kind)]),
+            maximum: median(RestartKind::WithoutSnapshot).max(median(RestartKind::WithSnapshot))
+                * 1.2,
+        };
+        chart.write(path)
+    }
+}
+
+/// The two series of a chart.
+fn without_and_with(values: impl Fn(RestartKind) -> Vec<f64>) -> [Series<'static>; 2] {
+    [
+        Series {
+            name: "without memory",
+            values: values(RestartKind::WithoutSnapshot),
+        },
+        Series {
+            name: "with memory",
+            values: values(RestartKind::WithSnapshot),
+        },
+    ]
+}
+
+fn table_cell(value: f64) -> String {
+    if !value.is_finite() {
+        return " - |".to_string();
+    }
+    let decimals = if value < DECIMALS_BELOW { 3 } else { 0 };
+    format!(" {value:.decimals$} |")
+}
--- /dev/null
+++ b/crates/experiments/src/restart/run.rs
@@ -0,0 +1,325 @@
+//! One run: an instance under load, killed and started again, and what came of the requests after that.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use oorandom::Rand64;
+
+use super::configuration::{Configuration, ListedEndpoint, SnapshotSettings, endpoint_list};
+use super::instance::{Launch, ProxyInstance, own_address};
+use super::load::Load;
+use super::scenario::{
+    CANDIDATE_ENDPOINTS, DRAINING_ENDPOINT, ENDPOINTS, RestartKind, SLOW_ENDPOINT, Scenario,
+    UNRESPONSIVE_ENDPOINT,
+};
+use super::{Environment, WINDOWS};
+use crate::error::ExperimentError;
+use crate::stand_ins::{Behavior, ClientAnswer, StandInEndpoint, StandInPlatform, start_discovery};
+
+/// An answer counts if it comes within this time; the route's objective in the instance's settings.
+const OBJECTIVE: Duration = Duration::from_millis(200);
+/// Time under load before the kill.
+const BEFORE_KILL: Duration = Duration::from_secs(7);
+/// The kill comes later by less than this, by the seed.
+const KILL_JITTER_MS: u64 = 400;
+/// Time under load after the restart.
+const AFTER_RESTART: Duration = Duration::from_secs(10);
+/// Mean time of an answer of a healthy endpoint.
+const HEALTHY_DELAY_MS: u64 = 16;
+/// Mean time of an answer of the slow one: over the objective.
+const SLOW_DELAY_MS: u64 = 320;
+/// Of a hundred requests, so many fail at the candidate.
+const CANDIDATE_ERRORS_PERCENT: u64 = 8;
+
+/// What is run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct RunPlan {
+    /// Number among all runs, for addresses and folders of its own.
+    pub(super) number: u64,
+    /// What happens.
+    pub(super) scenario: Scenario,
+    /// Whether the instance saves a snapshot and starts with it.
+    pub(super) kind: RestartKind,
+    /// Seed of the instance and of the time of the kill.
+    pub(super) seed: u64,
+}
+
+/// What came of a run. Figures that its scenario does not have are NaN.
+pub(super) struct RunRow {
+    /// What happened.
+    pub(super) scenario: Scenario,
+    /// Seed of the run.
+    pub(super) seed: u64,
+    /// Whether the instance started with a snapshot.
+    pub(super) kind: RestartKind,
+    /// For each of [`WINDOWS`], share of its requests answered within the objective.
+    pub(super) within_objective: [f64; WINDOWS.len()],
+    /// Attempts at the slow endpoint after the restart.
+    pub(super) attempts_at_slow: f64,
+    /// Attempts at the endpoint that does not answer.
+    pub(super) attempts_at_unresponsive: f64,
+    /// Attempts at the draining endpoint.
+    pub(super) attempts_at_draining: f64,
+    /// Attempts at the build under evaluation.
+    pub(super) attempts_at_candidate: f64,
+    /// Milliseconds from the restart to the first vote to roll the bad build back.
+    pub(super) rollback_vote_ms: f64,
+    /// Attempts at the once slow endpoint in the second half of the time, against an even part.
+    pub(super) slow_endpoint_share: f64,
+    /// Milliseconds until the restarted instance listened.
+    pub(super) start_up_ms: f64,
+}
+
+/// Runs a plan.
+pub(super) fn run(plan: &RunPlan, environment: &Environment) -> Result<RunRow, ExperimentError> {
+    let bench = Bench::set_up(*plan, environment)?;
+    let first_life = bench.start_instance(environment)?;
+    let load = Load::start(bench.listen, plan.scenario);
+    bench.run_until_kill();
+    drop(first_life);
+    bench.heal();
+    let measured = bench.measure_restart(environment, load)?;
+    // What is left of the folder does no harm, and must not hide the result.
+    let _ = fs::remove_dir_all(&bench.dir);
+    Ok(bench.row(&measured))
+}
+
+/// Everything around the instance.
+struct Bench {
+    plan: RunPlan,
+    endpoints: Vec<StandInEndpoint>,
+    platform: StandInPlatform,
+    listen: SocketAddr,
+    dir: PathBuf,
+    configuration: PathBuf,
+    operators_file: PathBuf,
+}
+
+/// What was measured after the restart.
+struct Measured {
+    restarted_at: Instant,
+    start_up_time: Duration,
+    answers: Vec<ClientAnswer>,
+    first_rollback_vote: Option<Instant>,
+    /// By endpoint, requests up to the kill, the middle of the time after it, and its end.
+    requests_at_kill: Vec<f64>,
+    requests_halfway: Vec<f64>,
+    requests_at_end: Vec<f64>,
+}
+
+impl Bench {
+    fn set_up(plan: RunPlan, environment: &Environment) -> Result<Bench, ExperimentError> {
+        let start_stand_in = ExperimentError::in_step;
+        let scenario = plan.scenario;
+        let dir = environment.dir.join(format!("run-{}", plan.number));
+        fs::create_dir_all(&dir).map_err(ExperimentError::at(&dir))?;
+        let endpoints = start_endpoints(scenario)?;
+        let list = endpoint_list(&list_entries(scenario, &endpoints));
+        let discovery =
+            start_discovery(&list.to_string()).map_err(start_stand_in("start discovery"))?;
+        let platform = StandInPlatform::start(scenario.announcement())
+            .map_err(start_stand_in("start the platform"))?;
+        let listen = own_address(plan.number)?;
+        let configuration = Configuration {
+            listen,
+            discovery,
+            platform: platform.address,
+            known_endpoints: &list,
+            announcement: scenario.announcement(),
+            seed: plan.seed,
+        };
+        let snapshot = SnapshotSettings {
+            folder: &dir.join("memory"),
+            interval: "500 ms",
+            stop_within: None,
+        };
+        Ok(Bench {
+            plan,
+            endpoints,
+            platform,
+            listen,
+            configuration: configuration.write(&dir)?,
+            operators_file: snapshot.write(&dir)?,
+            dir,
+        })
+    }
+
+    fn start_instance(&self, environment: &Environment) -> Result<ProxyInstance, ExperimentError> {
+        let operators_file = match self.plan.kind {
+            RestartKind::WithoutSnapshot => None,
+            RestartKind::WithSnapshot => Some(self.operators_file.clone()),
+        };
+        ProxyInstance::start(&Launch {
+            program: &environment.program,
+            configuration: &self.configuration,
+            operators_file,
+            listen: self.listen,
+        })
+    }
+
+    fn is_bad_build(&self) -> bool {
+        self.plan.scenario == Scenario::BadBuild
+    }
+
+    fn behavior(&self, endpoint: usize) -> &Behavior {
+        &self.endpoints[endpoint].behavior
+    }
+
+    /// Lets the instance learn its baselines, then one endpoint falls silent.
+    fn run_until_kill(&self) {
+        let mut random = Rand64::new(u128::from(self.plan.seed));
+        let jitter = Duration::from_millis(random.rand_u64() % KILL_JITTER_MS);
+        thread::sleep(BEFORE_KILL / 2 + jitter);
+        if !self.is_bad_build() {
+            let unresponsive = &self.behavior(UNRESPONSIVE_ENDPOINT).unresponsive;
+            unresponsive.store(true, Relaxed);
+        }
+        thread::sleep(BEFORE_KILL / 2);
+    }
+
+    /// Where the scenario says so, the trouble ends while the instance is down.
+    fn heal(&self) {
+        if self.plan.scenario == Scenario::Healed {
+            let slow = self.behavior(SLOW_ENDPOINT);
+            slow.delay_ms.store(HEALTHY_DELAY_MS, Relaxed);
+            let unresponsive = self.behavior(UNRESPONSIVE_ENDPOINT);
+            unresponsive.unresponsive.store(false, Relaxed);
+        }
+    }
+
+    fn measure_restart(
+        &self,
+        environment: &Environment,
+        load: Load,
+    ) -> Result<Measured, ExperimentError> {
+        let requests_at_kill = self.count_requests();
+        self.platform.forget_votes();
+        let second_life = self.start_instance(environment)?;
+        let restarted_at = Instant::now();
+        thread::sleep(AFTER_RESTART / 2);
+        let requests_halfway = self.count_requests();
+        thread::sleep(AFTER_RESTART / 2);
+        let requests_at_end = self.count_requests();
+        Ok(Measured {
+            restarted_at,
+            start_up_time: second_life.start_up_time,
+            answers: load.stop()?,
+            first_rollback_vote: self.platform.first_rollback_vote(),
+            requests_at_kill,
+            requests_halfway,
+            requests_at_end,
+        })
+    }
+
+    /// By endpoint, requests that have come so far.
+    fn count_requests(&self) -> Vec<f64> {
+        self.endpoints
+            .iter()
+            .map(|endpoint| endpoint.behavior.requests.load(Relaxed) as f64)
+            .collect()
+    }
+
+    fn row(&self, measured: &Measured) -> RunRow {
+        let bad_build = self.is_bad_build();
+        let in_trouble = |figure: f64| if bad_build { f64::NAN } else { figure };
+        let candidate: f64 = (0..CANDIDATE_ENDPOINTS)
+            .map(|endpoint| measured.attempts_at(endpoint))
+            .sum();
+        RunRow {
+            scenario: self.plan.scenario,
+            seed: self.plan.seed,
+            kind: self.plan.kind,
+            within_objective: WINDOWS.map(|seconds| measured.within_objective(seconds)),
+            attempts_at_slow: in_trouble(measured.attempts_at(SLOW_ENDPOINT)),
+            attempts_at_unresponsive: in_trouble(measured.attempts_at(UNRESPONSIVE_ENDPOINT)),
+            attempts_at_draining: in_trouble(measured.attempts_at(DRAINING_ENDPOINT)),
+            attempts_at_candidate: if bad_build { candidate } else { f64::NAN },
+            rollback_vote_ms: measured.first_rollback_vote.map_or(f64::NAN, |voted_at| {
+                milliseconds(voted_at.saturating_duration_since(measured.restarted_at))
+            }),
+            slow_endpoint_share: in_trouble(measured.late_share_of(SLOW_ENDPOINT)),
+            start_up_ms: milliseconds(measured.start_up_time),
+        }
+    }
+}
+
+impl Measured {
+    /// Share of the requests of the first seconds that were answered within the objective.
+    fn within_objective(&self, seconds: u64) -> f64 {
+        let end = self.restarted_at + Duration::from_secs(seconds);
+        let mut total = 0_usize;
+        let mut within = 0_usize;
+        for answer in &self.answers {
+            if (self.restarted_at..end).contains(&answer.sent_at) {
+                total += 1;
+                within += usize::from(answer.answered_after.is_some_and(|time| time <= OBJECTIVE));
+            }
+        }
+        within as f64 / total.max(1) as f64
+    }
+
+    /// Attempts at an endpoint after the restart.
+    fn attempts_at(&self, endpoint: usize) -> f64 {
+        self.requests_at_end[endpoint] - self.requests_at_kill[endpoint]
+    }
+
+    /// Attempts at an endpoint in the second half of the time, against the mean of those that got any.
+    fn late_share_of(&self, endpoint: usize) -> f64 {
+        let late: Vec<f64> = self
+            .requests_at_end
+            .iter()
+            .zip(&self.requests_halfway)
+            .map(|(end, halfway)| end - halfway)
+            .collect();
+        let serving = late
+            .iter()
+            .filter(|attempts| **attempts > 0.0)
+            .count()
+            .max(1) as f64;
+        let even_part = late.iter().sum::<f64>() / serving;
+        late[endpoint] / even_part.max(1.0)
+    }
+}
+
+fn start_endpoints(scenario: Scenario) -> Result<Vec<StandInEndpoint>, ExperimentError> {
+    let mut endpoints = Vec::new();
+    for _ in 0..ENDPOINTS {
+        let endpoint = StandInEndpoint::start(HEALTHY_DELAY_MS)
+            .map_err(ExperimentError::in_step("start an endpoint"))?;
+        endpoints.push(endpoint);
+    }
+    if scenario == Scenario::BadBuild {
+        for endpoint in &endpoints[..CANDIDATE_ENDPOINTS] {
+            let errors = &endpoint.behavior.errors_percent;
+            errors.store(CANDIDATE_ERRORS_PERCENT, Relaxed);
+        }
+    } else {
+        let slow = &endpoints[SLOW_ENDPOINT].behavior;
+        slow.delay_ms.store(SLOW_DELAY_MS, Relaxed);
+    }
+    Ok(endpoints)
+}
+
+fn list_entries(scenario: Scenario, endpoints: &[StandInEndpoint]) -> Vec<serde_json::Value> {
+    endpoints
+        .iter()
+        .enumerate()
+        .map(|(index, endpoint)| {
+            ListedEndpoint {
+                name: &format!("s-{index}"),
+                address: endpoint.address,
+                build: scenario.build_of(index),
+                state: scenario.listed_state_of(index),
+            }
+            .to_json()
+        })
+        .collect()
+}
+
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
--- /dev/null
+++ b/crates/experiments/src/saver.rs
@@ -0,0 +1,67 @@
+//! `saver`: the process that `torture` starts and kills. It saves one state after the other and prints what it does.
+
+use std::io::{Write, stdout};
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use clap::Args;
+use tidescale_snapshot::disk::{Folder, NoFolder};
+use tidescale_snapshot::simulated_disk::state;
+use tidescale_snapshot::store::Store;
+
+use crate::error::ExperimentError;
+
+/// First word of the line printed before a save; the state's number follows.
+pub const BEGUN: &str = "begun";
+/// First word of the line printed after it.
+pub const SAVED: &str = "saved";
+
+/// The lock of a killed process is free within this time.
+const LOCK_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two tries at the lock: short against a process's life of some milliseconds.
+const LOCK_POLL: Duration = Duration::from_millis(1);
+
+/// Arguments of `saver`.
+#[derive(Args)]
+pub struct SaverArgs {
+    /// The folder that it saves in.
+    folder: PathBuf,
+}
+
+/// Saves for ever, counting on from the state that it finds.
+///
+/// # Errors
+///
+/// Where the folder cannot be taken, or a save fails.
+pub fn run(args: &SaverArgs) -> Result<String, ExperimentError> {
+    let (mut store, opened) = Store::open(hold_folder(&args.folder)?);
+    let mut number = opened.image.map_or(0, |image| image.written);
+    let mut out = stdout();
+    loop {
+        number += 1;
+        writeln!(out, "{BEGUN} {number}").map_err(ExperimentError::in_step("print"))?;
+        store
+            .save(number, state(number))
+            .map_err(ExperimentError::at(&args.folder))?;
+        writeln!(out, "{SAVED} {number}").map_err(ExperimentError::in_step("print"))?;
+    }
+}
+
+/// Takes a folder that a process killed a moment ago may still hold.
+///
+/// # Errors
+///
+/// Where the folder cannot be made or locked, or stays locked.
+pub fn hold_folder(folder: &Path) -> Result<Folder, ExperimentError> {
+    let started_at = Instant::now();
+    loop {
+        match Folder::hold(folder) {
+            Ok(folder) => return Ok(folder),
+            Err(NoFolder::Held) if started_at.elapsed() < LOCK_TIMEOUT => {
+                thread::sleep(LOCK_POLL);
+            }
+            Err(reason) => return Err(ExperimentError::snapshot_folder(folder, &reason)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/stand_ins/endpoint.rs
@@ -0,0 +1,133 @@
+//! An endpoint that answers queries after a delay, with errors or not at all, as it is told while it runs.
+
+use std::io::{self, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::thread;
+use std::time::Duration;
+
+use super::message;
+
+/// Time that an answer to a health check takes.
+const HEALTH_CHECK_TIME: Duration = Duration::from_micros(300);
+/// How long an endpoint that does not answer keeps the connection: longer than any run.
+const SILENCE: Duration = Duration::from_secs(60);
+/// The answer to a failed request.
+const ERROR_BODY: &[u8] = b"SERROR\0CXX000\0Mno\0\0";
+/// Type of the one field of a row: bytes (`bytea`).
+const FIELD_TYPE: u32 = 17;
+
+/// What an endpoint does, changed while it runs.
+#[derive(Default)]
+pub struct Behavior {
+    /// Mean time of an answer, in milliseconds.
+    pub delay_ms: AtomicU64,
+    /// Of a hundred requests, so many get an error.
+    pub errors_percent: AtomicU64,
+    /// Nothing is answered.
+    pub unresponsive: AtomicBool,
+    /// Requests that have come, health checks not counted.
+    pub requests: AtomicU64,
+}
+
+impl Behavior {
+    /// Between three and five quarters of the mean delay, by the number of the request.
+    fn delay_of(&self, request: u64) -> Duration {
+        let mean_micros = self.delay_ms.load(Relaxed) * 1000;
+        let spread = mean_micros / 2 * (request * 7 % 16) / 16;
+        Duration::from_micros(mean_micros * 3 / 4 + spread)
+    }
+
+    /// Spreads the errors over the requests' numbers.
+    fn fails(&self, request: u64) -> bool {
+        request * 37 % 100 < self.errors_percent.load(Relaxed)
+    }
+}
+
+/// An endpoint on loopback.
+pub struct StandInEndpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it does.
+    pub behavior: Arc<Behavior>,
+}
+
+impl StandInEndpoint {
+    /// Starts one with this mean time of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Where it cannot listen.
+    pub fn start(delay_ms: u64) -> io::Result<StandInEndpoint> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        let behavior = Arc::new(Behavior::default());
+        behavior.delay_ms.store(delay_ms, Relaxed);
+        let shared = behavior.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let behavior = shared.clone();
+                // A connection that breaks is the proxy's to notice.
+                thread::spawn(move || drop(serve(stream, &behavior)));
+            }
+        });
+        Ok(StandInEndpoint { address, behavior })
+    }
+}
+
+fn serve(mut stream: TcpStream, behavior: &Behavior) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    message::read_start_up(&mut stream)?;
+    let welcome = message::encode(message::AUTHENTICATION, &[0; 4]);
+    stream.write_all(&[welcome, ready_for_query()].concat())?;
+    loop {
+        let query = message::read(&mut stream)?;
+        if query.tag != message::QUERY {
+            return Ok(());
+        }
+        let is_health_check = query.body.starts_with(b"SELECT 1");
+        let number = if is_health_check {
+            0
+        } else {
+            behavior.requests.fetch_add(1, Relaxed)
+        };
+        if behavior.unresponsive.load(Relaxed) {
+            thread::sleep(SILENCE);
+            return Ok(());
+        }
+        thread::sleep(if is_health_check {
+            HEALTH_CHECK_TIME
+        } else {
+            behavior.delay_of(number)
+        });
+        let answer = if !is_health_check && behavior.fails(number) {
+            message::encode(message::ERROR_RESPONSE, ERROR_BODY)
+        } else {
+            one_row()
+        };
+        stream.write_all(&[answer, ready_for_query()].concat())?;
+    }
+}
+
+fn ready_for_query() -> Vec<u8> {
+    message::encode(message::READY_FOR_QUERY, b"I")
+}
+
+/// A result of one row with one field.
+fn one_row() -> Vec<u8> {
+    let field = [
+        &b"data\0"[..],
+        &[0; 6],
+        &FIELD_TYPE.to_be_bytes(),
+        &[0xff; 6],
+        &[0, 1],
+    ]
+    .concat();
+    [
+        message::encode(message::ROW_DESCRIPTION, &[&[0, 1][..], &field].concat()),
+        message::encode(message::DATA_ROW, &[0, 1, 0, 0, 0, 1, 5]),
+        message::encode(message::COMMAND_COMPLETE, b"SELECT 1\0"),
+    ]
+    .concat()
+}
--- /dev/null
+++ b/crates/experiments/src/stand_ins/message.rs
@@ -0,0 +1,71 @@
+//! Messages of the PostgreSQL protocol, version 3: a type, a length that counts itself, and a body.
+
+use std::io::{self, Read};
+use std::net::TcpStream;
+
+/// Bytes of a message's length.
+const LENGTH_BYTES: usize = 4;
+/// The longest message that is read; what claims to be longer is cut off there.
+const LONGEST: usize = 1 << 20;
+/// Protocol 3.0, as it stands in a start-up message.
+const PROTOCOL_VERSION: u32 = 196_608;
+
+/// Type of a client's query.
+pub(super) const QUERY: u8 = b'Q';
+/// Type of the end of a query's answer.
+pub(super) const READY_FOR_QUERY: u8 = b'Z';
+/// Type of the end of a statement that has succeeded.
+pub(super) const COMMAND_COMPLETE: u8 = b'C';
+/// Type of a statement's failure.
+pub(super) const ERROR_RESPONSE: u8 = b'E';
+/// Type of a successful authentication.
+pub(super) const AUTHENTICATION: u8 = b'R';
+/// Type of the description of the rows to come.
+pub(super) const ROW_DESCRIPTION: u8 = b'T';
+/// Type of a row.
+pub(super) const DATA_ROW: u8 = b'D';
+
+/// A message that was read.
+pub(super) struct Message {
+    /// Its type.
+    pub(super) tag: u8,
+    /// What stands behind its length.
+    pub(super) body: Vec<u8>,
+}
+
+/// The bytes of a message.
+pub(super) fn encode(tag: u8, body: &[u8]) -> Vec<u8> {
+    [&[tag][..], &length_of(body), body].concat()
+}
+
+/// The bytes of a start-up message, which has no type.
+pub(super) fn encode_start_up(parameters: &[u8]) -> Vec<u8> {
+    let body = [&PROTOCOL_VERSION.to_be_bytes()[..], parameters].concat();
+    [&length_of(&body)[..], &body].concat()
+}
+
+/// Reads the next message.
+pub(super) fn read(stream: &mut TcpStream) -> io::Result<Message> {
+    let mut tag = [0];
+    stream.read_exact(&mut tag)?;
+    let body = read_body(stream)?;
+    Ok(Message { tag: tag[0], body })
+}
+
+/// Reads a start-up message, and nothing of what it says.
+pub(super) fn read_start_up(stream: &mut TcpStream) -> io::Result<()> {
+    read_body(stream).map(drop)
+}
+
+fn read_body(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let mut length = [0; LENGTH_BYTES];
+    stream.read_exact(&mut length)?;
+    let length = (u32::from_be_bytes(length) as usize).clamp(LENGTH_BYTES, LONGEST);
+    let mut body = vec![0; length - LENGTH_BYTES];
+    stream.read_exact(&mut body)?;
+    Ok(body)
+}
+
+fn length_of(body: &[u8]) -> [u8; LENGTH_BYTES] {
+    (body.len() as u32 + LENGTH_BYTES as u32).to_be_bytes()
+}
--- /dev/null
+++ b/crates/experiments/src/verdicts/mod.rs
@@ -0,0 +1,210 @@
+//! `verdicts`: trials of builds whose behavior is known. How many good ones are rolled back, how many harmful ones pass,
+//! and whether the stated rates are kept.
+
+mod charts;
+mod interval;
+mod report;
+mod trials;
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use clap::{Args, ValueEnum};
+use rayon::prelude::*;
+use tidescale_simulation::case::{FleetSize, RollbackTrigger};
+
+use crate::error::ExperimentError;
+use interval::Proportion;
+use trials::TrialRow;
+
+/// The stated rate of good builds rolled back.
+const STATED_FALSE_ROLLBACKS: f64 = 0.01;
+/// The stated rate of harmful builds passed.
+const STATED_MISSED: f64 = 0.05;
+
+/// Size of the simulated deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Fleet {
+    /// Five instances, twelve endpoints.
+    Small,
+    /// Sixty instances, 150 endpoints.
+    Grown,
+    /// 400 instances, 1,000 endpoints.
+    Huge,
+}
+
+impl Fleet {
+    fn size(self) -> FleetSize {
+        match self {
+            Fleet::Small => FleetSize::SMALL,
+            Fleet::Grown => FleetSize::GROWN,
+            Fleet::Huge => FleetSize::HUGE,
+        }
+    }
+}
+
+/// What decides on a rollback: the policy, or one of two that must be caught.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Decider {
+    /// The policy's votes.
+    #[value(name = "module")]
+    Policy,
+    /// Nobody votes.
+    #[value(name = "never")]
+    Never,
+    /// The first failure rolls a build back: far too quick.
+    #[value(name = "first")]
+    FirstFailure,
+}
+
+impl Decider {
+    fn trigger(self) -> RollbackTrigger {
+        match self {
+            Decider::Policy => RollbackTrigger::Votes,
+            Decider::Never => RollbackTrigger::Never,
+            Decider::FirstFailure => RollbackTrigger::FirstFailure,
+        }
+    }
+
+    /// Its name in tables.
+    fn name(self) -> &'static str {
+        match self {
+            Decider::Policy => "Module",
+            Decider::Never => "Never",
+            Decider::FirstFailure => "First",
+        }
+    }
+}
+
+/// Arguments of `verdicts`.
+#[derive(Args)]
+pub struct VerdictsArgs {
+    /// Seed of the first trial; the others count on from it.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Number of trials.
+    #[arg(long, default_value_t = 10_000)]
+    runs: u64,
+    /// Size of the simulated deployment.
+    #[arg(long, value_enum, default_value = "small")]
+    fleet: Fleet,
+    /// What decides on a rollback.
+    #[arg(long = "word", value_enum, default_value = "module")]
+    decider: Decider,
+    /// Folder for the tables and charts; none are written where it is left out.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+/// The two rates that are stated, as the trials show them.
+struct Rates {
+    false_rollbacks: Proportion,
+    missed: Proportion,
+}
+
+impl Rates {
+    fn of(rows: &[TrialRow]) -> Rates {
+        Rates {
+            false_rollbacks: Proportion::of(
+                rows.iter().filter(|row| row.is_good()),
+                TrialRow::was_rolled_back,
+            ),
+            missed: Proportion::of(
+                rows.iter().filter(|row| row.is_harmful()),
+                TrialRow::has_passed,
+            ),
+        }
+    }
+
+    fn summary(&self, runs: u64) -> String {
+        let Rates {
+            false_rollbacks,
+            missed,
+        } = self;
+        format!(
+            "verdicts: {runs} trials, good sent back {} of {} (at most {:.1}%), harmful passed {} of {} (at most {:.1}%)",
+            false_rollbacks.hits,
+            false_rollbacks.total,
+            100.0 * false_rollbacks.interval().most,
+            missed.hits,
+            missed.total,
+            100.0 * missed.interval().most
+        )
+    }
+
+    /// Holds the upper ends of the intervals against the stated rates.
+    fn check(&self, summary: String) -> Result<String, ExperimentError> {
+        let false_rollbacks = self.false_rollbacks.interval();
+        let missed = self.missed.interval();
+        if false_rollbacks.most <= STATED_FALSE_ROLLBACKS && missed.most <= STATED_MISSED {
+            return Ok(summary);
+        }
+        // With few trials the interval alone may reach over a rate that is kept.
+        let certainly =
+            false_rollbacks.least > STATED_FALSE_ROLLBACKS || missed.least > STATED_MISSED;
+        Err(ExperimentError::RatesNotKept {
+            summary,
+            false_rollbacks: 100.0 * STATED_FALSE_ROLLBACKS,
+            missed: 100.0 * STATED_MISSED,
+            finding: if certainly { "broken" } else { "not shown" },
+        })
+    }
+}
+
+/// Runs the trials, prints and writes their tables, and returns the summary line.
+///
+/// # Errors
+///
+/// Where a stated rate is not shown to be kept, or a file cannot be written.
+pub fn run(args: &VerdictsArgs) -> Result<String, ExperimentError> {
+    let size = args.fleet.size();
+    let rows: Vec<TrialRow> = (0..args.runs)
+        .into_par_iter()
+        .map(|index| args.seed.wrapping_add(index))
+        .map(|seed| TrialRow::measure(trials::draw_case(seed, size, args.decider.trigger())))
+        .collect();
+    let times = times_to_rollback(&rows);
+    let text = heading(args) + &report::tables(&rows, &times);
+    print!("{text}");
+    if let Some(out) = &args.out {
+        write_files(out, &text, &rows, &times)?;
+    }
+    let rates = Rates::of(&rows);
+    rates.check(rates.summary(args.runs))
+}
+
+fn heading(args: &VerdictsArgs) -> String {
+    format!(
+        "Fleet {:?}, seeds {} to {}, {}.\n\n",
+        args.fleet,
+        args.seed,
+        args.seed.wrapping_add(args.runs).wrapping_sub(1),
+        args.decider.name()
+    )
+}
+
+/// Seconds from the offer to the rollback of harmful builds, sorted.
+fn times_to_rollback(rows: &[TrialRow]) -> Vec<f64> {
+    let mut times: Vec<f64> = rows
+        .iter()
+        .filter(|row| row.is_harmful())
+        .filter_map(|row| row.outcome.rolled_back_after)
+        .map(trials::seconds)
+        .collect();
+    times.sort_unstable_by(f64::total_cmp);
+    times
+}
+
+fn write_files(
+    out: &Path,
+    text: &str,
+    rows: &[TrialRow],
+    times: &[f64],
+) -> Result<(), ExperimentError> {
+    fs::create_dir_all(out).map_err(ExperimentError::at(out))?;
+    let tables = out.join("tables.md");
+    fs::write(&tables, text).map_err(ExperimentError::at(&tables))?;
+    report::write_rows(&out.join("rows.parquet"), rows)?;
+    charts::write_operating_curve(&out.join("curve.svg"), rows)?;
+    charts::write_times(&out.join("times.svg"), times)
+}
--- /dev/null
+++ b/crates/experiments/src/verdicts/report.rs
@@ -0,0 +1,144 @@
+//! The trials as tables for people and as rows for programs.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use tidescale_policy::types::EvidenceTest;
+
+use super::interval::Proportion;
+use super::trials::{TrialRow, seconds};
+use crate::error::ExperimentError;
+use crate::parquet_table::{self, Column};
+
+const TABLE_HEAD: &str = "| | trials | % | 95% interval |\n| --- | ---: | ---: | ---: |\n";
+
+/// The tables in Markdown; `times` are the seconds to the rollback of harmful builds, sorted.
+pub(super) fn tables(rows: &[TrialRow], times: &[f64]) -> String {
+    let good: Vec<&TrialRow> = rows.iter().filter(|row| row.is_good()).collect();
+    let harmful: Vec<&TrialRow> = rows.iter().filter(|row| row.is_harmful()).collect();
+    let false_rollbacks = Proportion::of(good.iter().copied(), TrialRow::was_rolled_back);
+    let missed = Proportion::of(harmful.iter().copied(), TrialRow::has_passed);
+    let mut text = TABLE_HEAD.to_string();
+    text += &table_line("good builds sent back", false_rollbacks);
+    text += &table_line("harmful builds passed", missed);
+    let breakdowns = [
+        Breakdown {
+            title: "Good builds sent back, by confounder:",
+            rows: &good,
+            group: |row| row.confounder.name(),
+            property: TrialRow::was_rolled_back,
+        },
+        Breakdown {
+            title: "Harmful builds passed, by confounder:",
+            rows: &harmful,
+            group: |row| row.confounder.name(),
+            property: TrialRow::has_passed,
+        },
+        Breakdown {
+            title: "Harmful builds passed, by truth:",
+            rows: &harmful,
+            group: |row| row.build.name(),
+            property: TrialRow::has_passed,
+        },
+        Breakdown {
+            title: "Good builds sent back, of those by the test that spoke first:",
+            rows: &good,
+            group: |row| test_name(row.outcome.first_verdict_test),
+            property: TrialRow::was_rolled_back,
+        },
+    ];
+    for breakdown in &breakdowns {
+        text += &breakdown.table();
+    }
+    text + &format!(
+        "\nTime from the offer to the verdict on harmful builds: median {:.1} s, nine in ten within {:.1} s.\n",
+        quantile(times, 0.5),
+        quantile(times, 0.9)
+    )
+}
+
+/// Writes a row for each trial.
+pub(super) fn write_rows(path: &Path, rows: &[TrialRow]) -> Result<(), ExperimentError> {
+    let optional_seconds = |duration: Option<Duration>| duration.map_or(f64::NAN, seconds);
+    let columns = [
+        Column::text("truth", rows, |row| row.build.name()),
+        Column::text("confounder", rows, |row| row.confounder.name()),
+        Column::numbers("seed", rows, |row| row.seed as f64),
+        Column::numbers("harm", rows, |row| row.harm),
+        Column::numbers("back_s", rows, |row| {
+            optional_seconds(row.outcome.rolled_back_after)
+        }),
+        Column::numbers("released_s", rows, |row| {
+            optional_seconds(row.outcome.released_after)
+        }),
+        Column::numbers("held_s", rows, |row| seconds(row.outcome.held_time)),
+        Column::numbers("test", rows, |row| {
+            row.outcome.first_verdict_test.map_or(f64::NAN, test_number)
+        }),
+        Column::numbers("share", rows, |row| row.earned_share),
+    ];
+    parquet_table::write(path, &columns)
+}
+
+/// A property of some trials, by group.
+struct Breakdown<'a> {
+    title: &'static str,
+    rows: &'a [&'a TrialRow],
+    group: fn(&TrialRow) -> &'static str,
+    property: fn(&TrialRow) -> bool,
+}
+
+impl Breakdown<'_> {
+    /// A title and a table with a line for each group that has trials.
+    fn table(&self) -> String {
+        let mut groups: BTreeMap<&str, Proportion> = BTreeMap::new();
+        for row in self.rows {
+            let proportion = groups.entry((self.group)(row)).or_default();
+            proportion.add((self.property)(row));
+        }
+        let lines: String = groups
+            .iter()
+            .map(|(name, proportion)| table_line(name, *proportion))
+            .collect();
+        format!("\n{}\n\n{TABLE_HEAD}{lines}", self.title)
+    }
+}
+
+fn table_line(name: &str, proportion: Proportion) -> String {
+    let interval = proportion.interval();
+    format!(
+        "| {name} | {} of {} | {:.1} | {:.1} to {:.1} |\n",
+        proportion.hits,
+        proportion.total,
+        100.0 * proportion.share(),
+        100.0 * interval.least,
+        100.0 * interval.most
+    )
+}
+
+fn test_name(test: Option<EvidenceTest>) -> &'static str {
+    match test {
+        Some(EvidenceTest::Failures) => "failures",
+        Some(EvidenceTest::Slowness) => "slowness",
+        Some(EvidenceTest::Errors) => "errors",
+        Some(EvidenceTest::FleetSlowdown) => "whole fleet",
+        None => "none",
+    }
+}
+
+/// The test's number in the rows.
+fn test_number(test: EvidenceTest) -> f64 {
+    match test {
+        EvidenceTest::Failures => 0.0,
+        EvidenceTest::Slowness => 1.0,
+        EvidenceTest::Errors => 2.0,
+        EvidenceTest::FleetSlowdown => 3.0,
+    }
+}
+
+/// The value below which this share of the sorted values lies; NaN of none.
+fn quantile(sorted: &[f64], share: f64) -> f64 {
+    let index = (share * sorted.len() as f64) as usize;
+    sorted.get(index).copied().unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/crates/experiments/src/verdicts/trials.rs
@@ -0,0 +1,124 @@
+//! The cases, and what is measured of each: the trial itself, and the harm that its build does.
+
+use std::time::Duration;
+
+use tidescale_simulation::build_behavior::BuildBehavior;
+use tidescale_simulation::case::{FleetSize, RollbackTrigger, SettingsProfile, TrialCase};
+use tidescale_simulation::confounder::Confounder;
+use tidescale_simulation::outcome::TrialOutcome;
+use tidescale_simulation::random_stream::RandomStream;
+use tidescale_simulation::trial::run_trial;
+
+/// Tells the draws of a case apart from those of its trial.
+const CASE_STREAM: u64 = 0;
+/// Share of the earnings lost where a build serves the whole fleet: from here on it is harmful.
+const HARMFUL: f64 = 0.03;
+/// The last seconds of a trial that nobody holds up, when the whole fleet runs the build.
+const MEASURED_SECONDS: usize = 8;
+/// Share of the trials that have no trouble but the build.
+const WITHOUT_CONFOUNDER: f64 = 0.5;
+
+/// One trial with what is known and what was measured of it.
+pub(super) struct TrialRow {
+    /// Seed of the trial.
+    pub(super) seed: u64,
+    /// What the build is like.
+    pub(super) build: BuildBehavior,
+    /// What else went wrong.
+    pub(super) confounder: Confounder,
+    /// Share of the earnings that the build loses by itself.
+    pub(super) harm: f64,
+    /// Share of what was offered that was earned over the whole trial.
+    pub(super) earned_share: f64,
+    /// What came of the trial.
+    pub(super) outcome: TrialOutcome,
+}
+
+impl TrialRow {
+    /// Runs a trial, and for a build that is not good the pair of trials that measures its harm.
+    pub(super) fn measure(case: TrialCase) -> TrialRow {
+        let outcome = run_trial(case);
+        let harm = if case.build.is_good() {
+            0.0
+        } else {
+            measure_harm(case)
+        };
+        TrialRow {
+            seed: case.seed,
+            build: case.build,
+            confounder: case.confounder,
+            harm,
+            earned_share: outcome.earned_share(0),
+            outcome,
+        }
+    }
+
+    /// A rollback would be a false one.
+    pub(super) fn is_good(&self) -> bool {
+        self.build.is_good()
+    }
+
+    /// It must not pass.
+    pub(super) fn is_harmful(&self) -> bool {
+        self.harm >= HARMFUL
+    }
+
+    /// The build was rolled back.
+    pub(super) fn was_rolled_back(&self) -> bool {
+        self.outcome.rolled_back_after.is_some()
+    }
+
+    /// It was not.
+    pub(super) fn has_passed(&self) -> bool {
+        !self.was_rolled_back()
+    }
+}
+
+/// Draws what a trial of this seed is.
+pub(super) fn draw_case(
+    seed: u64,
+    size: FleetSize,
+    rollback_trigger: RollbackTrigger,
+) -> TrialCase {
+    let mut random = RandomStream::new(seed, CASE_STREAM);
+    let build = BuildBehavior::draw(&mut random);
+    let drawn = Confounder::ALL[random.index_below(Confounder::ALL.len())];
+    let confounder = if random.happens(WITHOUT_CONFOUNDER) {
+        Confounder::None
+    } else {
+        drawn
+    };
+    TrialCase {
+        seed,
+        size,
+        profile: SettingsProfile::Standard,
+        build,
+        confounder,
+        rollback_trigger,
+    }
+}
+
+/// Seconds of a duration in whole microseconds.
+pub(super) fn seconds(duration: Duration) -> f64 {
+    duration.as_micros() as f64 / 1e6
+}
+
+/// Share of the earnings lost by the build alone: against a paired trial of a good build, nobody voting and nothing
+/// else going wrong.
+fn measure_harm(case: TrialCase) -> f64 {
+    /// Keeps the share finite where nothing is earned.
+    const SMALLEST: f64 = 1e-9;
+    let first_second = case.size.seconds as usize - MEASURED_SECONDS;
+    let earned_share = |build: BuildBehavior| {
+        let trial = TrialCase {
+            build,
+            confounder: Confounder::None,
+            rollback_trigger: RollbackTrigger::Never,
+            ..case
+        };
+        run_trial(trial).earned_share(first_second)
+    };
+    let bad = earned_share(case.build);
+    let good = earned_share(BuildBehavior::SAME_AS_BASELINE);
+    ((good - bad) / good.max(SMALLEST)).max(0.0)
+}
