Words of the field in the experiments' tables, charts, rows and errors

Change: texts alone, beside three: the candidate's share of the fleet is counted only for the build that needs it (the same number), two functions are split, and two error types have clearer names. Parquet columns of verdicts: truth -> build_behavior, back_s -> rolled_back_s, test -> first_verdict_test, share -> earned_share. Summary lines of disk, torture, verdicts and trace are as before, that of restart has the new words. Files, flags and their values keep their names.

--- a/crates/experiments/src/disk.rs
+++ b/crates/experiments/src/disk.rs
@@ -48,7 +48,7 @@
     },
 ];
 
-/// Plays the histories, with and without a bit gone bad, plants the faults, and returns the summary line.
+/// Runs the histories, with and without a bit gone bad, plants the faults, and returns the summary line.
 ///
 /// # Errors
 ///
@@ -56,7 +56,7 @@
 pub fn run(args: &DiskArgs) -> Result<String, ExperimentError> {
     let mut seen = Seen::default();
     for pretence in [Pretence::None, Pretence::Rot] {
-        seen = play_histories(args, pretence)? + seen;
+        seen = run_histories(args, pretence)? + seen;
     }
     for fault in &PLANTED_FAULTS {
         let history = catch(fault, args.seed)?;
@@ -76,7 +76,7 @@
     ))
 }
 
-fn play_histories(args: &DiskArgs, pretence: Pretence) -> Result<Seen, ExperimentError> {
+fn run_histories(args: &DiskArgs, pretence: Pretence) -> Result<Seen, ExperimentError> {
     (0..args.histories)
         .into_par_iter()
         .map(|index| args.seed.wrapping_add(index))
--- a/crates/experiments/src/error.rs
+++ b/crates/experiments/src/error.rs
@@ -33,9 +33,9 @@
         /// Why.
         source: DrawingAreaErrorKind<io::Error>,
     },
-    /// A step on the machine failed: a process, a socket, a thread.
+    /// The operating system refused a step: a process, a socket, a thread.
     #[error("{step}: {source}")]
-    Machine {
+    System {
         /// What was to be done.
         step: &'static str,
         /// Why it failed.
@@ -83,7 +83,7 @@
     },
     /// What a killed process has left is not a state that it may leave.
     #[error(transparent)]
-    Torture(#[from] TortureFault),
+    Torture(#[from] TortureError),
 
     /// No trial was asked for.
     #[error("trace: no runs were asked for")]
@@ -108,13 +108,13 @@
     #[error("the proxy instance does not log {0}")]
     FigureNotLogged(&'static str),
     /// Requests went to an endpoint that drains.
-    #[error("restart: {runs} plays sent tries to a draining machine")]
+    #[error("restart: {runs} runs sent attempts to a draining endpoint")]
     DrainingEndpointUsed {
         /// Runs in which they did.
         runs: usize,
     },
     /// A snapshot makes a restart worse than it may.
-    #[error("restart: {scenario}: {with:.3} with memory, {without:.3} without")]
+    #[error("restart: {scenario}: {with:.3} with a snapshot, {without:.3} without")]
     SnapshotDoesNotHelp {
         /// The scenario.
         scenario: &'static str,
@@ -127,7 +127,7 @@
 
 /// What a killed process must not leave behind.
 #[derive(Debug, thiserror::Error)]
-pub enum TortureFault {
+pub enum TortureError {
     /// It was killed before it had saved anything.
     #[error("a process does not come up")]
     NoOutput,
@@ -143,10 +143,10 @@
         note: String,
     },
     /// A state was lost, or one appeared that nobody wrote.
-    #[error("state {found}, where {saved} was saved and {begun} begun")]
+    #[error("state {read_back} was read back, where {saved} was saved and {begun} begun")]
     WrongState {
         /// The state that was read back.
-        found: u64,
+        read_back: u64,
         /// The last one reported as saved.
         saved: u64,
         /// The last one begun.
@@ -171,7 +171,7 @@
 
     /// Names the step that failed.
     pub fn in_step(step: &'static str) -> impl FnOnce(io::Error) -> ExperimentError {
-        move |source| ExperimentError::Machine { step, source }
+        move |source| ExperimentError::System { step, source }
     }
 
     /// A snapshot folder that cannot be taken.
--- a/crates/experiments/src/restart/configuration.rs
+++ b/crates/experiments/src/restart/configuration.rs
@@ -36,7 +36,7 @@
     json!({"version": 7, "full": true, "servers": entries})
 }
 
-/// What is told to a proxy instance of a small deployment.
+/// The configuration of a proxy instance of a small deployment.
 pub(super) struct Configuration<'a> {
     /// Where it listens.
     pub(super) listen: SocketAddr,
--- a/crates/experiments/src/restart/mod.rs
+++ b/crates/experiments/src/restart/mod.rs
@@ -191,8 +191,8 @@
     let first_second =
         |kind| report.median_of(Scenario::Trouble, kind, |row| row.within_objective[0]);
     format!(
-        "restart: {} plays, within objective in the first second under trouble {:.3} with memory, {:.3} without; \
-         no try at a draining machine",
+        "restart: {} runs, within objective in the first second under trouble {:.3} with a snapshot, {:.3} without; \
+         no attempt at a draining endpoint",
         report.rows.len(),
         first_second(RestartKind::WithSnapshot),
         first_second(RestartKind::WithoutSnapshot)
--- a/crates/experiments/src/restart/report.rs
+++ b/crates/experiments/src/restart/report.rs
@@ -13,7 +13,7 @@
 /// Smaller figures than this are written with three decimals, others with none.
 const DECIMALS_BELOW: f64 = 10.0;
 
-const COST_TABLE_HEAD: &str = "\n| machines | bytes | encode ms | decode ms | up with ms | up without ms | longest slice us | longest turn us with | without |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n";
+const COST_TABLE_HEAD: &str = "\n| endpoints | bytes | encode ms | decode ms | start-up with ms | start-up without ms | longest slice us | longest iteration us with | without |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n";
 
 /// A figure of a run, and its line in the table.
 struct Figure {
@@ -35,31 +35,31 @@
         of: |row| row.within_objective[2],
     },
     Figure {
-        name: "tries at the slow machine",
+        name: "attempts at the slow endpoint",
         of: |row| row.attempts_at_slow,
     },
     Figure {
-        name: "tries at the silent one",
+        name: "attempts at the unresponsive one",
         of: |row| row.attempts_at_unresponsive,
     },
     Figure {
-        name: "tries at the draining one",
+        name: "attempts at the draining one",
         of: |row| row.attempts_at_draining,
     },
     Figure {
-        name: "tries at the build on trial",
+        name: "attempts at the build under evaluation",
         of: |row| row.attempts_at_candidate,
     },
     Figure {
-        name: "ms until voted back",
+        name: "ms until the rollback vote",
         of: |row| row.rollback_vote_ms,
     },
     Figure {
-        name: "part of the once slow machine, last 5 s",
+        name: "share of the once slow endpoint, last 5 s",
         of: |row| row.slow_endpoint_share,
     },
     Figure {
-        name: "ms until it serves",
+        name: "ms until it listens",
         of: |row| row.start_up_ms,
     },
 ];
@@ -105,21 +105,23 @@
     fn write_rows(&self, path: &Path) -> Result<(), ExperimentError> {
         let rows = self.rows;
         let columns = [
-            Column::text("case_name", rows, |row| row.scenario.name()),
+            Column::text("scenario", rows, |row| row.scenario.name()),
             Column::numbers("seed", rows, |row| row.seed as f64),
-            Column::numbers("remembers", rows, |row| {
+            Column::numbers("with_snapshot", rows, |row| {
                 f64::from(row.kind == RestartKind::WithSnapshot)
             }),
             Column::numbers("within_1s", rows, |row| row.within_objective[0]),
             Column::numbers("within_3s", rows, |row| row.within_objective[1]),
             Column::numbers("within_10s", rows, |row| row.within_objective[2]),
-            Column::numbers("tries_slow", rows, |row| row.attempts_at_slow),
-            Column::numbers("tries_silent", rows, |row| row.attempts_at_unresponsive),
-            Column::numbers("tries_draining", rows, |row| row.attempts_at_draining),
-            Column::numbers("tries_on_trial", rows, |row| row.attempts_at_candidate),
-            Column::numbers("found_ms", rows, |row| row.rollback_vote_ms),
-            Column::numbers("share_of_healed", rows, |row| row.slow_endpoint_share),
-            Column::numbers("up_ms", rows, |row| row.start_up_ms),
+            Column::numbers("attempts_slow", rows, |row| row.attempts_at_slow),
+            Column::numbers("attempts_unresponsive", rows, |row| {
+                row.attempts_at_unresponsive
+            }),
+            Column::numbers("attempts_draining", rows, |row| row.attempts_at_draining),
+            Column::numbers("attempts_candidate", rows, |row| row.attempts_at_candidate),
+            Column::numbers("rollback_vote_ms", rows, |row| row.rollback_vote_ms),
+            Column::numbers("slow_endpoint_share", rows, |row| row.slow_endpoint_share),
+            Column::numbers("start_up_ms", rows, |row| row.start_up_ms),
         ];
         parquet_table::write(path, &columns)
     }
@@ -176,7 +178,7 @@
             values
         };
         let chart = BarChart {
-            title: "Reqs within their objective after a restart",
+            title: "Requests within their objective after a restart",
             groups: &[
                 "trouble 1 s",
                 "3 s",
@@ -198,7 +200,7 @@
     fn write_votes_chart(&self, path: &Path) -> Result<(), ExperimentError> {
         let median = |kind| self.median_of(Scenario::BadBuild, kind, |row| row.rollback_vote_ms);
         let chart = BarChart {
-            title: "ms until a bad build that was known is voted back",
+            title: "ms until the rollback vote on a bad build that was known",
             groups: &["bad build"],
             series: &without_and_with(|kind| vec![median(kind)]),
             maximum: median(RestartKind::WithoutSnapshot).max(median(RestartKind::WithSnapshot))
@@ -212,11 +214,11 @@
 fn without_and_with(values: impl Fn(RestartKind) -> Vec<f64>) -> [Series<'static>; 2] {
     [
         Series {
-            name: "without memory",
+            name: "without snapshot",
             values: values(RestartKind::WithoutSnapshot),
         },
         Series {
-            name: "with memory",
+            name: "with snapshot",
             values: values(RestartKind::WithSnapshot),
         },
     ]
--- a/crates/experiments/src/restart/snapshot_cost.rs
+++ b/crates/experiments/src/restart/snapshot_cost.rs
@@ -75,14 +75,10 @@
             operators_file: None,
             listen,
         };
-        let without = ProxyInstance::start(&launch)?;
-        let start_up_without = without.start_up_time;
-        let log_without = without.stop_after(RUN_TIME)?;
+        let without = InstanceRun::measure(&launch)?;
         save_snapshot(&folder, &encoded.bytes)?;
         launch.operators_file = Some(operators_file);
-        let with = ProxyInstance::start(&launch)?;
-        let start_up_with = with.start_up_time;
-        let log_with = with.stop_after(RUN_TIME)?;
+        let with = InstanceRun::measure(&launch)?;
         // What is left of the folder does no harm, and must not hide the result.
         let _ = fs::remove_dir_all(&dir);
         Ok(SnapshotCost {
@@ -90,11 +86,27 @@
             bytes: encoded.bytes.len() as f64,
             encode_ms: milliseconds(encoded.encode_time),
             decode_ms: milliseconds(encoded.decode_time),
-            start_up_with_ms: milliseconds(start_up_with),
-            start_up_without_ms: milliseconds(start_up_without),
-            longest_slice_us: logged_figure(&log_with, LONGEST_SLICE)?,
-            longest_iteration_with_us: logged_figure(&log_with, LONGEST_ITERATION)?,
-            longest_iteration_without_us: logged_figure(&log_without, LONGEST_ITERATION)?,
+            start_up_with_ms: milliseconds(with.start_up_time),
+            start_up_without_ms: milliseconds(without.start_up_time),
+            longest_slice_us: logged_figure(&with.log, LONGEST_SLICE)?,
+            longest_iteration_with_us: logged_figure(&with.log, LONGEST_ITERATION)?,
+            longest_iteration_without_us: logged_figure(&without.log, LONGEST_ITERATION)?,
+        })
+    }
+}
+
+/// An instance that ran for [`RUN_TIME`].
+struct InstanceRun {
+    start_up_time: Duration,
+    log: String,
+}
+
+impl InstanceRun {
+    fn measure(launch: &Launch) -> Result<InstanceRun, ExperimentError> {
+        let instance = ProxyInstance::start(launch)?;
+        Ok(InstanceRun {
+            start_up_time: instance.start_up_time,
+            log: instance.stop_after(RUN_TIME)?,
         })
     }
 }
--- a/crates/experiments/src/saver.rs
+++ b/crates/experiments/src/saver.rs
@@ -19,7 +19,7 @@
 
 /// The lock of a killed process is free within this time.
 const LOCK_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time between two tries at the lock: short against a process's life of some milliseconds.
+/// Time between two attempts at the lock: short against a process's life of some milliseconds.
 const LOCK_POLL: Duration = Duration::from_millis(1);
 
 /// Arguments of `saver`.
--- a/crates/experiments/src/stand_ins/client.rs
+++ b/crates/experiments/src/stand_ins/client.rs
@@ -43,7 +43,7 @@
 }
 
 impl Client {
-    /// Sends requests until told to stop.
+    /// Sends requests until `stop` is set.
     pub fn run(&self, stop: &Arc<AtomicBool>) -> Vec<ClientAnswer> {
         let mut answers = Vec::new();
         let mut connection = None;
--- a/crates/experiments/src/stand_ins/endpoint.rs
+++ b/crates/experiments/src/stand_ins/endpoint.rs
@@ -1,4 +1,4 @@
-//! An endpoint that answers queries after a delay, with errors or not at all, as it is told while it runs.
+//! An endpoint that answers queries after a delay, with errors or not at all, as is set while it runs.
 
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
--- a/crates/experiments/src/torture.rs
+++ b/crates/experiments/src/torture.rs
@@ -15,7 +15,7 @@
 use tidescale_snapshot::simulated_disk::state;
 use tidescale_snapshot::store::Store;
 
-use crate::error::{ExperimentError, TortureFault};
+use crate::error::{ExperimentError, TortureError};
 use crate::saver::{BEGUN, SAVED, hold_folder};
 
 /// A process is killed this many microseconds after its first save at the latest: time for some saves.
@@ -119,11 +119,11 @@
         for _ in 0..self.kills {
             let life = Duration::from_micros(random.rand_u64() % LONGEST_LIFE_MICROS);
             let progress = self.start_and_kill(&program, life, last, &mut report)?;
-            let found = self.check(progress, report.kills + 1)?;
+            let read_back = self.check(progress, report.kills + 1)?;
             report.kills += 1;
             report.saves += progress.saved - last;
             report.kills_during_save += u64::from(progress.begun > progress.saved);
-            last = found;
+            last = read_back;
         }
         Ok(report)
     }
@@ -143,12 +143,12 @@
             .stdout(Stdio::piped())
             .spawn()
             .map_err(ExperimentError::in_step("start a process"))?;
-        let output = child.stdout.take().ok_or(TortureFault::NoOutput)?;
+        let output = child.stdout.take().ok_or(TortureError::NoOutput)?;
         let mut lines = BufReader::new(output).lines();
         let first = lines
             .next()
             .and_then(Result::ok)
-            .ok_or(TortureFault::NoOutput)?;
+            .ok_or(TortureError::NoOutput)?;
         report.slowest_start = report.slowest_start.max(started_at.elapsed());
         thread::sleep(life);
         child
@@ -158,18 +158,18 @@
         Ok(read_progress(first, lines, last)?)
     }
 
-    /// Checks what a killed process has left, and returns the number of the state found.
+    /// Checks what a killed process has left, and returns the number of the state read back.
     fn check(&self, progress: Progress, kill: u64) -> Result<u64, ExperimentError> {
         let Progress { begun, saved } = progress;
         let (store, opened) = Store::open(hold_folder(&self.folder)?);
         if let Some(note) = opened.notes.first() {
             let note = note.to_string();
-            return Err(TortureFault::DamagedFile { kill, note }.into());
+            return Err(TortureError::DamagedFile { kill, note }.into());
         }
-        let found = opened.image.as_ref().map_or(0, |image| image.written);
-        if !(saved..=begun).contains(&found) {
-            return Err(TortureFault::WrongState {
-                found,
+        let read_back = opened.image.as_ref().map_or(0, |image| image.written);
+        if !(saved..=begun).contains(&read_back) {
+            return Err(TortureError::WrongState {
+                read_back,
                 saved,
                 begun,
             }
@@ -177,9 +177,9 @@
         }
         if opened
             .image
-            .is_some_and(|image| image.facts != state(found))
+            .is_some_and(|image| image.facts != state(read_back))
         {
-            return Err(TortureFault::TornState(found).into());
+            return Err(TortureError::TornState(read_back).into());
         }
         let names = store
             .into_disk()
@@ -189,9 +189,9 @@
             .iter()
             .any(|name| !SNAPSHOT_FILES.contains(&name.as_str()))
         {
-            return Err(TortureFault::FilesLeft(names).into());
+            return Err(TortureError::FilesLeft(names).into());
         }
-        Ok(found)
+        Ok(read_back)
     }
 }
 
@@ -200,7 +200,7 @@
     first: String,
     rest: std::io::Lines<BufReader<ChildStdout>>,
     last: u64,
-) -> Result<Progress, TortureFault> {
+) -> Result<Progress, TortureError> {
     let mut progress = Progress {
         begun: last,
         saved: last,
@@ -209,7 +209,7 @@
         match line.split_once(' ') {
             Some((BEGUN, number)) => progress.begun = number.parse().unwrap_or(progress.begun),
             Some((SAVED, number)) => progress.saved = number.parse().unwrap_or(progress.saved),
-            _ => return Err(TortureFault::OddLine(line)),
+            _ => return Err(TortureError::OddLine(line)),
         }
     }
     Ok(progress)
--- a/crates/experiments/src/verdicts/charts.rs
+++ b/crates/experiments/src/verdicts/charts.rs
@@ -61,10 +61,10 @@
         }));
     }
     let chart = BarChart {
-        title: "Builds sent back, by the harm they do",
+        title: "Builds rolled back, by the harm they do",
         groups: &names,
         series: &[Series {
-            name: "sent back",
+            name: "rolled back",
             values: shares,
         }],
         maximum: 1.05,
@@ -84,7 +84,7 @@
         .collect();
     let highest = counts.iter().copied().fold(1.0, f64::max);
     let chart = BarChart {
-        title: "Time to the verdict on harmful builds",
+        title: "Time to the rollback of harmful builds",
         groups: &names,
         series: &[Series {
             name: "trials",
--- a/crates/experiments/src/verdicts/mod.rs
+++ b/crates/experiments/src/verdicts/mod.rs
@@ -69,9 +69,9 @@
     /// Its name in tables.
     fn name(self) -> &'static str {
         match self {
-            Decider::Policy => "Module",
-            Decider::Never => "Never",
-            Decider::FirstFailure => "First",
+            Decider::Policy => "votes of the policy",
+            Decider::Never => "nobody votes",
+            Decider::FirstFailure => "first failure rolls back",
         }
     }
 }
@@ -175,7 +175,7 @@
 
 fn heading(args: &VerdictsArgs) -> String {
     format!(
-        "Fleet {:?}, seeds {} to {}, {}.\n\n",
+        "{:?} fleet, seeds {} to {}, {}.\n\n",
         args.fleet,
         args.seed,
         args.seed.wrapping_add(args.runs).wrapping_sub(1),
--- a/crates/experiments/src/verdicts/report.rs
+++ b/crates/experiments/src/verdicts/report.rs
@@ -20,39 +20,13 @@
     let false_rollbacks = Proportion::of(good.iter().copied(), TrialRow::was_rolled_back);
     let missed = Proportion::of(harmful.iter().copied(), TrialRow::has_passed);
     let mut text = TABLE_HEAD.to_string();
-    text += &table_line("good builds sent back", false_rollbacks);
+    text += &table_line("good builds rolled back", false_rollbacks);
     text += &table_line("harmful builds passed", missed);
-    let breakdowns = [
-        Breakdown {
-            title: "Good builds sent back, by confounder:",
-            rows: &good,
-            group: |row| row.confounder.name(),
-            property: TrialRow::was_rolled_back,
-        },
-        Breakdown {
-            title: "Harmful builds passed, by confounder:",
-            rows: &harmful,
-            group: |row| row.confounder.name(),
-            property: TrialRow::has_passed,
-        },
-        Breakdown {
-            title: "Harmful builds passed, by truth:",
-            rows: &harmful,
-            group: |row| row.build.name(),
-            property: TrialRow::has_passed,
-        },
-        Breakdown {
-            title: "Good builds sent back, of those by the test that spoke first:",
-            rows: &good,
-            group: |row| test_name(row.outcome.first_verdict_test),
-            property: TrialRow::was_rolled_back,
-        },
-    ];
-    for breakdown in &breakdowns {
+    for breakdown in breakdowns(&good, &harmful) {
         text += &breakdown.table();
     }
     text + &format!(
-        "\nTime from the offer to the verdict on harmful builds: median {:.1} s, nine in ten within {:.1} s.\n",
+        "\nTime from the offer to the rollback of harmful builds: median {:.1} s, nine in ten within {:.1} s.\n",
         quantile(times, 0.5),
         quantile(times, 0.9)
     )
@@ -62,21 +36,21 @@
 pub(super) fn write_rows(path: &Path, rows: &[TrialRow]) -> Result<(), ExperimentError> {
     let optional_seconds = |duration: Option<Duration>| duration.map_or(f64::NAN, seconds);
     let columns = [
-        Column::text("truth", rows, |row| row.build.name()),
+        Column::text("build_behavior", rows, |row| row.build.name()),
         Column::text("confounder", rows, |row| row.confounder.name()),
         Column::numbers("seed", rows, |row| row.seed as f64),
         Column::numbers("harm", rows, |row| row.harm),
-        Column::numbers("back_s", rows, |row| {
+        Column::numbers("rolled_back_s", rows, |row| {
             optional_seconds(row.outcome.rolled_back_after)
         }),
         Column::numbers("released_s", rows, |row| {
             optional_seconds(row.outcome.released_after)
         }),
         Column::numbers("held_s", rows, |row| seconds(row.outcome.held_time)),
-        Column::numbers("test", rows, |row| {
+        Column::numbers("first_verdict_test", rows, |row| {
             row.outcome.first_verdict_test.map_or(f64::NAN, test_number)
         }),
-        Column::numbers("share", rows, |row| row.earned_share),
+        Column::numbers("earned_share", rows, |row| row.earned_share),
     ];
     parquet_table::write(path, &columns)
 }
@@ -105,6 +79,36 @@
     }
 }
 
+/// The breakdowns that the tables show, in their order.
+fn breakdowns<'a>(good: &'a [&'a TrialRow], harmful: &'a [&'a TrialRow]) -> [Breakdown<'a>; 4] {
+    [
+        Breakdown {
+            title: "Good builds rolled back, by confounder:",
+            rows: good,
+            group: |row| row.confounder.name(),
+            property: TrialRow::was_rolled_back,
+        },
+        Breakdown {
+            title: "Harmful builds passed, by confounder:",
+            rows: harmful,
+            group: |row| row.confounder.name(),
+            property: TrialRow::has_passed,
+        },
+        Breakdown {
+            title: "Harmful builds passed, by behavior:",
+            rows: harmful,
+            group: |row| row.build.name(),
+            property: TrialRow::has_passed,
+        },
+        Breakdown {
+            title: "Good builds rolled back, by the test of the first verdict:",
+            rows: good,
+            group: |row| test_name(row.outcome.first_verdict_test),
+            property: TrialRow::was_rolled_back,
+        },
+    ]
+}
+
 fn table_line(name: &str, proportion: Proportion) -> String {
     let interval = proportion.interval();
     format!(
--- a/crates/simulation/src/attempts.rs
+++ b/crates/simulation/src/attempts.rs
@@ -58,12 +58,11 @@
 
 /// Where and when a request meets a build.
 struct Circumstances<'a> {
+    fleet: &'a Fleet,
     endpoint: &'a SimulatedEndpoint,
     route: usize,
     in_flight: usize,
     now: Timestamp,
-    /// Share of the fleet that runs the candidate.
-    candidate_share: f64,
 }
 
 /// Draws costs and ends of attempts.
@@ -84,7 +83,7 @@
     }
 
     /// Puts an attempt on its endpoint and says how it will end. `draw_hop` draws the time of one way there.
-    pub(crate) fn play(
+    pub(crate) fn resolve(
         &mut self,
         attempt: Attempt,
         fleet: &mut Fleet,
@@ -94,11 +93,11 @@
         let cost_micros = ROUTES[attempt.route].mean_cost_micros * self.costs.cost_factor();
         let in_flight = fleet.endpoint_mut(attempt.endpoint).in_flight(now);
         let effect = self.draw_effect(&Circumstances {
+            fleet,
             endpoint: fleet.endpoint(attempt.endpoint),
             route: attempt.route,
             in_flight,
             now,
-            candidate_share: fleet.candidate_share(),
         });
         let hop = draw_hop();
         let endpoint = fleet.endpoint_mut(attempt.endpoint);
@@ -138,7 +137,7 @@
             wrong_answer: false,
         };
         if let BuildBehavior::SlowsFleet(factor) = self.candidate {
-            effect.cost_factor = 1.0 + (factor - 1.0) * circumstances.candidate_share;
+            effect.cost_factor = 1.0 + (factor - 1.0) * circumstances.fleet.candidate_share();
         }
         if !circumstances.endpoint.runs_candidate() {
             return effect;
--- a/crates/simulation/src/build_behavior.rs
+++ b/crates/simulation/src/build_behavior.rs
@@ -52,17 +52,17 @@
     pub fn name(self) -> &'static str {
         match self {
             BuildBehavior::CostFactor(factor) if factor < GOOD_COST_LIMIT => "good",
-            BuildBehavior::CostFactor(_) => "more work",
+            BuildBehavior::CostFactor(_) => "higher cost",
             BuildBehavior::FailsOnRoute { route, .. } if route == NON_IDEMPOTENT_ROUTE => {
-                "errors with an effect"
+                "errors on the non-idempotent route"
             }
-            BuildBehavior::FailsOnRoute { .. } => "errors on a route",
+            BuildBehavior::FailsOnRoute { .. } => "errors on an idempotent route",
             BuildBehavior::FailsWhenBusy(_) => "errors when busy",
-            BuildBehavior::FailsAfterUptime { .. } => "errors later",
+            BuildBehavior::FailsAfterUptime { .. } => "errors after some uptime",
             BuildBehavior::WrongAnswers(_) => "wrong answers",
-            BuildBehavior::NeverAnswers(_) => "hangs",
-            BuildBehavior::SlowsFleet(_) => "slows all",
-            BuildBehavior::FailsOnHardware { .. } => "errors on a kind",
+            BuildBehavior::NeverAnswers(_) => "never answers",
+            BuildBehavior::SlowsFleet(_) => "slows the fleet",
+            BuildBehavior::FailsOnHardware { .. } => "errors on a hardware class",
         }
     }
 
--- a/crates/simulation/src/case.rs
+++ b/crates/simulation/src/case.rs
@@ -1,4 +1,4 @@
-//! What is played: the fleet's size, the settings told to the instances, the build and what else goes wrong.
+//! What is run: the fleet's size, the settings that the instances get, the build and what else goes wrong.
 
 use crate::build_behavior::BuildBehavior;
 use crate::confounder::Confounder;
@@ -46,7 +46,7 @@
     FirstFailure,
 }
 
-/// Which of the optional limits the settings tell.
+/// Which of the optional limits the settings have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SettingsProfile {
     /// Hedging is allowed, stages advance by themselves, exposure counts all routes together.
@@ -62,7 +62,7 @@
     pub seed: u64,
     /// Size of the deployment.
     pub size: FleetSize,
-    /// Settings told to the instances.
+    /// Settings that the instances get.
     pub profile: SettingsProfile,
     /// What the candidate is like.
     pub build: BuildBehavior,
--- a/crates/simulation/src/confounder.rs
+++ b/crates/simulation/src/confounder.rs
@@ -47,13 +47,13 @@
     pub fn name(self) -> &'static str {
         match self {
             Confounder::None => "none",
-            Confounder::Slow => "slow machines",
-            Confounder::Neighbours => "neighbours",
+            Confounder::Slow => "slow endpoints",
+            Confounder::Neighbours => "noisy neighbours",
             Confounder::FastErrors => "fast errors",
             Confounder::Burst => "burst",
             Confounder::HeavyRoute => "heavy route",
             Confounder::LostZone => "lost zone",
-            Confounder::Stall => "front stalls",
+            Confounder::Stall => "instance stalls",
         }
     }
 }
--- a/crates/simulation/src/decisions.rs
+++ b/crates/simulation/src/decisions.rs
@@ -63,7 +63,7 @@
         let network = &mut world.network;
         let end = world
             .attempts
-            .play(attempt, &mut world.fleet, || network.draw_hop_delay());
+            .resolve(attempt, &mut world.fleet, || network.draw_hop_delay());
         let finished = AttemptFinished {
             request,
             attempt_index: started.attempt_index,
@@ -123,7 +123,7 @@
             .notify(at, self.instance, Notice::HealthCheckFinished(finished));
     }
 
-    /// Discovery of the model tells changes whether it is asked or not.
+    /// Discovery of the model sends changes whether it is polled or not.
     fn poll_endpoints(&mut self) {}
 
     fn schedule_wake_up(&mut self, after: Duration) {
--- a/crates/simulation/src/delivery.rs
+++ b/crates/simulation/src/delivery.rs
@@ -1,4 +1,4 @@
-//! The host's side that tells an instance what has happened: one step's events, as calls on the policy.
+//! The host's side that delivers what has happened to an instance: one step's events, as calls on the policy.
 
 use std::cell::RefCell;
 
--- a/crates/simulation/src/events.rs
+++ b/crates/simulation/src/events.rs
@@ -33,7 +33,7 @@
     ClientRetry(ClientRetry),
     /// An attempt has ended.
     AttemptFinished(AttemptFinished),
-    /// Discovery tells an endpoint's present state, by its index.
+    /// Discovery sends an endpoint's present state, by its index.
     EndpointListed(usize),
     /// The platform announces the rollout's state.
     RolloutAnnounced(RolloutAnnouncement),
@@ -85,7 +85,7 @@
 }
 
 impl RolloutAnnouncement {
-    /// As the policy is told it at this time.
+    /// As the policy gets it at this time.
     pub(crate) fn status(&self, now: Timestamp) -> RolloutStatus {
         RolloutStatus {
             build: self.build,
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,6 +1,6 @@
 //! Endpoints, builds, the rollout platform, discovery and clients in virtual time, around the real policy.
 //!
-//! [`trial::run_trial`] plays one [`case::TrialCase`] and returns its [`outcome::TrialOutcome`]. It drives
+//! [`trial::run_trial`] runs one [`case::TrialCase`] and returns its [`outcome::TrialOutcome`]. It drives
 //! [`tidescale_policy::Balancer`] through the same two traits as the proxy does, and does no I/O.
 //!
 //! Invariants:
@@ -15,7 +15,7 @@
 //! | --- | --- |
 //! | [`digest`], [`random_stream`], `parameters` | a digest over numbers; random draws; constants with their units |
 //! | [`build_behavior`], `endpoint`, `fleet` | what a build does; how an endpoint serves; which endpoint stands where |
-//! | [`confounder`], [`case`], [`outcome`] | what else goes wrong; what is played; what came of it |
+//! | [`confounder`], [`case`], [`outcome`] | what else goes wrong; what is run; what came of it |
 //! | `events`, `network` | what happens later, in order; messages and how long they take |
 //! | `rollout`, `clients`, `attempts` | the platform's stages and votes; requests; how an attempt ends |
 //! | `world` | the state of a trial, made of the parts above |
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -13,12 +13,12 @@
     most: Duration,
 }
 
-/// From a change of an endpoint until an instance is told of it.
+/// From a change of an endpoint until an instance is notified of it.
 const DISCOVERY_DELAY: DelayRange = DelayRange {
     least: Duration::from_millis(300),
     most: Duration::from_millis(900),
 };
-/// From a change of the rollout until an instance is told of it.
+/// From a change of the rollout until an instance is notified of it.
 const ANNOUNCEMENT_DELAY: DelayRange = DelayRange {
     least: Duration::from_millis(80),
     most: Duration::from_millis(350),
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Tells every instance of an endpoint, each after a delay of its own; what it is told is the state by then.
+    /// Notifies every instance of an endpoint, each after a delay of its own; it gets the endpoint's state by then.
     pub(crate) fn list_endpoint(&mut self, now: Timestamp, endpoint: usize) {
         for instance in 0..self.instances {
             let at = now + self.draw(&DISCOVERY_DELAY);
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Tells every instance of the rollout's state, each after a delay of its own.
+    /// Notifies every instance of the rollout's state, each after a delay of its own.
     pub(crate) fn announce_rollout(&mut self, now: Timestamp, announcement: RolloutAnnouncement) {
         for instance in 0..self.instances {
             let at = now + self.draw(&ANNOUNCEMENT_DELAY);
--- a/crates/simulation/src/parameters.rs
+++ b/crates/simulation/src/parameters.rs
@@ -8,7 +8,7 @@
 /// Step of virtual time: events of one tick reach an instance together, as those of one event-loop iteration do.
 pub(crate) const TICK: Duration = Duration::from_millis(10);
 
-/// When a trial begins; far from 0, so that times before it can be told.
+/// When a trial begins; far from 0, so that there are times before it.
 pub(crate) const START: Timestamp = Timestamp::from_micros(1_000_000_000_000);
 
 /// Number of the build that serves when a trial begins.
--- a/crates/simulation/src/settings.rs
+++ b/crates/simulation/src/settings.rs
@@ -1,4 +1,4 @@
-//! The settings that an instance is told.
+//! The settings that an instance gets.
 
 use std::time::Duration;
 
--- a/crates/simulation/src/trial.rs
+++ b/crates/simulation/src/trial.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Plays a trial from its start to its end.
+/// Runs a trial from its start to its end.
 pub fn run_trial(case: TrialCase) -> TrialOutcome {
     let mut world = World::new(case);
     let mut instances: Vec<Instance> = (0..case.size.instances)
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -21,7 +21,7 @@
 
 /// Everything around the instances.
 pub(crate) struct World {
-    /// What is played.
+    /// What is run.
     pub(crate) case: TrialCase,
     /// The present tick.
     pub(crate) now: Timestamp,
@@ -65,7 +65,7 @@
         }
     }
 
-    /// Schedules what an instance is told at the trial's start, and its first request.
+    /// Schedules what an instance is notified of at the trial's start, and its first request.
     pub(crate) fn introduce_instance(&mut self, instance: usize) {
         for endpoint in 0..self.fleet.endpoint_count() {
             self.network
