--- /dev/null
+++ b/crates/experiments/src/saver.rs
@@ -0,0 +1,76 @@
+//! `saver`: the process that `torture` starts and kills. It saves one state after the other and prints what it does.
+
+use std::io::{Write, stdout};
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use clap::Args;
+use tidescale_policy::types::Timestamp;
+use tidescale_snapshot::crash_history::records_of;
+use tidescale_snapshot::directory::{Directory, LockError};
+use tidescale_snapshot::store::Store;
+
+use crate::error::ExperimentError;
+
+/// First word of the line printed before a save; the state's number follows.
+pub const BEGUN: &str = "begun";
+/// First word of the line printed after it.
+pub const SAVED: &str = "saved";
+
+/// The lock of a killed process is free within this time.
+const LOCK_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two attempts at the lock: short against a process's life of some milliseconds.
+const LOCK_POLL: Duration = Duration::from_millis(1);
+
+/// Arguments of `saver`.
+#[derive(Args)]
+pub struct SaverArgs {
+    /// The folder that it saves in.
+    folder: PathBuf,
+}
+
+/// Saves for ever, counting on from the state that it finds.
+///
+/// # Errors
+///
+/// Where the folder cannot be taken, or a save fails.
+pub fn run(args: &SaverArgs) -> Result<String, ExperimentError> {
+    let (mut store, opened) = Store::open(lock_directory(&args.folder)?);
+    let mut number = opened
+        .snapshot
+        .map_or(0, |snapshot| snapshot.written_at.as_micros());
+    let mut out = stdout();
+    loop {
+        number += 1;
+        writeln!(out, "{BEGUN} {number}").map_err(ExperimentError::in_step("print"))?;
+        store
+            .save(Timestamp::from_micros(number), records_of(number))
+            .map_err(|source| ExperimentError::Save {
+                path: args.folder.clone(),
+                source,
+            })?;
+        writeln!(out, "{SAVED} {number}").map_err(ExperimentError::in_step("print"))?;
+    }
+}
+
+/// Locks a directory that a process killed a moment ago may still have locked.
+///
+/// # Errors
+///
+/// Where the directory cannot be made or locked, or stays locked.
+pub fn lock_directory(folder: &Path) -> Result<Directory, ExperimentError> {
+    let started_at = Instant::now();
+    loop {
+        match Directory::lock(folder) {
+            Ok(directory) => return Ok(directory),
+            Err(LockError::Locked) if started_at.elapsed() < LOCK_TIMEOUT => {
+                thread::sleep(LOCK_POLL);
+            }
+            Err(source) => {
+                let path = folder.to_path_buf();
+                return Err(ExperimentError::Lock { path, source });
+            }
+        }
+    }
+}
