--- a/crates/proxy/src/buffers.rs
+++ b/crates/proxy/src/buffers.rs
@@ -1,4 +1,8 @@
-//! Buffers of one size, used again from a bounded pool; a long message spans several.
+//! Buffers of one size, reused from a bounded pool, and chains of them that hold messages of any length. No I/O but
+//! through the `Read` or `Write` that is passed in.
+//!
+//! Reading stops where a pool is empty. Writing never does: what has been read may still be answered, or no buffer
+//! would ever come back. A pool therefore counts buffers beyond its capacity, but keeps none of them.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -6,40 +10,49 @@
 use std::ops::Range;
 use std::rc::Rc;
 
+/// Bytes in a buffer.
 pub const SIZE: usize = 16 * 1024;
 
-struct Shelf {
+/// Buffers in one system call that writes.
+const MAX_WRITE_SLICES: usize = 16;
+
+struct PoolState {
+    /// Allocated before, and not in use now.
     free: Vec<Box<[u8]>>,
-    out: usize,
-    most: usize,
+    in_use: usize,
+    capacity: usize,
 }
 
 /// Where buffers come from and go back to.
 #[derive(Clone)]
-pub struct Pool(Rc<RefCell<Shelf>>);
+pub struct Pool(Rc<RefCell<PoolState>>);
 
 impl Pool {
-    pub fn new(most: usize) -> Pool {
-        Pool(Rc::new(RefCell::new(Shelf {
+    /// A pool of so many buffers, each allocated when it is needed first.
+    pub fn new(capacity: usize) -> Pool {
+        Pool(Rc::new(RefCell::new(PoolState {
             free: Vec::new(),
-            out: 0,
-            most,
+            in_use: 0,
+            capacity,
         })))
     }
-    /// Reading must stop; what has been read may still be answered, or nothing would ever come back.
+
+    /// All buffers are in use: reading must stop.
     pub fn is_empty(&self) -> bool {
-        let shelf = self.0.borrow();
-        shelf.out >= shelf.most
+        let state = self.0.borrow();
+        state.in_use >= state.capacity
     }
-    /// More than half of it is left.
+
+    /// More than half of the buffers are left.
     pub fn is_ample(&self) -> bool {
-        let shelf = self.0.borrow();
-        shelf.out < shelf.most / 2
+        let state = self.0.borrow();
+        state.in_use < state.capacity / 2
     }
+
     fn take(&self) -> Buffer {
-        let mut shelf = self.0.borrow_mut();
-        shelf.out += 1;
-        let bytes = shelf
+        let mut state = self.0.borrow_mut();
+        state.in_use += 1;
+        let bytes = state
             .free
             .pop()
             .unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
@@ -52,6 +65,7 @@
     }
 }
 
+/// One buffer, of which `start..end` is filled. It goes back to its pool when it is dropped.
 struct Buffer {
     bytes: Box<[u8]>,
     start: usize,
@@ -63,27 +77,31 @@
     fn filled(&self) -> &[u8] {
         &self.bytes[self.start..self.end]
     }
+
+    fn room(&mut self) -> &mut [u8] {
+        &mut self.bytes[self.end..]
+    }
 }
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        let mut shelf = self.pool.0.borrow_mut();
-        shelf.out -= 1;
-        if shelf.free.len() + shelf.out < shelf.most {
+        let mut state = self.pool.0.borrow_mut();
+        state.in_use -= 1;
+        if state.free.len() + state.in_use < state.capacity {
             let bytes = std::mem::take(&mut self.bytes);
-            shelf.free.push(bytes);
+            state.free.push(bytes);
         }
     }
 }
 
 /// Bytes in order, over as many buffers as they need.
 pub struct Chain {
-    parts: VecDeque<Buffer>,
+    buffers: VecDeque<Buffer>,
     len: usize,
     pool: Pool,
 }
 
-/// How a read came out.
+/// How a read ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fill {
     /// Nothing more for now.
@@ -92,122 +110,144 @@
     Enough,
     /// No buffer was left.
     Starved,
+    /// The far side has ended its sending.
     Ended,
 }
 
 impl Chain {
+    /// An empty chain that takes its buffers from this pool.
     pub fn new(pool: &Pool) -> Chain {
         Chain {
-            parts: VecDeque::new(),
+            buffers: VecDeque::new(),
             len: 0,
             pool: pool.clone(),
         }
     }
+
+    /// Number of bytes.
     pub fn len(&self) -> usize {
         self.len
     }
+
+    /// Whether it holds no byte.
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
 
+    fn is_last_buffer_full(&self) -> bool {
+        self.buffers.back().is_none_or(|last| last.end == SIZE)
+    }
+
+    /// Adds bytes at the end, also where the pool is empty.
     pub fn push(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
-            if self.parts.back().is_none_or(|b| b.end == SIZE) {
-                self.parts.push_back(self.pool.take());
+            if self.is_last_buffer_full() {
+                self.buffers.push_back(self.pool.take());
             }
-            let last = self.parts.back_mut().unwrap();
-            let n = bytes.len().min(SIZE - last.end);
-            last.bytes[last.end..last.end + n].copy_from_slice(&bytes[..n]);
-            last.end += n;
-            self.len += n;
-            bytes = &bytes[n..];
+            let Some(last) = self.buffers.back_mut() else {
+                return;
+            };
+            let count = bytes.len().min(SIZE - last.end);
+            let (now, later) = bytes.split_at(count);
+            last.room()[..count].copy_from_slice(now);
+            last.end += count;
+            self.len += count;
+            bytes = later;
         }
     }
 
-    /// The filled parts of a range, in order.
+    /// The filled parts of a range, in order; what lies beyond the end is left out.
     pub fn slices(&self, range: Range<usize>) -> impl Iterator<Item = &[u8]> {
-        let mut at = 0;
-        self.parts.iter().filter_map(move |part| {
-            let (from, to) = (range.start.max(at), range.end.min(at + part.filled().len()));
-            let cut = (from < to).then(|| &part.filled()[from - at..to - at]);
-            at += part.filled().len();
-            cut
+        let mut offset = 0;
+        self.buffers.iter().filter_map(move |buffer| {
+            let filled = buffer.filled();
+            let start = range.start.max(offset);
+            let end = range.end.min(offset + filled.len());
+            let slice = (start < end).then(|| &filled[start - offset..end - offset]);
+            offset += filled.len();
+            slice
         })
     }
 
     /// Copies a range to the end of `to`.
     pub fn copy(&self, range: Range<usize>, to: &mut Vec<u8>) {
-        self.slices(range).for_each(|s| to.extend_from_slice(s));
+        self.slices(range)
+            .for_each(|slice| to.extend_from_slice(slice));
     }
 
-    pub fn skip(&mut self, mut n: usize) {
-        self.len -= n;
-        while let Some(first) = self.parts.front_mut() {
-            let here = n.min(first.end - first.start);
-            first.start += here;
-            n -= here;
+    /// Drops the first `count` bytes, at most as many as there are.
+    pub fn skip(&mut self, mut count: usize) {
+        self.len -= count;
+        while let Some(first) = self.buffers.front_mut() {
+            let skipped = count.min(first.end - first.start);
+            first.start += skipped;
+            count -= skipped;
             if first.start < first.end {
                 return;
             }
-            self.parts.pop_front();
+            self.buffers.pop_front();
         }
     }
 
-    /// Moves the first `n` bytes to the end of another chain.
-    pub fn pass(&mut self, n: usize, to: &mut Chain) {
-        self.slices(0..n).for_each(|s| to.push(s));
-        self.skip(n);
+    /// Moves the first `count` bytes to the end of another chain.
+    pub fn pass(&mut self, count: usize, to: &mut Chain) {
+        self.slices(0..count).for_each(|slice| to.push(slice));
+        self.skip(count);
     }
 
-    /// Reads until `most` bytes are held.
-    pub fn fill(&mut self, from: &mut impl Read, most: usize) -> io::Result<Fill> {
-        while self.len < most {
-            if self.parts.back().is_none_or(|b| b.end == SIZE) {
+    /// Reads until `wanted` bytes are held.
+    ///
+    /// # Errors
+    /// Those of `from`, other than an interruption or that nothing is there for now.
+    pub fn fill(&mut self, from: &mut impl Read, wanted: usize) -> io::Result<Fill> {
+        while self.len < wanted {
+            if self.is_last_buffer_full() {
                 if self.pool.is_empty() {
                     return Ok(Fill::Starved);
                 }
-                self.parts.push_back(self.pool.take());
+                self.buffers.push_back(self.pool.take());
             }
-            let last = self.parts.back_mut().unwrap();
-            let read = from.read(&mut last.bytes[last.end..]);
-            if let Ok(n) = read {
-                last.end += n;
-                self.len += n;
-            }
-            let idle = last.start == last.end;
-            match read {
+            let Some(last) = self.buffers.back_mut() else {
+                return Ok(Fill::Starved);
+            };
+            match from.read(last.room()) {
                 Ok(0) => return Ok(Fill::Ended),
-                Ok(_) => {}
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => {
-                    if idle {
-                        self.parts.pop_back();
+                Ok(count) => {
+                    last.end += count;
+                    self.len += count;
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => {
+                    if last.start == last.end {
+                        self.buffers.pop_back();
+                    }
+                    if error.kind() == ErrorKind::WouldBlock {
+                        return Ok(Fill::Drained);
                     }
-                    return if e.kind() == ErrorKind::WouldBlock {
-                        Ok(Fill::Drained)
-                    } else {
-                        Err(e)
-                    };
+                    return Err(error);
                 }
             }
         }
         Ok(Fill::Enough)
     }
 
-    /// Writes as much as is taken.
+    /// Writes as much as is taken, and drops it.
+    ///
+    /// # Errors
+    /// Those of `to`, other than an interruption or that it takes nothing for now.
     pub fn drain(&mut self, to: &mut impl Write) -> io::Result<()> {
         while !self.is_empty() {
             let slices: Vec<IoSlice> = self
                 .slices(0..self.len)
-                .take(16)
+                .take(MAX_WRITE_SLICES)
                 .map(IoSlice::new)
                 .collect();
             match to.write_vectored(&slices) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => self.skip(n),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(e) => return Err(e),
+                Ok(count) => self.skip(count),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
             }
         }
         Ok(())
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -1,5 +1,7 @@
-//! A non-blocking socket with the bytes that wait on either side of it, and what every part of the node needs
-//! to keep one.
+//! A non-blocking socket with the bytes that wait on either side of it, and what every component needs to keep one.
+//!
+//! The event loop reports a socket once when it becomes ready (edge triggered): a [`Connection`] remembers that there
+//! may be more to read until a read has found nothing more.
 
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -16,6 +18,13 @@
 use crate::buffers::{Chain, Fill, Pool};
 use crate::deadlines::Deadlines;
 
+/// What a connect that goes on in the background returns on Linux; the standard library has a kind for it only on
+/// newer toolchains.
+const EINPROGRESS: i32 = 115;
+/// Bytes that are read at once to be dropped.
+const DISCARD_SIZE: usize = 16 * 1024;
+
+/// The parts of the proxy that own sockets or deadlines, in the order in which their deadlines at one time are due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Component {
     /// The policy's own wake-up.
@@ -36,7 +45,7 @@
     Votes,
 }
 
-/// Whose socket or deadline it is: a part of the node, and a slot of its table where it has one.
+/// Whose socket or deadline it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Owner {
     /// The component.
@@ -52,28 +61,40 @@
     }
 }
 
-/// What the loop found ready in a turn.
+/// What the event loop found ready in one iteration.
 #[derive(Default)]
 pub struct TurnEvents {
+    /// Sockets, in the order in which they were reported.
     pub sockets: Vec<(Owner, Readiness)>,
+    /// SIGTERM has come.
     pub stop: bool,
+    /// SIGHUP has come.
     pub reload: bool,
 }
 
+/// What every component needs to serve its connections.
 pub struct IoContext {
+    /// Where sockets are registered.
     pub handle: LoopHandle<'static, TurnEvents>,
-    /// What machines send, and all that is sent on.
+    /// Buffers for what endpoints send, and for all that is sent on.
     pub pool: Pool,
-    /// What clients send: however much that is, machines' answers are still read.
+    /// Buffers for what clients send: however much that is, endpoints' answers are still read.
     pub clients_pool: Pool,
-    /// What discovery and the platform send.
+    /// Buffers for what discovery and the platform send.
     pub streams_pool: Pool,
+    /// The deadlines of all components.
     pub deadlines: Deadlines<Owner>,
+    /// The log.
     pub log: Logger,
+    /// The time of this iteration.
     pub now: Timestamp,
 }
 
 impl IoContext {
+    /// Has the event loop report a socket under its owner's name.
+    ///
+    /// # Errors
+    /// The system takes no further socket.
     pub fn register(
         &self,
         socket: Rc<impl std::os::fd::AsFd + 'static>,
@@ -82,21 +103,33 @@
         let source = Generic::new(socket, Interest::BOTH, Mode::Edge);
         let inserted = self
             .handle
-            .insert_source(source, move |readiness, _, ready| {
-                ready.sockets.push((owner, readiness));
+            .insert_source(source, move |readiness, _, events| {
+                events.sockets.push((owner, readiness));
                 Ok(PostAction::Continue)
             });
-        inserted.map_err(|e| io::Error::other(e.error))
+        inserted.map_err(|error| io::Error::other(error.error))
     }
 }
 
+/// What came of reading to drop it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Discarded {
+    /// Bytes dropped.
+    pub bytes: usize,
+    /// The far side has ended its sending, or the connection broke.
+    pub ended: bool,
+}
+
+/// A registered socket and the bytes on either side of it. It leaves the event loop when it is dropped.
 pub struct Connection {
     socket: Rc<TcpStream>,
     token: RegistrationToken,
     handle: LoopHandle<'static, TurnEvents>,
+    /// What has been read and not been used.
     pub input: Chain,
+    /// What has not been written yet.
     pub output: Chain,
-    /// The loop tells of a socket once; what was not read then is still there.
+    /// The last read did not find the end of what has come.
     readable: bool,
 }
 
@@ -107,6 +140,10 @@
 }
 
 impl Connection {
+    /// Begins to connect. Until that is done, [`flush`](Connection::flush) leaves what is to be written.
+    ///
+    /// # Errors
+    /// The system gives no socket, or the address cannot be connected to.
     pub fn open(context: &IoContext, to: SocketAddr, owner: Owner) -> io::Result<Connection> {
         let pool = if owner.component == Component::Endpoint {
             &context.pool
@@ -116,12 +153,15 @@
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
-            Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+            Err(error) if error.raw_os_error() != Some(EINPROGRESS) => Err(error),
             _ => Connection::over(context, socket.into(), owner, pool),
         }
     }
 
-    /// What comes in takes its buffers from this pool.
+    /// A connection over a connected socket; its input takes its buffers from this pool.
+    ///
+    /// # Errors
+    /// The socket cannot be set up or registered.
     pub fn over(
         context: &IoContext,
         socket: TcpStream,
@@ -132,90 +172,94 @@
         socket.set_nodelay(true)?;
         let socket = Rc::new(socket);
         let token = context.register(socket.clone(), owner)?;
-        let (input, output) = (Chain::new(pool), Chain::new(&context.pool));
-        // A client that has just come may have sent all it wants to ask.
-        let readable = owner.component == Component::Client;
         Ok(Connection {
             socket,
             token,
             handle: context.handle.clone(),
-            input,
-            output,
-            readable,
+            input: Chain::new(pool),
+            output: Chain::new(&context.pool),
+            // A client that has just come may already have sent its first request.
+            readable: owner.component == Component::Client,
         })
     }
 
+    /// Takes a report of the event loop.
     pub fn on_ready(&mut self, readiness: Readiness) {
         self.readable |= readiness.readable || readiness.error;
     }
 
-    /// Reads until `most` bytes are held.
-    pub fn read(&mut self, most: usize) -> io::Result<Fill> {
+    /// Reads until `wanted` bytes are held.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub fn read(&mut self, wanted: usize) -> io::Result<Fill> {
         if !self.readable {
             return Ok(Fill::Drained);
         }
-        let fill = self.input.fill(&mut &*self.socket, most)?;
+        let fill = self.input.fill(&mut &*self.socket, wanted)?;
         self.readable = matches!(fill, Fill::Enough | Fill::Starved);
         Ok(fill)
     }
 
-    /// There may be more to read, though the loop does not tell again.
+    /// There may be more to read, though the event loop will not report it again.
     pub fn has_more(&self) -> bool {
         self.readable
     }
 
+    /// Ends sending; the far side may still send.
     pub fn end_sending(&self) {
-        // One that is gone already needs no end.
+        // One that has gone already needs no end.
         let _ = self.socket.shutdown(Shutdown::Write);
     }
 
-    /// Reads up to `most` bytes and drops them; how many, and whether the far side has ended.
-    pub fn discard(&mut self, most: usize) -> (usize, bool) {
-        let (mut scratch, mut dropped) = ([0; 16 * 1024], 0);
+    /// Drops what has been read, then reads about `limit` bytes and drops them too.
+    pub fn discard(&mut self, limit: usize) -> Discarded {
         self.input.skip(self.input.len());
-        while self.readable && dropped < most {
+        let mut scratch = [0; DISCARD_SIZE];
+        let mut bytes = 0;
+        while self.readable && bytes < limit {
             match (&*self.socket).read(&mut scratch) {
-                Ok(0) => return (dropped, true),
-                Ok(n) => dropped += n,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.readable = false,
-                Err(_) => return (dropped, true),
+                Ok(0) => return Discarded { bytes, ended: true },
+                Ok(count) => bytes += count,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+                Err(_) => return Discarded { bytes, ended: true },
             }
         }
-        (dropped, false)
+        Discarded {
+            bytes,
+            ended: false,
+        }
     }
 
-    /// Writes what is taken; the rest goes when the loop finds room.
+    /// Writes what the system takes; the rest goes when the socket is ready again.
+    ///
+    /// # Errors
+    /// The connection broke.
     pub fn flush(&mut self) -> io::Result<()> {
         match self.output.drain(&mut &*self.socket) {
-            // Not up yet.
-            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
+            // It is still connecting.
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(()),
             other => other,
         }
     }
 
+    /// The far side has ended its sending, also where that end stands behind bytes that have not been read yet.
     pub fn has_hung_up(&self) -> bool {
-        hung_up(&self.socket)
+        let mut polled = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
+        let hung_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        // Where the system cannot say, the end shows once all before it has been read.
+        let is_polled = poll(&mut polled, Some(&Timespec::default())).is_ok();
+        is_polled && polled.iter().any(|fd| fd.revents().intersects(hung_up))
     }
 
-    /// Nothing has come that was not asked for, not even an end.
+    /// Nothing has come that was not used, not even an end.
     pub fn is_quiet(&self) -> bool {
         self.input.is_empty() && self.is_silent()
     }
 
-    /// The same beyond what has been read.
+    /// Nothing has come beyond what has been read, not even an end.
     pub fn is_silent(&self) -> bool {
-        matches!(self.socket.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        matches!(self.socket.peek(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 }
-
-/// Whether the far side has ended its sending, also behind what has not been read yet.
-fn hung_up(socket: &TcpStream) -> bool {
-    let mut one = [PollFd::new(socket, PollFlags::RDHUP)];
-    let told = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    // Where the system can't tell, the end shows once all before it has been read.
-    poll(&mut one, Some(&Timespec::default())).is_ok() && one[0].revents().intersects(told)
-}
-
-/// Linux's; the standard library has a kind for it only on newer tool chains.
-const EINPROGRESS: i32 = 115;
--- a/crates/proxy/src/deadlines.rs
+++ b/crates/proxy/src/deadlines.rs
@@ -1,15 +1,18 @@
-//! All deadlines, in one ordered structure; who has one has one at a time.
+//! All deadlines of the process, in one ordered table without I/O.
+//!
+//! An owner has at most one deadline: both indexes always hold the same pairs.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use tidescale_policy::types::Timestamp;
 
-pub struct Deadlines<W> {
-    by_time: BTreeSet<(Timestamp, W)>,
-    by_owner: BTreeMap<W, Timestamp>,
+/// Deadlines by time and by owner.
+pub struct Deadlines<Owner> {
+    by_time: BTreeSet<(Timestamp, Owner)>,
+    by_owner: BTreeMap<Owner, Timestamp>,
 }
 
-impl<W> Default for Deadlines<W> {
+impl<Owner> Default for Deadlines<Owner> {
     fn default() -> Self {
         Deadlines {
             by_time: BTreeSet::new(),
@@ -18,23 +21,28 @@
     }
 }
 
-impl<W: Copy + Ord> Deadlines<W> {
-    /// Takes the place of the owner's earlier one.
-    pub fn set(&mut self, owner: W, at: Timestamp) {
+impl<Owner: Copy + Ord> Deadlines<Owner> {
+    /// Sets the owner's deadline, in place of an earlier one.
+    pub fn set(&mut self, owner: Owner, at: Timestamp) {
         self.clear(owner);
         self.by_time.insert((at, owner));
         self.by_owner.insert(owner, at);
     }
-    pub fn clear(&mut self, owner: W) {
+
+    /// Takes the owner's deadline back, if it has one.
+    pub fn clear(&mut self, owner: Owner) {
         if let Some(at) = self.by_owner.remove(&owner) {
             self.by_time.remove(&(at, owner));
         }
     }
+
+    /// The earliest deadline.
     pub fn next_at(&self) -> Option<Timestamp> {
         self.by_time.first().map(|(at, _)| *at)
     }
-    /// Takes out the first that is due.
-    pub fn pop_due(&mut self, now: Timestamp) -> Option<W> {
+
+    /// Takes out the earliest deadline that has passed at `now`; of two at one time, the lesser owner's first.
+    pub fn pop_due(&mut self, now: Timestamp) -> Option<Owner> {
         let (at, owner) = *self.by_time.first()?;
         if at > now {
             return None;
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -14,7 +14,7 @@
 use tidescale_policy::types::{Ballot, RollbackVerdict, Timestamp};
 
 use crate::buffers::{self, Pool};
-use crate::clients::Clients;
+use crate::clients::{ClientLimits, Clients};
 use crate::config::{self, Config};
 use crate::connection::{Component, IoContext, Owner, TurnEvents};
 use crate::deadlines::Deadlines;
@@ -411,7 +411,10 @@
             return Err(format!("limits: {} sockets are too few", config.sockets));
         }
         let for_machines = free / MACHINES_PART;
-        let for_clients = (free - for_machines, config.sockets / RESTING_PART);
+        let for_clients = ClientLimits {
+            connections: free - for_machines,
+            resting: config.sockets / RESTING_PART,
+        };
         let clients = Clients::new(&context, listener, routes, for_clients)
             .map_err(|e| failed("listener", &e))?;
         let node = RefCell::new(Node {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event_loop;
 pub mod explain;
 pub mod http;
+pub mod load_report;
 pub mod logging;
 pub mod operators;
 pub mod postgres;
--- /dev/null
+++ b/crates/proxy/src/load_report.rs
@@ -0,0 +1,27 @@
+//! The load reports that endpoints send beside their answers. No I/O.
+
+use tidescale_policy::types::LoadReport;
+
+/// More than any endpoint could hold: a larger number makes no sense.
+const MAX_COUNT: f64 = 1e6;
+
+/// Reads a load report: pairs of names and values, of which some are used.
+///
+/// None where one of those makes no sense: then the others are worth nothing either.
+pub fn parse(text: &str) -> Option<LoadReport> {
+    let mut report = LoadReport::default();
+    for pair in text.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        match name.trim() {
+            "inflight" => report.in_flight = Some(parse_count(value)?),
+            "queue" => report.queued = Some(parse_count(value)?),
+            _ => {}
+        }
+    }
+    Some(report)
+}
+
+fn parse_count(text: &str) -> Option<f64> {
+    let count = text.trim().parse().ok()?;
+    (0.0..=MAX_COUNT).contains(&count).then_some(count)
+}
--- /dev/null
+++ b/crates/proxy/src/postgres/encoding.rs
@@ -0,0 +1,119 @@
+//! Messages that the proxy writes: to endpoints as their client, to clients as their server.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use super::framing::PROTOCOL_VERSION;
+use crate::buffers::Chain;
+
+/// Who the proxy is to endpoints.
+pub const STARTUP_PARAMETERS: [(&str, &str); 2] = [("user", "portal"), ("database", "crm")];
+
+/// What every client is told of its server.
+const SERVER_PARAMETERS: [(&str, &str); 3] = [
+    ("server_version", "15.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+];
+
+/// Whether an error ends the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// The connection goes on.
+    Error,
+    /// The connection ends.
+    Fatal,
+}
+
+impl Severity {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Severity::Error => "ERROR",
+            Severity::Fatal => "FATAL",
+        }
+    }
+}
+
+/// Writes one message, its body in parts.
+fn put_message(out: &mut Chain, type_byte: u8, body: &[&[u8]]) {
+    let length = 4 + body.iter().map(|part| part.len()).sum::<usize>();
+    out.push(&[type_byte]);
+    out.push(&(length as u32).to_be_bytes());
+    body.iter().for_each(|part| out.push(part));
+}
+
+/// Opens a connection to an endpoint.
+pub fn put_startup(out: &mut Chain) {
+    let mut body = PROTOCOL_VERSION.to_be_bytes().to_vec();
+    for (name, value) in STARTUP_PARAMETERS {
+        for text in [name, value] {
+            body.extend_from_slice(text.as_bytes());
+            body.push(0);
+        }
+    }
+    body.push(0);
+    out.push(&(body.len() as u32 + 4).to_be_bytes());
+    out.push(&body);
+}
+
+/// Sends a query.
+pub fn put_query(out: &mut Chain, statement: &[u8]) {
+    put_message(out, b'Q', &[statement, &[0]]);
+}
+
+/// Sends a client's statement, with the proxy's own wait, in whole milliseconds, in place of the client's.
+pub fn put_statement(
+    out: &mut Chain,
+    statement: &Chain,
+    wait_range: &Range<usize>,
+    wait: Duration,
+) {
+    let digits = wait.as_millis().to_string();
+    let before = statement.slices(0..wait_range.start);
+    let after = statement.slices(wait_range.end..statement.len());
+    let body: Vec<&[u8]> = before
+        .chain([digits.as_bytes()])
+        .chain(after)
+        .chain([&[0][..]])
+        .collect();
+    put_message(out, b'Q', &body);
+}
+
+/// Lets a client in.
+pub fn put_welcome(out: &mut Chain) {
+    put_message(out, b'R', &[&[0; 4]]);
+    for (name, value) in SERVER_PARAMETERS {
+        put_message(out, b'S', &[name.as_bytes(), &[0], value.as_bytes(), &[0]]);
+    }
+    put_ready(out);
+}
+
+/// Tells a client that its next query is taken.
+pub fn put_ready(out: &mut Chain) {
+    put_message(out, b'Z', &[b"I"]);
+}
+
+/// Answers a query without a statement.
+pub fn put_empty_query(out: &mut Chain) {
+    put_message(out, b'I', &[]);
+}
+
+/// Tells a client of an error; `detail` is left out where it is empty.
+pub fn put_error(out: &mut Chain, severity: Severity, code: &str, message: &str, detail: &str) {
+    let fields = [
+        (b'S', severity.as_str()),
+        (b'V', severity.as_str()),
+        (b'C', code),
+        (b'M', message),
+        (b'D', detail),
+    ];
+    let mut body = Vec::new();
+    for (field, value) in fields {
+        if !value.is_empty() {
+            body.push(field);
+            body.extend_from_slice(value.as_bytes());
+            body.push(0);
+        }
+    }
+    put_message(out, b'E', &[&body, &[0]]);
+}
--- /dev/null
+++ b/crates/proxy/src/postgres/messages.rs
@@ -0,0 +1,157 @@
+//! What the bodies of messages say.
+
+use super::ProtocolError;
+
+/// A text up to its zero byte, and the bytes behind that.
+fn split_text(body: &[u8]) -> Option<(&str, &[u8])> {
+    let end = body.iter().position(|byte| *byte == 0)?;
+    let (text, rest) = body.split_at(end);
+    Some((std::str::from_utf8(text).ok()?, rest.get(1..)?))
+}
+
+/// Whether a startup message names a user. Its body is pairs of texts up to an empty name.
+///
+/// # Errors
+/// The pairs do not end where the message does.
+pub fn names_user(mut body: &[u8]) -> Result<bool, ProtocolError> {
+    let mut has_user = false;
+    loop {
+        let (name, rest) = split_text(body).ok_or(ProtocolError::UnterminatedStartup)?;
+        if name.is_empty() {
+            return if rest.is_empty() {
+                Ok(has_user)
+            } else {
+                Err(ProtocolError::UnterminatedStartup)
+            };
+        }
+        let (value, rest) = split_text(rest).ok_or(ProtocolError::UnterminatedStartup)?;
+        has_user |= name == "user" && !value.is_empty();
+        body = rest;
+    }
+}
+
+/// The statement of a query.
+///
+/// # Errors
+/// The body is not exactly one text with its terminator.
+pub fn query(body: &[u8]) -> Result<&str, ProtocolError> {
+    match split_text(body) {
+        Some((statement, [])) => Ok(statement),
+        _ => Err(ProtocolError::UnterminatedQuery),
+    }
+}
+
+/// An error, as far as the proxy uses it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ErrorResponse {
+    /// Its SQLSTATE.
+    pub code: String,
+    /// What it says to people; empty where it says nothing.
+    pub message: String,
+}
+
+/// Reads an ErrorResponse.
+///
+/// # Errors
+/// A field has no end, or there is no code.
+pub fn error(mut body: &[u8]) -> Result<ErrorResponse, ProtocolError> {
+    let mut code = None;
+    let mut message = String::new();
+    while let Some((&field, rest)) = body.split_first().filter(|(field, _)| **field != 0) {
+        let (value, rest) = split_text(rest).ok_or(ProtocolError::UnterminatedField)?;
+        match field {
+            b'C' => code = Some(value.to_string()),
+            b'M' => message = value.to_string(),
+            _ => {}
+        }
+        body = rest;
+    }
+    let code = code.ok_or(ProtocolError::ErrorWithoutCode)?;
+    Ok(ErrorResponse { code, message })
+}
+
+/// A setting that the far side announces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ParameterStatus<'a> {
+    /// Which setting.
+    pub name: &'a str,
+    /// Its value.
+    pub value: &'a str,
+}
+
+/// Reads a ParameterStatus.
+///
+/// # Errors
+/// The body is not two texts.
+pub fn parameter(body: &[u8]) -> Result<ParameterStatus<'_>, ProtocolError> {
+    let (name, rest) = split_text(body).ok_or(ProtocolError::UnterminatedParameter)?;
+    let (value, _) = split_text(rest).ok_or(ProtocolError::UnterminatedParameter)?;
+    Ok(ParameterStatus { name, value })
+}
+
+/// The only value of a DataRow.
+///
+/// # Errors
+/// There is not exactly one, or its length is not the body's.
+pub fn row(body: &[u8]) -> Result<&[u8], ProtocolError> {
+    let [0, 1, a, b, c, d, value @ ..] = body else {
+        return Err(ProtocolError::DataRow);
+    };
+    let length = u32::from_be_bytes([*a, *b, *c, *d]) as usize;
+    if length == value.len() {
+        Ok(value)
+    } else {
+        Err(ProtocolError::DataRow)
+    }
+}
+
+/// Checks that a RowDescription announces one column, and ends with it.
+///
+/// # Errors
+/// It does not.
+pub fn check_row_description(body: &[u8]) -> Result<(), ProtocolError> {
+    let behind_name = body
+        .strip_prefix(&[0, 1])
+        .and_then(split_text)
+        .map(|(_, rest)| rest);
+    match behind_name {
+        // Table, column, type, its size and modifier, then plain or binary.
+        Some([_, _, _, _, _, _, _, _, _, _, _, _, _, _, _, _, 0, 0 | 1]) => Ok(()),
+        _ => Err(ProtocolError::RowDescription),
+    }
+}
+
+/// Checks that a CommandComplete counts one row.
+///
+/// # Errors
+/// It does not.
+pub fn check_command_complete(body: &[u8]) -> Result<(), ProtocolError> {
+    match split_text(body) {
+        Some(("SELECT 1" | "INSERT 0 1" | "SHOW", [])) => Ok(()),
+        _ => Err(ProtocolError::CommandComplete),
+    }
+}
+
+/// Checks that an authentication message asks for nothing and lets the proxy in.
+///
+/// # Errors
+/// It asks for a password or the like.
+pub fn check_authentication(body: &[u8]) -> Result<(), ProtocolError> {
+    if body == [0, 0, 0, 0] {
+        Ok(())
+    } else {
+        Err(ProtocolError::PasswordRequested)
+    }
+}
+
+/// Checks that the far side takes the next query outside any transaction.
+///
+/// # Errors
+/// It is in a transaction.
+pub fn check_ready_for_query(body: &[u8]) -> Result<(), ProtocolError> {
+    if body == b"I" {
+        Ok(())
+    } else {
+        Err(ProtocolError::NotReady)
+    }
+}
