--- a/crates/proxy/src/clients/connection.rs
+++ b/crates/proxy/src/clients/connection.rs
@@ -144,7 +144,7 @@
         self.connection.has_more() || self.is_open() && next() != Ok(None)
     }
 
-    /// How many bytes have to be held to look at the next message; of what follows a pending request only the
+    /// How many bytes have to be held to look at the next message. Of what follows a pending request only the
     /// beginning is read.
     pub(super) fn bytes_wanted(&self, pool: &Pool) -> usize {
         let read_ahead = if self.is_open() && pool.is_ample() {
@@ -161,7 +161,7 @@
         }
     }
 
-    /// Tells the client why its connection ends; it does once that is read.
+    /// Tells the client why its connection ends. It closes once the client has read that.
     pub(super) fn refuse(&mut self, code: &str, reason: &str) {
         let Connection { input, output, .. } = &mut self.connection;
         postgres::put_error(output, Severity::Fatal, code, reason, "");
--- a/crates/proxy/src/clients/serving.rs
+++ b/crates/proxy/src/clients/serving.rs
@@ -32,7 +32,7 @@
     UnknownRoute,
     #[error("no key")]
     MissingKey,
-    /// It could not be told whose answer an endpoint's would be.
+    /// Two clients would await the response to one id.
     #[error("the id of an open req")]
     IdInUse,
 }
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Whoever has held buffers longest for a message that does not end gives them up.
+    /// Refuses the connection that has held buffers longest for a message that does not end.
     fn free_buffers(&mut self, wanted_by: u64, context: &mut IoContext, policy: &mut Balancer) {
         let longest = self
             .stages
--- a/crates/proxy/src/upstream/answers.rs
+++ b/crates/proxy/src/upstream/answers.rs
@@ -22,7 +22,7 @@
 const LOAD_PARAMETER: &str = "vitals";
 
 impl Upstream {
-    /// Reads what an endpoint has sent, passes answers on, and tells the policy.
+    /// Reads what an endpoint has sent, passes answers on, and notifies the policy.
     pub fn serve(
         &mut self,
         key: u64,
@@ -163,7 +163,7 @@
         Ok(false)
     }
 
-    /// Tells of an exchange that the endpoint has answered.
+    /// Notifies client and policy of an exchange that the endpoint has answered.
     fn notify_answered(
         &mut self,
         key: u64,
@@ -240,7 +240,7 @@
     }
 }
 
-/// Takes an error in place of an answer; while connecting it is the connection that the endpoint turned down.
+/// Takes an error in place of an answer; while connecting it is the connection that the endpoint refused.
 fn take_error(
     connection: &mut EndpointConnection,
     body: &[u8],
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -19,7 +19,7 @@
     HealthCheck,
 }
 
-/// An attempt or a health check from its start until its end has been told.
+/// An attempt or a health check, from its start until the policy has been notified of its end.
 pub(super) struct Exchange {
     pub(super) job: Job,
     pub(super) started_at: Timestamp,
@@ -62,7 +62,7 @@
     Connecting {
         /// When it has to be made.
         deadline: Timestamp,
-        /// What is sent over it then; none once the endpoint has turned it down.
+        /// What is sent over it then; none once the endpoint has refused the connection.
         exchange: Option<Exchange>,
     },
     /// It carries an attempt or a health check.
--- a/crates/proxy/src/upstream/exchanges.rs
+++ b/crates/proxy/src/upstream/exchanges.rs
@@ -1,4 +1,4 @@
-//! Attempts and health checks: starting, writing and cancelling them, and telling how they ended.
+//! Attempts and health checks: starting, writing and cancelling them, and notifying the policy of their ends.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 use crate::connection::IoContext;
 use crate::postgres;
 
-/// The shortest wait that an endpoint can be told of.
+/// The shortest wait that a statement can name.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
 impl Upstream {
@@ -142,7 +142,7 @@
         Some(())
     }
 
-    /// Gives up an attempt; that it ended is told in the next iteration, like any other end.
+    /// Cancels an attempt; the policy is notified of its end in the next iteration, like of any other.
     pub fn cancel_attempt(
         &mut self,
         request: u64,
@@ -174,7 +174,7 @@
         self.close(key, context);
     }
 
-    /// Tells the policy of exchanges that ended outside the handling of events.
+    /// Notifies the policy of exchanges that ended outside the handling of events.
     pub fn notify_ended_attempts(&mut self, clients: &mut Clients, policy: &mut Balancer) {
         for ended in std::mem::take(&mut self.ended) {
             match ended.job {
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Passes a good answer on to the client, and tells the policy how an exchange ended.
+    /// Passes a good answer on to the client, and notifies the policy of how an exchange ended.
     pub(super) fn notify_ended(
         &mut self,
         mut exchange: Exchange,
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -4,12 +4,12 @@
 //! | --- | --- |
 //! | `connection` | one connection's states, and the exchange that it carries |
 //! | `pool` | which connection carries the next exchange: an idle one, or a new one |
-//! | `exchanges` | starting, writing, cancelling attempts and health checks, and telling their ends |
+//! | `exchanges` | starting, writing and cancelling attempts and health checks, and notifying the policy |
 //! | `answers` | what endpoints send |
 //! | [`outcomes`] | how an exchange can end without a good answer |
 //!
 //! Invariants: a connection that stands in an endpoint's `idle` list is in the table and carries no exchange; every
-//! exchange that is started has its end told to the policy exactly once.
+//! exchange that is started ends in exactly one notification of the policy.
 
 mod answers;
 mod connection;
@@ -32,7 +32,7 @@
     AnswerError, AttemptError, AttemptErrorCause, RequestProgress, outcome_of_sqlstate,
 };
 
-/// What tells a process from another one under the same endpoint name.
+/// What distinguishes a process from another one under the same endpoint name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessIdentity {
     /// Where it listens.
@@ -53,7 +53,7 @@
     idle: Vec<u64>,
 }
 
-/// An exchange that ended outside the handling of events; the policy is told in the next event-loop iteration.
+/// An exchange that ended outside the handling of events; the policy is notified in the next event-loop iteration.
 struct EndedExchange {
     job: Job,
     endpoint: String,
--- a/crates/proxy/src/upstream/outcomes.rs
+++ b/crates/proxy/src/upstream/outcomes.rs
@@ -81,7 +81,7 @@
 }
 
 impl AttemptError {
-    /// What the policy is told. Only a request whose last byte was written may have been executed.
+    /// The outcome for the policy. Only a request whose last byte was written may have been executed.
     pub fn outcome(&self) -> AttemptOutcome {
         match (self.progress, &self.cause) {
             (_, AttemptErrorCause::Cancelled) => AttemptOutcome::Cancelled,
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -177,7 +177,7 @@
         set_deadline(key, close_at, context);
     }
 
-    /// Closes a connection, whatever state it is in; an exchange that it carries has to be told of before.
+    /// Closes a connection, whatever state it is in. An exchange that it carries has to be taken off before.
     pub(super) fn close(&mut self, key: u64, context: &mut IoContext) {
         context
             .deadlines
--- a/crates/proxy/tests/loopback/clients.rs
+++ b/crates/proxy/tests/loopback/clients.rs
@@ -1,4 +1,4 @@
-//! Clients: what they send and how they leave.
+//! Clients: what they send and how they disconnect.
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn malformed_clients_are_told_and_reach_no_machine() {
+fn malformed_clients_are_answered_and_reach_no_endpoint() {
     let (addr, seen) = machine(|_| Act::Row(vec![1]));
     let front = start(&told(&[addr], 128));
     let odd = |statement: &str| out(|o| postgres::put_query(o, statement.as_bytes()));
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn a_client_that_goes_away_has_its_try_given_up() {
+fn a_client_that_disconnects_has_its_attempt_cancelled() {
     let (addr, seen) = machine(|_| Act::Silence);
     let front = start(&told(&[addr], 128));
     let mut client = Client::open(front.addr);
@@ -133,7 +133,7 @@
         thread::sleep(Duration::from_millis(40));
         Act::Row(vec![5])
     });
-    // Six clients and six connections to machines.
+    // Six clients and six connections to endpoints.
     let front = start(&told(&[addr], 50));
     let mut idle: Vec<Client> = (0..6).map(|_| Client::open(front.addr)).collect();
     for client in &mut idle {
@@ -182,7 +182,7 @@
 }
 
 #[test]
-fn whatever_clients_send_they_are_told_or_closed_in_time() {
+fn whatever_clients_send_they_are_answered_or_closed_in_time() {
     let (addr, seen) = machine(|_| Act::Row(vec![5]));
     let front = start(&told(&[addr], 128));
     let half = startup();
@@ -197,7 +197,7 @@
         (asked[..30].to_vec(), 2000..3000),
         (b"Q\x03\x93\x87\0SELECT".to_vec(), 0..500),
     ];
-    let told: Vec<_> = table
+    let refused: Vec<_> = table
         .into_iter()
         .map(|(sent, within)| {
             let mut client = Client::open(front.addr);
@@ -214,7 +214,7 @@
             })
         })
         .collect();
-    // One that sends megabytes reads why it is turned down, however late it looks.
+    // One that sends megabytes reads why it is refused, however late it looks.
     let mut sender = Client::open(front.addr);
     sender.send(&[startup(), b"Q\x03\x93\x87\0".to_vec()].concat());
     thread::sleep(Duration::from_millis(50));
@@ -246,12 +246,14 @@
     for client in &mut silent {
         assert!(client.ended() && begun.elapsed() < Duration::from_millis(3000));
     }
-    told.into_iter().for_each(|t| t.join().unwrap());
+    refused
+        .into_iter()
+        .for_each(|thread| thread.join().unwrap());
     assert!(seen.lock().unwrap().iter().all(|q| q.contains("c=look")));
 }
 
 #[test]
-fn an_id_that_is_open_is_no_other_reqs_and_a_resting_client_is_closed() {
+fn an_id_in_use_is_refused_and_an_idle_client_is_closed() {
     let (addr, seen) = machine(|_| {
         thread::sleep(Duration::from_millis(300));
         Act::Row(vec![5])
@@ -282,9 +284,9 @@
 }
 
 #[test]
-fn clients_that_ask_once_and_stay_leave_room_for_others() {
+fn clients_that_send_one_request_and_stay_make_room_for_others() {
     let (addr, _) = machine(|_| Act::Row(vec![5]));
-    // Sixteen may rest.
+    // Sixteen may be idle.
     let front = start(&told(&[addr], 128));
     let begun = Instant::now();
     let mut clients: Vec<Client> = (0..24).map(|_| Client::open(front.addr)).collect();
@@ -330,7 +332,7 @@
         }
     };
     wait_for(1);
-    // More than is read ahead of an open req.
+    // More than is read ahead of a pending request.
     let more: Vec<u8> = (0..600)
         .flat_map(|i| query("look", 100 + i, 1200))
         .collect();
@@ -346,11 +348,11 @@
         .skip(2)
         .filter(|q| !q.contains("id=ffff"))
         .count();
-    assert_eq!(others, 0, "tries for a client that has gone");
+    assert_eq!(others, 0, "attempts for a client that has gone");
 }
 
 #[test]
-fn where_buffers_run_out_an_unfinished_message_is_told_before_it_gives_way() {
+fn where_buffers_run_out_an_unfinished_message_is_refused_before_it_gives_way() {
     let (addr, _) = machine(|_| Act::Row(vec![5]));
     // 85 buffers for what clients send; each message takes nine.
     let front = start(&told(&[addr], 128).replace("\"memory_mb\":64", "\"memory_mb\":8"));
@@ -370,14 +372,17 @@
         client.send(&whole[..whole.len() - 40]);
     }
     // Their last bytes may be under way: none ends without a word, and whichever gives way is refused. Those that need
-    // not are told after 2.4 s that their message has no end.
-    let told: Vec<_> = begun.iter_mut().map(Client::answer).collect();
-    assert!(told.iter().all(|(tags, _)| tags == "E."), "{told:?}");
-    assert!(told.iter().any(|(_, code)| code == b"53300"), "{told:?}");
+    // not are refused after 2.4 s, as their message has no end.
+    let answers: Vec<_> = begun.iter_mut().map(Client::answer).collect();
+    assert!(answers.iter().all(|(tags, _)| tags == "E."), "{answers:?}");
+    assert!(
+        answers.iter().any(|(_, code)| code == b"53300"),
+        "{answers:?}"
+    );
 }
 
 #[test]
-fn the_time_of_a_req_runs_while_it_waits_behind_another() {
+fn the_time_of_a_request_runs_while_it_waits_behind_another() {
     let gate = Gate::new();
     let silent = TcpListener::bind("127.0.0.1:0")
         .unwrap()
@@ -388,17 +393,17 @@
     let mut client = Client::admitted(front.addr);
     // Both at once; the first is held until the second's time is over.
     client.send(&[query("look", 1, 1200), query("look", 2, 300)].concat());
-    let mut machine = gate.accept();
-    machine.startup();
-    machine.let_in();
-    assert!(machine.query().is_some_and(|q| q.contains("id=1")));
+    let mut endpoint = gate.accept();
+    endpoint.startup();
+    endpoint.let_in();
+    assert!(endpoint.query().is_some_and(|q| q.contains("id=1")));
     thread::sleep(Duration::from_millis(320));
-    machine.answer(1);
+    endpoint.answer(1);
     assert_eq!(client.answer(), ("TDCZ".into(), vec![1]));
-    // Given up at once; no machine hears of it.
+    // Rejected at once; no endpoint hears of it.
     assert_eq!(client.answer(), ("EZ".into(), b"53300".to_vec()));
     client.send(&query("look", 3, 1200));
-    let asked = machine.query().or_else(|| {
+    let asked = endpoint.query().or_else(|| {
         let mut anew = gate.accept();
         anew.startup();
         anew.let_in();
--- a/crates/proxy/tests/loopback/upstream.rs
+++ b/crates/proxy/tests/loopback/upstream.rs
@@ -1,4 +1,4 @@
-//! Machines: what they do with a query.
+//! Endpoints: what they do with a query.
 
 use std::net::TcpListener;
 use std::thread;
@@ -9,8 +9,8 @@
 use crate::common::*;
 
 #[test]
-fn what_a_machine_does_becomes_the_clients_answer() {
-    // What the only machine does first; then it answers -> for a route that may run again, for one that may not.
+fn what_an_endpoint_does_becomes_the_clients_response() {
+    // What the only endpoint does first; then it answers -> for a route that may be retried, for one that may not.
     type First = fn() -> Act;
     let table: [(First, &str, &str); 15] = [
         (|| Act::Row(vec![5]), "TDCZ", "TDCZ"),
@@ -19,7 +19,7 @@
         (|| Act::Close, "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"D\0\0\0\x03"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"C\0\0\0\x0dSELECT 0\0"), "TDCZ", "EZ 58000"),
-        // Noise, a value said to have gigabytes, parts out of order or spoilt: failed at once, and may have run.
+        // Noise, a value said to have gigabytes, parts out of order or spoilt: failed at once, and may have been executed.
         (|| Act::Bytes(b"\xf7\x03noise"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"D\xb2\xd0\x5e\0\0\x01"), "TDCZ", "EZ 58000"),
         (
@@ -30,7 +30,7 @@
         (|| Act::Bytes(b"T\0\0\0\x06\0\x02"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b"E\0\0\0\x08XX00"), "TDCZ", "EZ 58000"),
         (|| Act::Bytes(b""), "TDCZ", "EZ 58000"),
-        // The req's own fault: no other machine is asked.
+        // The request itself is invalid: no other endpoint is asked.
         (|| Act::Error("42601"), "EZ 42601", "EZ 42601"),
         // A good answer stays good, whatever comes behind it; none of that answers what is asked next.
         (
@@ -63,8 +63,8 @@
 }
 
 #[test]
-fn what_may_run_once_goes_over_no_kept_connection_where_these_break() {
-    // The machine ends each connection under its third query.
+fn a_request_that_must_not_repeat_goes_over_no_reused_connection_where_these_break() {
+    // The endpoint ends each connection under its third query.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -81,7 +81,7 @@
         client.send(&query(route, id, 900));
         client.answer().0
     };
-    // Repeats hide it here, and the front learns of it.
+    // Retries hide it here, and the proxy learns of it.
     (0..5).for_each(|id| assert_eq!(ask("look", id), "TDCZ"));
     for id in 10..20 {
         assert_eq!(ask("pay", id), "TDCZ", "{id}");
@@ -89,7 +89,7 @@
 }
 
 #[test]
-fn a_report_that_follows_the_answer_is_told_with_it() {
+fn a_load_report_that_follows_the_answer_counts_with_it() {
     let (addr, _) = machine(|_| Act::Row(vec![5]));
     let (front, tags) = with_front(
         &told(&[addr], 128),
@@ -106,7 +106,7 @@
 }
 
 #[test]
-fn a_build_that_fails_is_voted_back() {
+fn a_failing_build_gets_a_vote_to_roll_back() {
     let (good, _) = machine(|_| Act::Row(vec![1]));
     let (bad, _) = machine(|_| Act::Error("XX000"));
     let (discovery, _) = http(|_| String::new());
@@ -143,7 +143,7 @@
     }
 }
 
-/// Known are only machines that let nobody in until told to.
+/// The only known endpoints let nobody in until the test says so.
 fn known_only(gate: &Gate, discovery: &Gate) -> String {
     let (platform, _) = http(|_| String::new());
     told_by(&[(gate.addr(), 41)], 128, discovery.addr(), platform)
@@ -155,12 +155,12 @@
 }
 
 #[test]
-fn a_try_whose_machine_is_told_otherwise_while_it_connects_goes_elsewhere() {
+fn an_attempt_whose_endpoint_changes_while_it_connects_goes_elsewhere() {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap()
         .as_millis() as u64;
-    // How the machine comes in the list before its connection is up.
+    // How the endpoint is listed before its connection is made.
     let table = [
         ("leaving", 0, 41, false),
         ("left", 0, 41, false),
@@ -198,9 +198,9 @@
 }
 
 #[test]
-fn nothing_begins_for_a_client_that_left_while_its_try_connects() {
+fn nothing_is_sent_for_a_client_that_left_while_its_attempt_connects() {
     let (gate, discovery) = (Gate::new(), Gate::new());
-    // Nor where a try that is out may not be given up.
+    // Nor where an attempt in flight may not be cancelled.
     for cancel in ["true", "false"] {
         let config = known_only(&gate, &discovery)
             .replace("\"may_cancel\":true", &format!("\"may_cancel\":{cancel}"));
@@ -210,7 +210,7 @@
         let mut late = gate.accept();
         late.startup();
         drop(leaves);
-        // Answered by the front itself, after it has found that the other has gone.
+        // Answered by the proxy itself, after it has found that the other has gone.
         stays.send(&out(|o| postgres::put_query(o, b"")));
         assert_eq!(stays.answer().0, "IZ");
         late.let_in();
@@ -229,7 +229,7 @@
 }
 
 #[test]
-fn a_repeat_whose_window_ends_while_it_connects_is_not_written() {
+fn a_retry_whose_idempotency_window_ends_while_it_connects_is_not_written() {
     let (gate, discovery) = (Gate::new(), Gate::new());
     let config = known_only(&gate, &discovery).replace(
         "\"pay\",\"idempotency\":\"fragile\",\"target\":500.0,\"deadline\":1000.0",
@@ -244,20 +244,20 @@
     first.let_in();
     assert!(first.query().is_some());
     let ran = Instant::now();
-    // It may have run. The connection takes no further query.
+    // It may have been executed. The connection takes no further query.
     first.send(&error("XX000"));
     let mut second = gate.accept();
     second.startup();
     thread::sleep(Duration::from_millis(310).saturating_sub(ran.elapsed()));
     second.let_in();
-    // No machine may run it again: the client is told at once.
+    // No endpoint may execute it again: the client is answered at once.
     assert_eq!(client.answer().0, "EZ");
     drop(front);
     assert_eq!(second.query(), None);
 }
 
 #[test]
-fn a_connection_that_is_turned_down_and_then_let_in_takes_no_query() {
+fn a_connection_that_is_refused_and_then_accepted_takes_no_query() {
     let (gate, discovery) = (Gate::new(), Gate::new());
     let front = start(&known_only(&gate, &discovery));
     let mut client = Client::admitted(front.addr);
@@ -265,7 +265,7 @@
     let mut odd = gate.accept();
     odd.startup();
     odd.send(&[message(b'R', &[0; 4]), error("XX000"), message(b'Z', b"I")].concat());
-    // What may run only once was told as never written, and goes out again.
+    // What must not be executed twice counts as never written, and is sent again.
     let mut good = gate.accept();
     good.startup();
     good.let_in();
@@ -277,7 +277,7 @@
 }
 
 #[test]
-fn a_second_answer_that_comes_late_is_not_the_next_reqs() {
+fn a_late_second_answer_is_not_given_to_the_next_request() {
     let (gate, discovery) = (Gate::new(), Gate::new());
     let front = start(&known_only(&gate, &discovery));
     let mut client = Client::admitted(front.addr);
