--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event_loop;
 pub mod explain;
 pub mod http;
+pub mod load_report;
 pub mod logging;
 pub mod operators;
 pub mod postgres;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -18,7 +18,7 @@
 pub(crate) use decisions::Decisions;
 pub(crate) use events::{IterationEvents, StartEvents};
 
-use crate::clients::Clients;
+use crate::clients::{ClientLimits, Clients};
 use crate::config::Config;
 use crate::connection::{Component, IoContext, Owner, TurnEvents};
 use crate::discovery::{Discovery, ListSource};
@@ -72,7 +72,10 @@
             &context,
             listener,
             settings.routes.clone(),
-            (budget.clients, budget.idle_clients),
+            ClientLimits {
+                connections: budget.clients,
+                resting: budget.idle_clients,
+            },
         )
         .map_err(EventLoopError::Listener)?;
         Ok(Proxy {
