--- a/crates/proxy/tests/loopback/clients.rs
+++ b/crates/proxy/tests/loopback/clients.rs
@@ -1,7 +1,6 @@
 //! Clients: what they send and how they disconnect.
 
 use std::io::{Read, Write};
-use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -182,6 +181,10 @@
 }
 
 #[test]
+#[expect(
+    clippy::too_many_lines,
+    reason = "one table of cases, or one scenario told in order"
+)]
 fn whatever_clients_send_they_are_answered_or_closed_in_time() {
     let (addr, seen) = start_endpoint(|_| EndpointAction::Row(vec![5]));
     let proxy = start_proxy(&config_with_endpoints(&[addr], 128));
--- a/crates/proxy/tests/loopback/upstream.rs
+++ b/crates/proxy/tests/loopback/upstream.rs
@@ -9,6 +9,10 @@
 use crate::common::*;
 
 #[test]
+#[expect(
+    clippy::too_many_lines,
+    reason = "one table of cases, or one scenario told in order"
+)]
 fn what_an_endpoint_does_becomes_the_clients_response() {
     // What the only endpoint does first; then it answers -> for a route that may be retried, for one that may not.
     type First = fn() -> EndpointAction;
--- a/crates/proxy/tests/tables.rs
+++ b/crates/proxy/tests/tables.rs
@@ -133,6 +133,10 @@
 }
 
 #[test]
+#[expect(
+    clippy::too_many_lines,
+    reason = "one table of cases, or one scenario told in order"
+)]
 fn only_a_request_written_whole_may_have_been_executed() {
     let broken = || AttemptErrorCause::ConnectionBroken(io::ErrorKind::ConnectionReset.into());
     let table = [
