Simulation: environment, pending notices and served weight by their usual names

Change: World is Environment (environment.rs), an instance's inbox is its pending notices, Earnings is ServedWeight with served and offered, and earned_share is served_share, also as a column of the verdict report. One test is renamed: a_pair_is_offered_the_same_and_a_bad_build_earns_less is now a_pair_is_offered_the_same_and_a_bad_build_serves_less. No logic moved.

--- a/crates/experiments/src/verdicts/report.rs
+++ b/crates/experiments/src/verdicts/report.rs
@@ -50,7 +50,7 @@
         Column::numbers("first_verdict_test", rows, |row| {
             row.outcome.first_verdict_test.map_or(f64::NAN, test_number)
         }),
-        Column::numbers("earned_share", rows, |row| row.earned_share),
+        Column::numbers("served_share", rows, |row| row.served_share),
     ];
     parquet_table::write(path, &columns)
 }
--- a/crates/experiments/src/verdicts/trials.rs
+++ b/crates/experiments/src/verdicts/trials.rs
@@ -11,7 +11,7 @@
 
 /// Tells the draws of a case apart from those of its trial.
 const CASE_STREAM: u64 = 0;
-/// Share of the earnings lost where a build serves the whole fleet: from here on it is harmful.
+/// Share of the served weight lost where a build serves the whole fleet: from here on it is harmful.
 const HARMFUL: f64 = 0.03;
 /// The last seconds of a trial that nobody holds up, when the whole fleet runs the build.
 const MEASURED_SECONDS: usize = 8;
@@ -26,10 +26,10 @@
     pub(super) build: BuildBehavior,
     /// What else went wrong.
     pub(super) confounder: Confounder,
-    /// Share of the earnings that the build loses by itself.
+    /// Share of the served weight that the build loses by itself.
     pub(super) harm: f64,
-    /// Share of what was offered that was earned over the whole trial.
-    pub(super) earned_share: f64,
+    /// Share of what was offered that was served over the whole trial.
+    pub(super) served_share: f64,
     /// What came of the trial.
     pub(super) outcome: TrialOutcome,
 }
@@ -48,7 +48,7 @@
             build: case.build,
             confounder: case.confounder,
             harm,
-            earned_share: outcome.earned_share(0),
+            served_share: outcome.served_share(0),
             outcome,
         }
     }
@@ -103,22 +103,22 @@
     duration.as_micros() as f64 / 1e6
 }
 
-/// Share of the earnings lost by the build alone: against a paired trial of a good build, nobody voting and nothing
+/// Share of the served weight lost by the build alone: against a paired trial of a good build, nobody voting and nothing
 /// else going wrong.
 fn measure_harm(case: TrialCase) -> f64 {
-    /// Keeps the share finite where nothing is earned.
+    /// Keeps the share finite where nothing is served.
     const SMALLEST: f64 = 1e-9;
     let first_second = case.size.seconds as usize - MEASURED_SECONDS;
-    let earned_share = |build: BuildBehavior| {
+    let served_share = |build: BuildBehavior| {
         let trial = TrialCase {
             build,
             confounder: Confounder::None,
             rollback_trigger: RollbackTrigger::Never,
             ..case
         };
-        run_trial(trial).earned_share(first_second)
+        run_trial(trial).served_share(first_second)
     };
-    let bad = earned_share(case.build);
-    let good = earned_share(BuildBehavior::SAME_AS_BASELINE);
+    let bad = served_share(case.build);
+    let good = served_share(BuildBehavior::SAME_AS_BASELINE);
     ((good - bad) / good.max(SMALLEST)).max(0.0)
 }
--- a/crates/simulation/src/confounder.rs
+++ b/crates/simulation/src/confounder.rs
@@ -131,11 +131,11 @@
         let share = random.between(least, most);
         let slots = fleet.slots();
         let limit = AFFECTED_IN_SMALL_FLEETS.max(slots.len() / ENDPOINTS_PER_AFFECTED);
-        let wanted = ((share * slots.len() as f64) as usize).clamp(1, limit);
+        let target_count = ((share * slots.len() as f64) as usize).clamp(1, limit);
         for endpoint in slots {
             let lost = self.kind == Confounder::LostZone
                 && fleet.endpoint(*endpoint).placement.zone == LOST_ZONE;
-            if lost || self.affected.len() < wanted && random.happens(2.0 * share) {
+            if lost || self.affected.len() < target_count && random.happens(2.0 * share) {
                 self.affected.push(*endpoint);
             }
         }
--- a/crates/simulation/src/decisions.rs
+++ b/crates/simulation/src/decisions.rs
@@ -1,4 +1,4 @@
-//! The host's side that takes an instance's decisions and lets the world carry them out.
+//! The host's side that takes an instance's decisions and lets the environment carry them out.
 
 use std::cell::RefCell;
 use std::time::Duration;
@@ -7,8 +7,8 @@
 use tidescale_policy::types::{AttemptOutcome, Ballot, RollbackVerdict, Timestamp};
 
 use crate::attempts::Attempt;
+use crate::environment::Environment;
 use crate::events::{AttemptFinished, HealthCheckFinished, Notice};
-use crate::world::World;
 
 /// How long an endpoint takes to answer a health check.
 const HEALTH_CHECK_TIME: Duration = Duration::from_millis(3);
@@ -17,7 +17,7 @@
 
 /// One instance's decisions of one step.
 pub(crate) struct InstanceDecisions<'a, 'w> {
-    world: &'a RefCell<&'w mut World>,
+    environment: &'a RefCell<&'w mut Environment>,
     instance: usize,
     /// When the instance wants its next step, if nothing happens before.
     wake_up_at: &'a mut Timestamp,
@@ -26,12 +26,12 @@
 impl<'a, 'w> InstanceDecisions<'a, 'w> {
     /// Takes the decisions of this instance.
     pub(crate) fn new(
-        world: &'a RefCell<&'w mut World>,
+        environment: &'a RefCell<&'w mut Environment>,
         instance: usize,
         wake_up_at: &'a mut Timestamp,
     ) -> Self {
         InstanceDecisions {
-            world,
+            environment,
             instance,
             wake_up_at,
         }
@@ -44,26 +44,26 @@
 
     /// Index of an endpoint by its name.
     pub(crate) fn index_of(&self, endpoint: &str) -> usize {
-        self.world.borrow().fleet.index_of(endpoint)
+        self.environment.borrow().fleet.index_of(endpoint)
     }
 }
 
 impl DecisionSink for InstanceDecisions<'_, '_> {
     fn start_attempt(&mut self, request: u64, endpoint: &str, deadline: Timestamp) {
-        let world = &mut **self.world.borrow_mut();
-        let Some(started) = world.clients.start_attempt(request) else {
+        let environment = &mut **self.environment.borrow_mut();
+        let Some(started) = environment.clients.start_attempt(request) else {
             return;
         };
         let attempt = Attempt {
-            endpoint: world.fleet.index_of(endpoint),
+            endpoint: environment.fleet.index_of(endpoint),
             route: started.route,
-            sent_at: world.now,
+            sent_at: environment.now,
             deadline,
         };
-        let network = &mut world.network;
-        let end = world
+        let network = &mut environment.network;
+        let end = environment
             .attempts
-            .resolve(attempt, &mut world.fleet, || network.draw_hop_delay());
+            .resolve(attempt, &mut environment.fleet, || network.draw_hop_delay());
         let finished = AttemptFinished {
             request,
             attempt_index: started.attempt_index,
@@ -83,23 +83,27 @@
     fn cancel_attempt(&mut self, _request: u64, _attempt_index: usize) {}
 
     fn reject_request(&mut self, request: u64, _retry_after: Duration) {
-        self.world.borrow_mut().give_up_request(request);
+        self.environment.borrow_mut().give_up_request(request);
     }
 
     fn fail_request(&mut self, request: u64) {
-        self.world.borrow_mut().give_up_request(request);
+        self.environment.borrow_mut().give_up_request(request);
     }
 
     fn cast_vote(&mut self, ballot: Ballot) {
-        let world = &mut **self.world.borrow_mut();
-        let result = world.rollout.take_vote(self.instance, ballot, world.now);
-        world.network.answer_vote(world.now, self.instance, result);
+        let environment = &mut **self.environment.borrow_mut();
+        let result = environment
+            .rollout
+            .take_vote(self.instance, ballot, environment.now);
+        environment
+            .network
+            .answer_vote(environment.now, self.instance, result);
     }
 
     fn start_health_check(&mut self, endpoint: &str, deadline: Timestamp) {
-        let world = &mut **self.world.borrow_mut();
-        let index = world.fleet.index_of(endpoint);
-        let endpoint = world.fleet.endpoint(index);
+        let environment = &mut **self.environment.borrow_mut();
+        let index = environment.fleet.index_of(endpoint);
+        let endpoint = environment.fleet.endpoint(index);
         let unresponsive = endpoint.impairment.unresponsive;
         let outcome = if endpoint.is_removed() {
             AttemptOutcome::Refused
@@ -111,13 +115,13 @@
         let at = if unresponsive {
             deadline
         } else {
-            world.now + HEALTH_CHECK_TIME
+            environment.now + HEALTH_CHECK_TIME
         };
         let finished = HealthCheckFinished {
             endpoint: index,
             outcome,
         };
-        world
+        environment
             .network
             .queue
             .notify(at, self.instance, Notice::HealthCheckFinished(finished));
@@ -127,11 +131,11 @@
     fn poll_endpoints(&mut self) {}
 
     fn schedule_wake_up(&mut self, after: Duration) {
-        *self.wake_up_at = self.world.borrow().now + after;
+        *self.wake_up_at = self.environment.borrow().now + after;
     }
 
     fn report_rollback_verdict(&mut self, verdict: &RollbackVerdict) {
-        let world = &mut **self.world.borrow_mut();
-        world.first_verdict_test.get_or_insert(verdict.test);
+        let environment = &mut **self.environment.borrow_mut();
+        environment.first_verdict_test.get_or_insert(verdict.test);
     }
 }
--- a/crates/simulation/src/delivery.rs
+++ b/crates/simulation/src/delivery.rs
@@ -9,15 +9,15 @@
 };
 
 use crate::clients::ClientRequest;
+use crate::environment::Environment;
 use crate::events::{AnswerFlagged, AttemptFinished, Notice};
 use crate::parameters::{REQUEST_DEADLINE, ROUTES};
 use crate::settings::{hardware_class_name, zone_name};
-use crate::world::World;
 
-/// One instance's events of one step. The world is borrowed while they are delivered, and by the decisions
+/// One instance's events of one step. The environment is borrowed while they are delivered, and by the decisions
 /// afterwards, never by both at once.
 pub(crate) struct InstanceEvents<'a, 'w> {
-    world: &'a RefCell<&'w mut World>,
+    environment: &'a RefCell<&'w mut Environment>,
     instance: usize,
     notices: Vec<Notice>,
 }
@@ -25,12 +25,12 @@
 impl<'a, 'w> InstanceEvents<'a, 'w> {
     /// What this instance gets to know now, in order.
     pub(crate) fn new(
-        world: &'a RefCell<&'w mut World>,
+        environment: &'a RefCell<&'w mut Environment>,
         instance: usize,
         notices: Vec<Notice>,
     ) -> Self {
         InstanceEvents {
-            world,
+            environment,
             instance,
             notices,
         }
@@ -39,9 +39,9 @@
 
 impl EventSource for InstanceEvents<'_, '_> {
     fn deliver(&mut self, policy: &mut Balancer) {
-        let mut world = self.world.borrow_mut();
+        let mut environment = self.environment.borrow_mut();
         let mut delivery = Delivery {
-            world: &mut world,
+            environment: &mut environment,
             policy,
             instance: self.instance,
         };
@@ -53,14 +53,14 @@
 
 /// The delivery of one step's events.
 struct Delivery<'a> {
-    world: &'a mut World,
+    environment: &'a mut Environment,
     policy: &'a mut Balancer,
     instance: usize,
 }
 
 impl Delivery<'_> {
     fn deliver(&mut self, notice: Notice) {
-        let now = self.world.now;
+        let now = self.environment.now;
         match notice {
             Notice::RequestArrived => self.on_request_arrived(),
             Notice::ClientRetry(retry) => self.send_request(retry.route, true),
@@ -71,36 +71,39 @@
             }
             Notice::VoteAnswered(result) => self.policy.on_vote_result(result),
             Notice::AnswerFlagged(flagged) => {
-                let name = &self.world.fleet.endpoint(flagged.endpoint).name;
+                let name = &self.environment.fleet.endpoint(flagged.endpoint).name;
                 self.policy.on_answer_flagged(name, now - flagged.sent_at);
             }
             Notice::HealthCheckFinished(finished) => {
-                let name = &self.world.fleet.endpoint(finished.endpoint).name;
+                let name = &self.environment.fleet.endpoint(finished.endpoint).name;
                 self.policy.on_health_check(name, finished.outcome, None);
             }
         }
     }
 
     fn on_request_arrived(&mut self) {
-        let pattern = self.world.traffic_pattern();
-        let route = self.world.clients.draw_route(pattern);
+        let pattern = self.environment.traffic_pattern();
+        let route = self.environment.clients.draw_route(pattern);
         self.send_request(route, false);
-        let until_next = self.world.clients.draw_next_arrival(self.instance, pattern);
-        let next_at = self.world.now + until_next;
-        self.world
+        let until_next = self
+            .environment
+            .clients
+            .draw_next_arrival(self.instance, pattern);
+        let next_at = self.environment.now + until_next;
+        self.environment
             .network
             .queue
             .notify(next_at, self.instance, Notice::RequestArrived);
     }
 
     fn send_request(&mut self, route: usize, is_retry: bool) {
-        let number = self.world.open_request(ClientRequest {
+        let number = self.environment.open_request(ClientRequest {
             instance: self.instance,
             route,
-            arrived_at: self.world.now,
+            arrived_at: self.environment.now,
             is_retry,
         });
-        let key = self.world.idempotency_key(number);
+        let key = self.environment.idempotency_key(number);
         let request = IncomingRequest {
             route,
             idempotency_key: key.as_deref(),
@@ -111,18 +114,24 @@
     }
 
     fn on_attempt_finished(&mut self, finished: &AttemptFinished) {
-        let now = self.world.now;
+        let now = self.environment.now;
         let succeeded = finished.outcome == AttemptOutcome::Succeeded;
-        let Some(effect) = self.world.clients.end_attempt(finished.request, succeeded) else {
+        let Some(effect) = self
+            .environment
+            .clients
+            .end_attempt(finished.request, succeeded)
+        else {
             return;
         };
         if self.is_candidate_failure(finished) {
-            self.world.rollout.on_candidate_failure(self.instance, now);
+            self.environment
+                .rollout
+                .on_candidate_failure(self.instance, now);
         }
         if effect.answers_request {
             self.on_request_answered(effect.request, finished);
         }
-        let load_reported = succeeded && self.world.network.draw_load_report_arrives();
+        let load_reported = succeeded && self.environment.network.draw_load_report_arrives();
         let load = load_reported.then_some(LoadReport {
             in_flight: Some(finished.reported_in_flight as f64),
             queued: None,
@@ -144,44 +153,44 @@
         );
         failed
             && self
-                .world
+                .environment
                 .fleet
                 .endpoint(finished.endpoint)
                 .runs_candidate()
     }
 
-    /// A right answer in time earns; a wrong one may be flagged by the client later.
+    /// A correct answer in time counts as served; a wrong one may be flagged by the client later.
     fn on_request_answered(&mut self, request: ClientRequest, finished: &AttemptFinished) {
-        let now = self.world.now;
+        let now = self.environment.now;
         if finished.wrong_answer {
             self.flag_wrong_answer(finished);
             return;
         }
         let route = &ROUTES[request.route];
         if now <= request.arrived_at + route.latency_objective {
-            self.world
-                .earnings
-                .add_earned(request.arrived_at, route.priority_weight);
+            self.environment
+                .served_weight
+                .add_served(request.arrived_at, route.priority_weight);
         }
     }
 
     fn flag_wrong_answer(&mut self, finished: &AttemptFinished) {
-        if !self.world.attempts.draw_flagged() {
+        if !self.environment.attempts.draw_flagged() {
             return;
         }
-        let at = self.world.now + self.world.network.draw_flag_delay();
+        let at = self.environment.now + self.environment.network.draw_flag_delay();
         let flagged = AnswerFlagged {
             endpoint: finished.endpoint,
             sent_at: finished.sent_at,
         };
-        self.world
+        self.environment
             .network
             .queue
             .notify(at, self.instance, Notice::AnswerFlagged(flagged));
     }
 
     fn on_endpoint_listed(&mut self, index: usize) {
-        let endpoint = self.world.fleet.endpoint(index);
+        let endpoint = self.environment.fleet.endpoint(index);
         let zone = zone_name(endpoint.placement.zone);
         let hardware_class = hardware_class_name(endpoint.placement.hardware_class);
         self.policy.on_endpoint(EndpointEntry {
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/environment.rs
@@ -9,7 +9,7 @@
 use crate::events::{ClientRetry, Event, InstanceEvent, Notice, RolloutAnnouncement};
 use crate::fleet::{Fleet, Replacement};
 use crate::network::Network;
-use crate::outcome::EarningsBySecond;
+use crate::outcome::ServedWeightBySecond;
 use crate::parameters::{BASELINE_BUILD, DRAIN_TIME, ROUTES, STAGE_CAPS, START, TICK};
 use crate::random_stream::{RandomStream, stream};
 use crate::rollout::{PlatformContext, Rollout};
@@ -20,7 +20,7 @@
 const IDEMPOTENCY_KEYS: u64 = 97;
 
 /// Everything around the instances.
-pub(crate) struct World {
+pub(crate) struct Environment {
     /// What is run.
     pub(crate) case: TrialCase,
     /// The present tick.
@@ -37,21 +37,21 @@
     pub(crate) rollout: Rollout,
     /// What else goes wrong.
     pub(crate) confounder: ConfounderSchedule,
-    /// What the clients' requests have earned.
-    pub(crate) earnings: EarningsBySecond,
+    /// What the answered requests are worth.
+    pub(crate) served_weight: ServedWeightBySecond,
     /// The test on which the first rollback verdict of any instance rests.
     pub(crate) first_verdict_test: Option<EvidenceTest>,
 }
 
-impl World {
-    /// The world at a trial's start. Draws in this order: the fleet, the clients' rates, the confounder's times.
-    pub(crate) fn new(case: TrialCase) -> World {
+impl Environment {
+    /// The environment at a trial's start. Draws in this order: the fleet, the clients' rates, the confounder's times.
+    pub(crate) fn new(case: TrialCase) -> Environment {
         let size = case.size;
         let mut random = RandomStream::new(case.seed, stream::SET_UP);
         let fleet = Fleet::new(size.endpoints, &mut random);
         let clients = Clients::new(case.seed, size.instances, fleet.capacity(), &mut random);
         let confounder = ConfounderSchedule::draw(case.confounder, case.seed, &mut random);
-        World {
+        Environment {
             case,
             now: START,
             fleet,
@@ -60,7 +60,7 @@
             attempts: AttemptModel::new(case.seed, case.build),
             rollout: Rollout::new(size, case.rollback_trigger),
             confounder,
-            earnings: EarningsBySecond::new(size.seconds),
+            served_weight: ServedWeightBySecond::new(size.seconds),
             first_verdict_test: None,
         }
     }
@@ -135,7 +135,7 @@
         let number = FIRST_REQUEST_NUMBER + self.network.queue.take_number();
         if !request.is_retry {
             let weight = ROUTES[request.route].priority_weight;
-            self.earnings.add_offered(request.arrived_at, weight);
+            self.served_weight.add_offered(request.arrived_at, weight);
         }
         self.clients.insert(number, request);
         number
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -18,7 +18,7 @@
 //! | [`confounder`], [`case`], [`outcome`] | what else goes wrong; what is run; what came of it |
 //! | `events`, `network` | what happens later, in order; messages and how long they take |
 //! | `rollout`, `clients`, `attempts` | the platform's stages and votes; requests; how an attempt ends |
-//! | `world` | the state of a trial, made of the parts above |
+//! | `environment` | the state of a trial, made of the parts above |
 //! | `settings`, `delivery`, `decisions`, `decision_digest` | the host side of the policy's interface |
 //! | [`trial`] | the run loop |
 
@@ -32,6 +32,7 @@
 mod delivery;
 pub mod digest;
 mod endpoint;
+mod environment;
 mod events;
 mod fleet;
 mod network;
@@ -41,4 +42,3 @@
 mod rollout;
 mod settings;
 pub mod trial;
-mod world;
--- a/crates/simulation/src/outcome.rs
+++ b/crates/simulation/src/outcome.rs
@@ -9,21 +9,21 @@
 
 /// What one second's requests were worth.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Earnings {
-    /// Weight of those answered rightly within their objective.
-    pub earned: f64,
-    /// Weight of all of them, clients' retries not counted again.
+pub struct ServedWeight {
+    /// Weight of the requests answered correctly within their objective.
+    pub served: f64,
+    /// Weight of all requests, clients' retries not counted again.
     pub offered: f64,
 }
 
-/// Earnings by the second in which a request arrived, counted from the trial's start.
+/// Weight served and offered by the second in which a request arrived, counted from the trial's start.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct EarningsBySecond(Vec<Earnings>);
+pub(crate) struct ServedWeightBySecond(Vec<ServedWeight>);
 
-impl EarningsBySecond {
-    /// Nothing earned in any second of a trial of this length.
+impl ServedWeightBySecond {
+    /// Nothing served in any second of a trial of this length.
     pub(crate) fn new(seconds: u64) -> Self {
-        EarningsBySecond(vec![Earnings::default(); seconds as usize + 1])
+        ServedWeightBySecond(vec![ServedWeight::default(); seconds as usize + 1])
     }
 
     /// Counts a request that arrived.
@@ -32,16 +32,16 @@
     }
 
     /// Counts its answer.
-    pub(crate) fn add_earned(&mut self, arrived_at: Timestamp, weight: f64) {
-        self.second_of(arrived_at).earned += weight;
+    pub(crate) fn add_served(&mut self, arrived_at: Timestamp, weight: f64) {
+        self.second_of(arrived_at).served += weight;
     }
 
     /// The seconds in order.
-    pub(crate) fn into_seconds(self) -> Vec<Earnings> {
+    pub(crate) fn into_seconds(self) -> Vec<ServedWeight> {
         self.0
     }
 
-    fn second_of(&mut self, at: Timestamp) -> &mut Earnings {
+    fn second_of(&mut self, at: Timestamp) -> &mut ServedWeight {
         let last = self.0.len() - 1;
         let second = (at - START).as_secs() as usize;
         &mut self.0[second.min(last)]
@@ -55,8 +55,8 @@
     pub rolled_back_after: Option<Duration>,
     /// Time from the offer of the build to its release everywhere.
     pub released_after: Option<Duration>,
-    /// Earnings by the second in which a request arrived, from the trial's start.
-    pub earnings_by_second: Vec<Earnings>,
+    /// Weight served and offered by the second in which a request arrived, from the trial's start.
+    pub served_by_second: Vec<ServedWeight>,
     /// The test on which the first rollback verdict of any instance rests.
     pub first_verdict_test: Option<EvidenceTest>,
     /// How long votes have held a stage.
@@ -68,17 +68,17 @@
 }
 
 impl TrialOutcome {
-    /// What was earned from this second on, as a share of what was offered; 0 where nothing was.
-    pub fn earned_share(&self, from_second: usize) -> f64 {
-        let sum = self.earnings_by_second.iter().skip(from_second).fold(
-            Earnings::default(),
-            |sum, second| Earnings {
-                earned: sum.earned + second.earned,
+    /// What was served from this second on, as a share of what was offered; 0 where nothing was.
+    pub fn served_share(&self, from_second: usize) -> f64 {
+        let sum = self.served_by_second.iter().skip(from_second).fold(
+            ServedWeight::default(),
+            |sum, second| ServedWeight {
+                served: sum.served + second.served,
                 offered: sum.offered + second.offered,
             },
         );
         if sum.offered > 0.0 {
-            sum.earned / sum.offered
+            sum.served / sum.offered
         } else {
             0.0
         }
--- a/crates/simulation/src/parameters.rs
+++ b/crates/simulation/src/parameters.rs
@@ -51,13 +51,13 @@
 
 /// One kind of request, in the model.
 pub(crate) struct RouteModel {
-    /// An answer earns only if it comes within this time.
+    /// An answer counts only if it comes within this time.
     pub(crate) latency_objective: Duration,
     /// Mean cost of an attempt, in microseconds of a warm core of the faster hardware class.
     pub(crate) mean_cost_micros: f64,
     /// Share of the requests.
     pub(crate) traffic_share: f64,
-    /// What an answer earns.
+    /// What an answer is worth.
     pub(crate) priority_weight: f64,
     /// Whether it may be repeated.
     pub(crate) idempotency: Idempotency,
--- a/crates/simulation/src/rollout.rs
+++ b/crates/simulation/src/rollout.rs
@@ -188,8 +188,8 @@
         self.since = context.now;
         self.stage_progress = Duration::ZERO;
         let slots = context.fleet.replacement_order();
-        let wanted = (STAGE_ENDPOINTS[stage as usize] * slots.len() as f64).ceil() as usize;
-        let slots = slots[..wanted].to_vec();
+        let count = (STAGE_ENDPOINTS[stage as usize] * slots.len() as f64).ceil() as usize;
+        let slots = slots[..count].to_vec();
         replace(&slots, BASELINE_BUILD, CANDIDATE_BUILD, context);
         self.announce(context);
     }
--- a/crates/simulation/tests/trials.rs
+++ b/crates/simulation/tests/trials.rs
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn a_pair_is_offered_the_same_and_a_bad_build_earns_less() {
+fn a_pair_is_offered_the_same_and_a_bad_build_serves_less() {
     let run_without_votes = |build| {
         run_trial(TrialCase {
             rollback_trigger: RollbackTrigger::Never,
@@ -44,11 +44,11 @@
     assert!(
         good.released_after.is_some()
             && good.rolled_back_after.is_none()
-            && good.earned_share(36) > 0.95,
+            && good.served_share(36) > 0.95,
         "{}",
-        good.earned_share(36)
+        good.served_share(36)
     );
-    let before_offer = |outcome: &TrialOutcome| outcome.earnings_by_second[..8].to_vec();
+    let before_offer = |outcome: &TrialOutcome| outcome.served_by_second[..8].to_vec();
     for build in [
         BuildBehavior::CostFactor(2.6),
         BuildBehavior::FailsOnRoute {
@@ -75,10 +75,10 @@
         let bad = run_without_votes(build);
         assert_eq!(before_offer(&bad), before_offer(&good), "{build:?}");
         assert!(
-            bad.earned_share(36) < good.earned_share(36),
+            bad.served_share(36) < good.served_share(36),
             "{build:?}: {} of {}",
-            bad.earned_share(36),
-            good.earned_share(36)
+            bad.served_share(36),
+            good.served_share(36)
         );
     }
 }
