Loopback test: a server of its own for each of the two proxies it starts

Cause: nothing_is_sent_for_a_client_that_left_while_its_attempt_connects runs twice with another setting, each time with a new proxy but with the same listening stand-in. A connection that the first proxy had opened could still wait there to be accepted, and the second pass took it for the second proxy's.

Change: the stand-ins are made inside the loop. No assertion changes, so the test is as strict as before, and each pass sees its own proxy only.

--- a/crates/proxy/tests/loopback/upstream.rs
+++ b/crates/proxy/tests/loopback/upstream.rs
@@ -249,9 +249,10 @@
 
 #[test]
 fn nothing_is_sent_for_a_client_that_left_while_its_attempt_connects() {
-    let (gate, discovery) = (ManualServer::new(), ManualServer::new());
     // Nor where an attempt in flight may not be cancelled.
     for cancel in ["true", "false"] {
+        // Servers of its own for each proxy: a connection that the first proxy opened may wait to be accepted.
+        let (gate, discovery) = (ManualServer::new(), ManualServer::new());
         let config = known_only(&gate, &discovery)
             .replace("\"may_cancel\":true", &format!("\"may_cancel\":{cancel}"));
         let proxy = start_proxy(&config);
