--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -31,6 +31,7 @@
 mod responses;
 pub mod stages;
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -38,7 +39,7 @@
 
 use calloop::Readiness;
 use tidescale_policy::settings::Route;
-use tidescale_policy::types::{AttemptId, RequestId};
+use tidescale_policy::types::{AttemptId, RequestId, Timestamp};
 
 use crate::context::{Component, IoContext, Owner};
 use crate::ids::ClientKey;
@@ -78,6 +79,8 @@
     scheduled: Vec<ClientKey>,
     /// Connections whose read stopped because the buffer pool was exhausted.
     waiting_for_buffers: Vec<ClientKey>,
+    /// The time of the iteration in which no connection could be closed to free buffers.
+    no_buffer_holder_at: Option<Timestamp>,
     is_shutting_down: bool,
 }
 
@@ -105,6 +108,7 @@
             routes,
             scheduled: Vec::new(),
             waiting_for_buffers: Vec::new(),
+            no_buffer_holder_at: None,
             is_shutting_down: false,
         })
     }
@@ -135,13 +139,17 @@
         }
     }
 
-    /// Takes the keys of the connections that this iteration has to handle, sorted and without
-    /// duplicates.
+    /// Takes the keys of the connections that this iteration has to handle, without duplicates.
+    /// Those that wait for buffers come first and in the order of their waiting, so that new
+    /// connections do not take the buffers that were freed for them.
     pub fn take_scheduled(&mut self) -> Vec<ClientKey> {
-        let mut keys = std::mem::take(&mut self.scheduled);
-        keys.append(&mut self.waiting_for_buffers);
-        keys.sort_unstable();
-        keys.dedup();
+        let mut keys = std::mem::take(&mut self.waiting_for_buffers);
+        let waiting: BTreeSet<ClientKey> = keys.iter().copied().collect();
+        let mut scheduled = std::mem::take(&mut self.scheduled);
+        scheduled.retain(|key| !waiting.contains(key));
+        scheduled.sort_unstable();
+        scheduled.dedup();
+        keys.append(&mut scheduled);
         keys
     }
 
@@ -186,3 +194,11 @@
                 .any(|(_, client)| has_unfinished_work(client))
     }
 }
+
+/// Starts another iteration of the event loop once connections may have reached [`MIN_STAGE_AGE`],
+/// so that they may be closed to free resources.
+fn retry_after_min_stage_age(context: &mut IoContext) {
+    let retry_at = context.now + MIN_STAGE_AGE;
+    let listener = Owner::only(Component::Listener);
+    context.deadlines.set(listener, retry_at);
+}
--- a/crates/proxy/src/clients/accepting.rs
+++ b/crates/proxy/src/clients/accepting.rs
@@ -7,9 +7,9 @@
 
 use super::connection::ClientConnection;
 use super::stages::{Stage, StageEntry};
-use super::{Clients, MIN_STAGE_AGE};
+use super::{Clients, MIN_STAGE_AGE, retry_after_min_stage_age};
 use crate::connection::Connection;
-use crate::context::{Component, EventContext, IoContext, Owner};
+use crate::context::{EventContext, IoContext, Owner};
 use crate::ids::ClientKey;
 use crate::log_lines;
 use crate::postgres::sqlstate;
@@ -95,9 +95,7 @@
         }) = self.first_to_evict(context.io)
         else {
             // No connection may be evicted yet; retry once one may have reached the minimum age.
-            let retry_at = context.io.now + MIN_STAGE_AGE;
-            let listener = Owner::only(Component::Listener);
-            context.io.deadlines.set(listener, retry_at);
+            retry_after_min_stage_age(context.io);
             return false;
         };
         debug!(context.io.log, "client evicted");
--- a/crates/proxy/src/clients/reading.rs
+++ b/crates/proxy/src/clients/reading.rs
@@ -3,10 +3,12 @@
 use std::io;
 use std::ops::ControlFlow;
 
+use tidescale_policy::types::Timestamp;
+
 use super::messages::MessageResult;
 use super::requests::ReceivedQuery;
 use super::stages::Stage;
-use super::{Clients, MIN_STAGE_AGE};
+use super::{Clients, MIN_STAGE_AGE, retry_after_min_stage_age};
 use crate::buffers::FillStatus;
 use crate::context::{EventContext, IoContext};
 use crate::ids::ClientKey;
@@ -16,6 +18,9 @@
 /// Maximum number of reads from one connection in one event-loop iteration, so that one client that
 /// sends without pause does not delay the others.
 const MAX_READS_PER_ITERATION: usize = 4;
+/// The stages in which a connection may hold buffers for an incomplete message and has no pending
+/// request, in the order in which connections are closed to free buffers.
+const BUFFER_HOLDING_STAGES: [Stage; 2] = [Stage::Opening, Stage::ReceivingMessage];
 
 impl Clients {
     /// Reads from a connection and passes its requests to the policy.
@@ -98,21 +103,37 @@
         }
     }
 
-    /// Closes the connection that has held buffers for an incomplete message for longest, to make
-    /// buffers available to `waiting`, which is not closed.
+    /// Closes a connection that holds buffers for an incomplete message, to make buffers available
+    /// to `waiting`, which is not closed.
     fn free_buffers(&mut self, waiting: ClientKey, context: &mut EventContext<'_>) {
-        let latest = context.io.now - MIN_STAGE_AGE;
-        let longest = self
-            .stages
-            .entered_stage_before(Stage::ReceivingMessage, latest)
-            .find(|key| *key != waiting);
-        if let Some(key) = longest {
-            log_lines::client_buffers_exhausted(&context.io.log);
-            // Tells the client that its message, of which the rest may be unread, was not executed.
-            let code = sqlstate::TOO_MANY_CONNECTIONS;
-            self.close_with_error(key, code, "too many unfinished messages");
-            self.finish_serving(key, context);
+        if self.no_buffer_holder_at == Some(context.io.now) {
+            return;
         }
+        let Some(key) = self.first_buffer_holder(waiting, context.io.now) else {
+            log_lines::no_client_buffers_to_free(&context.io.log);
+            self.no_buffer_holder_at = Some(context.io.now);
+            return retry_after_min_stage_age(context.io);
+        };
+        log_lines::client_buffers_exhausted(&context.io.log);
+        // Tells the client that its message, of which the rest may be unread, was not executed.
+        let code = sqlstate::TOO_MANY_CONNECTIONS;
+        self.close_with_error(key, code, "too many unfinished messages");
+        self.finish_serving(key, context);
+    }
+
+    /// Returns the connection to close to free its buffers. Incomplete startup messages come first:
+    /// a client usually sends the whole message at once. Within a stage, the connection that has
+    /// been in it for longest comes first.
+    fn first_buffer_holder(&self, waiting: ClientKey, now: Timestamp) -> Option<ClientKey> {
+        let latest = now - MIN_STAGE_AGE;
+        let holds_buffers = |key: &ClientKey| {
+            let client = self.connections.get(*key);
+            client.is_some_and(|client| !client.connection.input.is_empty())
+        };
+        BUFFER_HOLDING_STAGES
+            .into_iter()
+            .flat_map(|stage| self.stages.entered_stage_before(stage, latest))
+            .find(|key| *key != waiting && holds_buffers(key))
     }
 
     /// Handles messages in order, up to a request. Later messages are handled after its response.
--- a/crates/proxy/src/log_lines.rs
+++ b/crates/proxy/src/log_lines.rs
@@ -193,6 +193,12 @@
     info!(log, "client buffers exhausted");
 }
 
+/// Logs that the buffers for clients are exhausted and no connection can be closed yet to free
+/// some. Clients are not read until buffers are free.
+pub fn no_client_buffers_to_free(log: &Logger) {
+    info!(log, "no client buffers to free");
+}
+
 /// Logs that a client sent a statement that the proxy does not support. It is sent an error.
 pub fn statement_rejected(log: &Logger, error: &dyn Display) {
     info!(log, "statement rejected"; "error" => %error);
--- a/crates/proxy/tests/loopback/client_limits.rs
+++ b/crates/proxy/tests/loopback/client_limits.rs
@@ -177,6 +177,53 @@
     );
 }
 
+/// A startup message whose length claims more bytes than are sent.
+fn incomplete_startup() -> Vec<u8> {
+    let mut message = startup();
+    let claimed_length = message.len() as u32 + 100;
+    message[..4].copy_from_slice(&claimed_length.to_be_bytes());
+    message
+}
+
+/// Guards against buffers that cannot be reclaimed: incomplete startup messages kept them until
+/// their timeout, and requests of other clients were not read meanwhile.
+#[test]
+fn incomplete_startup_messages_do_not_keep_requests_of_other_clients_from_being_read() {
+    // The time until a request counts as lost: its time limit and half a second.
+    const TIME_LIMIT_MS: u64 = 800;
+    const MAX_LATENCY: Duration = Duration::from_millis(TIME_LIMIT_MS + 500);
+    let endpoint = TestEndpoint::responsive();
+    // 8 MB give 85 buffers for client input, and 512 descriptors allow 237 clients.
+    let config = ProxyConfig::new()
+        .endpoint(endpoint.address)
+        .memory_mb(8)
+        .sockets(512);
+    let proxy = start_proxy(&config);
+    let mut resting = Client::with_open_session(proxy.address);
+
+    let mut incomplete: Vec<Client> = (0..120).map(|_| Client::connect(proxy.address)).collect();
+    for client in &mut incomplete {
+        client.send(&incomplete_startup());
+    }
+    for id in 0..8 {
+        let sent_at = Instant::now();
+        let response = resting.request(&query("look", id, TIME_LIMIT_MS));
+        assert_eq!(response, Response::row(VALUE));
+        assert!(sent_at.elapsed() < MAX_LATENCY, "{:?}", sent_at.elapsed());
+    }
+    let sent_at = Instant::now();
+    let mut new_client = Client::connect(proxy.address);
+    new_client.send_with_startup(&query("look", 99, TIME_LIMIT_MS));
+    assert_eq!(new_client.response(), Response::SessionOpened);
+    assert_eq!(new_client.response(), Response::row(VALUE));
+    assert!(sent_at.elapsed() < MAX_LATENCY, "{:?}", sent_at.elapsed());
+
+    // Each incomplete message still gets an error or a close.
+    let responses: Vec<_> = incomplete.iter_mut().map(Client::response).collect();
+    assert!(responses.iter().all(Response::ends_connection));
+    assert!(responses.contains(&Response::fatal_error(OVERLOADED)));
+}
+
 #[test]
 fn pipelined_request_whose_deadline_passes_while_it_waits_is_rejected() {
     let server = ManualServer::new();
