--- a/crates/proxy/src/buffers.rs
+++ b/crates/proxy/src/buffers.rs
@@ -17,6 +17,9 @@
 /// Maximum number of buffers written by one system call.
 const MAX_WRITE_SLICES: usize = 16;
 
+/// The capacity of a pool divided by this is the size of its reserve.
+const RESERVE_DIVISOR: usize = 4;
+
 struct PoolState {
     /// Allocated buffers that can be reused.
     free: Vec<Box<[u8]>>,
@@ -50,6 +53,14 @@
         state.in_use < state.capacity / 2
     }
 
+    /// Whether more than the buffers of the reserve are free. The reserve is for input that can be
+    /// handled at once, and not for read-ahead.
+    pub fn has_more_than_reserve(&self) -> bool {
+        let state = self.0.borrow();
+        let reserve = state.capacity / RESERVE_DIVISOR;
+        state.in_use + reserve < state.capacity
+    }
+
     fn acquire(&self) -> Buffer {
         let mut state = self.0.borrow_mut();
         state.in_use += 1;
--- a/crates/proxy/src/clients/connection.rs
+++ b/crates/proxy/src/clients/connection.rs
@@ -134,14 +134,20 @@
     }
 
     /// Returns the number of input bytes at which reading pauses: at least the length of the next
-    /// message if that can be handled, otherwise only the limit on buffered input.
+    /// message if that can be handled, otherwise only the limit on buffered input. Input that cannot
+    /// be handled yet is not read into the reserve of the pool, because its buffers are not freed
+    /// before other clients' requests that need them.
     pub(super) fn bytes_wanted(&self, pool: &Pool) -> usize {
         let read_ahead = if self.is_open() && pool.is_mostly_free() {
             EXTENDED_READ_AHEAD_BYTES
         } else {
             READ_AHEAD_BYTES
         };
-        if !self.is_open() || !self.accepts_messages() {
+        if !self.accepts_messages() {
+            let may_read_ahead = pool.has_more_than_reserve();
+            return if may_read_ahead { read_ahead } else { 0 };
+        }
+        if !self.is_open() {
             return read_ahead;
         }
         match frame_header::<ClientMessage>(&self.connection.input) {
