--- a/crates/policy/src/admission/load_shedding.rs
+++ b/crates/policy/src/admission/load_shedding.rs
@@ -42,7 +42,7 @@
     if request.has_attempt_in_flight() {
         return Admission::AwaitAttempt;
     }
-    let is_retry_safe = route.idempotency.is_safe_everywhere() || !request.may_have_executed();
+    let is_retry_safe = route.is_client_retry_safe() || !request.may_have_executed();
     if !is_retry_safe {
         return Admission::Fail;
     }
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -19,17 +19,6 @@
     NotIdempotent,
 }
 
-impl Idempotency {
-    /// Returns whether a client may safely send the request again to any endpoint.
-    pub fn is_safe_everywhere(self) -> bool {
-        match self {
-            Idempotency::Idempotent => true,
-            Idempotency::IdempotencyKey { scope, .. } => scope == KeyScope::Fleet,
-            Idempotency::NotIdempotent => false,
-        }
-    }
-}
-
 /// Set of endpoints that share their idempotency keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyScope {
@@ -48,12 +37,29 @@
     pub name: String,
     /// A response within this time has its full value; a later one is worth less.
     pub latency_objective: Duration,
+    /// How long a client waits for a response, over all its retries of a request.
+    pub client_deadline: Duration,
     /// Value of a response relative to those of other routes.
     pub priority_weight: f64,
     /// Condition under which a request may be executed more than once.
     pub idempotency: Idempotency,
 }
 
+impl Route {
+    /// Returns whether a client may safely retry a request that may have been executed. It is not
+    /// known which endpoint receives the retry, nor when, except that the client gives up at its
+    /// deadline. An idempotency key is therefore safe only if all endpoints keep it until then.
+    pub fn is_client_retry_safe(&self) -> bool {
+        match self.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey { scope, window } => {
+                scope == KeyScope::Fleet && window >= self.client_deadline
+            }
+            Idempotency::NotIdempotent => false,
+        }
+    }
+}
+
 /// All settings that the policy reads.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/policy/tests/policy/harness/scenario.rs
+++ b/crates/policy/tests/policy/harness/scenario.rs
@@ -23,6 +23,9 @@
 /// The build under evaluation.
 pub const CANDIDATE: u32 = 2;
 
+/// How long clients wait for a response on all routes.
+pub const CLIENT_DEADLINE: Duration = millis(1_000);
+
 /// Returns a duration of this many milliseconds.
 pub const fn millis(number: u64) -> Duration {
     Duration::from_millis(number)
@@ -32,6 +35,7 @@
     Route {
         name: name.into(),
         latency_objective: millis(500),
+        client_deadline: CLIENT_DEADLINE,
         priority_weight: 1.0,
         idempotency,
     }
--- a/crates/policy/tests/policy/rule_checker/cases.rs
+++ b/crates/policy/tests/policy/rule_checker/cases.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use tidescale_policy::settings::{Idempotency, Settings};
+use tidescale_policy::settings::{Idempotency, KeyScope, Settings};
 
 use super::runner::HistoryRunner;
 use super::violation::Rule;
-use crate::harness::{IDEMPOTENT, millis, settings};
+use crate::harness::{CLIENT_DEADLINE, IDEMPOTENCY_KEY, IDEMPOTENT, millis, settings};
 
 /// The number of limits that are varied.
 const LIMIT_COUNT: usize = 9;
@@ -17,6 +17,8 @@
 const THREAD_COUNT: usize = 8;
 /// The number of histories within which a mismatched setting must be detected.
 const HISTORIES_PER_MISMATCH: u64 = 40;
+/// The number of histories for each time for which endpoints keep idempotency keys.
+const HISTORIES_PER_WINDOW: u64 = 40;
 
 /// Returns settings in which each bit selects one of the two values of a limit.
 fn settings_with_limits(bits: usize) -> Settings {
@@ -58,6 +60,27 @@
     });
 }
 
+/// Guards against a duplicate execution by the client's retry after a rejection, with keys that all
+/// endpoints share for less than the client's deadline, or until then.
+#[test]
+fn rules_hold_for_keys_shared_by_all_endpoints() {
+    for window in [millis(300), CLIENT_DEADLINE] {
+        for seed in 0..HISTORIES_PER_WINDOW {
+            let mut settings = settings_with_limits(seed as usize);
+            settings.routes[IDEMPOTENCY_KEY.get()].idempotency = Idempotency::IdempotencyKey {
+                scope: KeyScope::Fleet,
+                window,
+            };
+            let runner = HistoryRunner {
+                policy_settings: settings.clone(),
+                observer_settings: settings,
+            };
+            let violation = runner.run(seed);
+            assert_eq!(violation, None, "seed {seed}, window {window:?}");
+        }
+    }
+}
+
 /// A settings change that only the observer is given, and the rule that the policy breaks as a
 /// result.
 struct SettingMismatch {
--- a/crates/settings/src/routes.rs
+++ b/crates/settings/src/routes.rs
@@ -29,6 +29,7 @@
     Ok(Route {
         name: raw.text(&path("name"))?.to_string(),
         latency_objective: raw.duration(&path("target"))?,
+        client_deadline: raw.duration(&path("deadline"))?,
         priority_weight: raw.number(&path("value"))?,
         idempotency,
     })
--- a/crates/settings/tests/decode.rs
+++ b/crates/settings/tests/decode.rs
@@ -138,11 +138,13 @@
     };
     assert_eq!(search.name, "search");
     assert_eq!(search.latency_objective, Duration::from_millis(500));
+    assert_eq!(search.client_deadline, Duration::from_millis(900));
     assert_eq!(search.priority_weight, 1.0);
     assert_eq!(search.idempotency, Idempotency::Idempotent);
     assert_eq!(pay.name, "pay");
     // 0.0015 ms are 1.5 µs; halves are rounded away from zero.
     assert_eq!(pay.latency_objective, Duration::from_micros(2));
+    assert_eq!(pay.client_deadline, Duration::from_micros(1_500_500));
     assert_eq!(pay.priority_weight, 2.5);
     assert_eq!(pay.idempotency, pay_idempotency(KeyScope::Zone));
 }
@@ -386,6 +388,7 @@
     "membership_mode",
     "family_info.stage_cap",
     "classes.1.value",
+    "classes.1.deadline",
     "classes.1.target",
     "classes.1.name",
     "classes.1.repeat_window",
--- a/crates/simulation/src/settings.rs
+++ b/crates/simulation/src/settings.rs
@@ -7,7 +7,9 @@
 
 use crate::case::{SettingsProfile, TrialCase};
 use crate::ids::{InstanceIndex, ZoneIndex};
-use crate::parameters::{ROUTES, STAGES, VOTE_LIFETIME, WARM_UP_START, WARM_UP_TIME, ZONE_COUNT};
+use crate::parameters::{
+    REQUEST_DEADLINE, ROUTES, STAGES, VOTE_LIFETIME, WARM_UP_START, WARM_UP_TIME, ZONE_COUNT,
+};
 use crate::rollout::rollback_votes;
 
 /// Limit on votes per second for each instance. No instance casts as many, so the limit never takes
@@ -69,6 +71,7 @@
         .map(|(index, route)| Route {
             name: format!("r{index}"),
             latency_objective: route.latency_objective,
+            client_deadline: REQUEST_DEADLINE,
             priority_weight: route.priority_weight,
             idempotency: route.idempotency,
         })
--- a/crates/simulator-adapter/tests/common/mod.rs
+++ b/crates/simulator-adapter/tests/common/mod.rs
@@ -10,6 +10,7 @@
 balancers=1
 zone=z1
 classes.count=1
+classes.0.deadline=1200.0
 classes.0.idempotency=retryable
 classes.0.name=look
 classes.0.target=500.0
