--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -79,7 +79,8 @@
     scheduled: Vec<ClientKey>,
     /// Connections whose read stopped because the buffer pool was exhausted.
     waiting_for_buffers: Vec<ClientKey>,
-    /// The time of the iteration in which no connection could be closed to free buffers.
+    /// The time of the last iteration in which no connection held buffers that could be freed. The
+    /// search is not repeated in the same iteration.
     no_buffer_holder_at: Option<Timestamp>,
     is_shutting_down: bool,
 }
--- a/crates/proxy/src/clients/connection.rs
+++ b/crates/proxy/src/clients/connection.rs
@@ -135,8 +135,8 @@
 
     /// Returns the number of input bytes at which reading pauses: at least the length of the next
     /// message if that can be handled, otherwise only the limit on buffered input. Input that cannot
-    /// be handled yet is not read into the reserve of the pool, because its buffers are not freed
-    /// before other clients' requests that need them.
+    /// be handled yet does not take the reserve of the pool: its buffers are freed only after a
+    /// response, and messages of other clients need buffers before that.
     pub(super) fn bytes_wanted(&self, pool: &Pool) -> usize {
         let read_ahead = if self.is_open() && pool.is_mostly_free() {
             EXTENDED_READ_AHEAD_BYTES
--- a/crates/proxy/src/clients/reading.rs
+++ b/crates/proxy/src/clients/reading.rs
@@ -111,7 +111,9 @@
         }
         let Some(key) = self.first_buffer_holder(waiting, context.io.now) else {
             log_lines::no_client_buffers_to_free(&context.io.log);
-            self.no_buffer_holder_at = Some(context.io.now);
+            if !self.holds_buffers(waiting) {
+                self.no_buffer_holder_at = Some(context.io.now);
+            }
             return retry_after_min_stage_age(context.io);
         };
         log_lines::client_buffers_exhausted(&context.io.log);
@@ -126,14 +128,16 @@
     /// been in it for longest comes first.
     fn first_buffer_holder(&self, waiting: ClientKey, now: Timestamp) -> Option<ClientKey> {
         let latest = now - MIN_STAGE_AGE;
-        let holds_buffers = |key: &ClientKey| {
-            let client = self.connections.get(*key);
-            client.is_some_and(|client| !client.connection.input.is_empty())
-        };
         BUFFER_HOLDING_STAGES
             .into_iter()
             .flat_map(|stage| self.stages.entered_stage_before(stage, latest))
-            .find(|key| *key != waiting && holds_buffers(key))
+            .find(|key| *key != waiting && self.holds_buffers(*key))
+    }
+
+    /// Whether a connection holds buffers for input.
+    fn holds_buffers(&self, key: ClientKey) -> bool {
+        let client = self.connections.get(key);
+        client.is_some_and(|client| !client.connection.input.is_empty())
     }
 
     /// Handles messages in order, up to a request. Later messages are handled after its response.
