--- a/crates/proxy/tests/loopback/main.rs
+++ b/crates/proxy/tests/loopback/main.rs
@@ -1,9 +1,11 @@
 //! The proxy on loopback sockets, with stand-ins for endpoints, discovery and the platform. One
 //! module per subject.
 
+#[path = "../common/mod.rs"]
+mod common;
+
 mod client_limits;
 mod clients;
-mod common;
 mod connecting;
 mod discovery;
 mod endpoint_list;
