--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -9,5 +9,5 @@
 mod priority;
 
 pub(crate) use concurrency_limits::{ConcurrencyLimits, LatencyObservation};
-pub(crate) use load_shedding::{Admission, decide_admission};
+pub(crate) use load_shedding::{Admission, decide_admission, retry_after};
 pub(crate) use priority::{CostAndValue, PriorityScale};
--- a/crates/policy/src/admission/load_shedding.rs
+++ b/crates/policy/src/admission/load_shedding.rs
@@ -5,6 +5,7 @@
 
 use crate::latency::LatencyEstimate;
 use crate::requests::Request;
+use crate::settings::{Route, Settings};
 use crate::step_context::StepContext;
 use crate::types::whole_micros;
 
@@ -46,13 +47,19 @@
     if !is_retry_safe {
         return Admission::Fail;
     }
-    let objective = whole_micros(route.latency_objective);
-    let retry_after = whole_micros(settings.max_retry_after).min(objective / 2);
     Admission::Reject {
-        retry_after: Duration::from_micros(retry_after),
+        retry_after: retry_after(route, settings),
     }
 }
 
+/// Returns the delay after which the client of a rejected request should retry: half the latency
+/// objective of the route, as far as the settings allow it.
+pub(crate) fn retry_after(route: &Route, settings: &Settings) -> Duration {
+    let objective = whole_micros(route.latency_objective);
+    let retry_after = whole_micros(settings.max_retry_after).min(objective / 2);
+    Duration::from_micros(retry_after)
+}
+
 /// Returns the time to reserve for an attempt: 1.5 times the expected latency, capped at half the
 /// objective. Without the cap, congestion could cause every request to be rejected on arrival, and
 /// no further latency would be measured.
--- a/crates/policy/src/balancer/events.rs
+++ b/crates/policy/src/balancer/events.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Balancer, TimedOutAttempt};
-use crate::admission::{CostAndValue, LatencyObservation};
+use crate::admission::{CostAndValue, LatencyObservation, retry_after};
 use crate::endpoints::EndpointUpdate;
 use crate::health::{EndpointOutcome, HealthChange};
 use crate::latency::{BaselineLearning, LatencySample, RequestWork};
@@ -13,7 +13,8 @@
 use crate::statistics::WindowKey;
 use crate::types::{
     AttemptId, AttemptOutcome, AttemptResult, EndpointEntry, EndpointIndex, HardwareClassIndex,
-    IncomingRequest, LoadReport, RequestId, RolloutPhase, RolloutStatus, Timestamp, VoteResult,
+    IncomingRequest, LoadReport, RequestId, RolloutPhase, RolloutStatus, RouteIndex, Timestamp,
+    VoteResult,
 };
 use crate::warm_up::warm_up_fraction;
 
@@ -115,6 +116,13 @@
         self.requests.insert(id, request);
     }
 
+    /// Returns the delay after which the client of a request on this route should retry, for hosts
+    /// that reject a request which they cannot store.
+    pub fn retry_after(&self, route: RouteIndex) -> Duration {
+        let settings = &self.context.settings;
+        retry_after(&settings.routes[route.get()], settings)
+    }
+
     /// Checks all conditions of an attempt again and returns whether it may be written to its
     /// connection. The host calls this if it had to establish the connection first, because the
     /// conditions may have changed since the endpoint was selected. An attempt that may not be
--- a/crates/proxy/src/buffers.rs
+++ b/crates/proxy/src/buffers.rs
@@ -11,7 +11,7 @@
 use std::ops::Range;
 use std::rc::Rc;
 
-/// Size of a buffer in bytes.
+/// Size in bytes of a buffer for input and output.
 pub const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Maximum number of buffers written by one system call.
@@ -25,6 +25,8 @@
     free: Vec<Box<[u8]>>,
     in_use: usize,
     capacity: usize,
+    /// Size of each buffer in bytes.
+    buffer_bytes: usize,
 }
 
 /// A bounded pool of buffers.
@@ -32,15 +34,35 @@
 pub struct Pool(Rc<RefCell<PoolState>>);
 
 impl Pool {
-    /// Creates a pool of `capacity` buffers, each allocated when it is first needed.
+    /// Creates a pool of `capacity` buffers of [`BUFFER_BYTES`], each allocated when it is first
+    /// needed.
     pub fn new(capacity: usize) -> Pool {
+        Pool::with_buffer_bytes(capacity, BUFFER_BYTES)
+    }
+
+    /// Creates a pool of `capacity` buffers of `buffer_bytes`, each allocated when it is first
+    /// needed.
+    pub fn with_buffer_bytes(capacity: usize, buffer_bytes: usize) -> Pool {
         Pool(Rc::new(RefCell::new(PoolState {
             free: Vec::new(),
             in_use: 0,
             capacity,
+            buffer_bytes,
         })))
     }
 
+    /// Returns the size of all buffers together in bytes.
+    pub fn capacity_bytes(&self) -> usize {
+        let state = self.0.borrow();
+        state.capacity * state.buffer_bytes
+    }
+
+    /// Returns the number of buffers that are not in use.
+    pub fn available(&self) -> usize {
+        let state = self.0.borrow();
+        state.capacity.saturating_sub(state.in_use)
+    }
+
     /// Whether all buffers are in use, so that reading has to stop.
     pub fn is_exhausted(&self) -> bool {
         let state = self.0.borrow();
@@ -64,10 +86,11 @@
     fn acquire(&self) -> Buffer {
         let mut state = self.0.borrow_mut();
         state.in_use += 1;
+        let buffer_bytes = state.buffer_bytes;
         let bytes = state
             .free
             .pop()
-            .unwrap_or_else(|| vec![0; BUFFER_BYTES].into_boxed_slice());
+            .unwrap_or_else(|| vec![0; buffer_bytes].into_boxed_slice());
         Buffer {
             bytes,
             start: 0,
@@ -93,6 +116,10 @@
     fn unfilled(&mut self) -> &mut [u8] {
         &mut self.bytes[self.end..]
     }
+
+    fn is_full(&self) -> bool {
+        self.end == self.bytes.len()
+    }
 }
 
 impl Drop for Buffer {
@@ -147,9 +174,7 @@
     }
 
     fn is_last_buffer_full(&self) -> bool {
-        self.buffers
-            .back()
-            .is_none_or(|last| last.end == BUFFER_BYTES)
+        self.buffers.back().is_none_or(Buffer::is_full)
     }
 
     /// Appends bytes, even if the pool is exhausted.
@@ -161,7 +186,7 @@
             let Some(last) = self.buffers.back_mut() else {
                 return;
             };
-            let count = bytes.len().min(BUFFER_BYTES - last.end);
+            let count = bytes.len().min(last.unfilled().len());
             let (fitting, rest) = bytes.split_at(count);
             last.unfilled()[..count].copy_from_slice(fitting);
             last.end += count;
--- a/crates/proxy/src/clients/messages.rs
+++ b/crates/proxy/src/clients/messages.rs
@@ -1,10 +1,12 @@
 //! Handling one message of a client, with the state of its own connection only.
 
 use std::ops::Range;
+use std::time::Duration;
 
 use tidescale_policy::types::Timestamp;
 
 use super::connection::{ClientConnection, ClientState};
+use super::responses::put_retryable_rejection;
 use crate::postgres::framing::{MESSAGE_HEADER_BYTES, STARTUP_HEADER_BYTES};
 use crate::postgres::{
     self, ClientMessage, ProtocolError, Severity, StartupKind, complete_frame, sqlstate,
@@ -138,6 +140,14 @@
         postgres::put_ready_for_query(output);
     }
 
+    /// Responds that the client may retry its request, after `retry_after` if that is at least a
+    /// millisecond. The connection stays open.
+    pub(super) fn reject_request(&mut self, retry_after: Duration) {
+        let output = &mut self.connection.output;
+        put_retryable_rejection(output, retry_after);
+        postgres::put_ready_for_query(output);
+    }
+
     fn put_unsupported_error(&mut self, reason: &str) {
         let code = sqlstate::FEATURE_NOT_SUPPORTED;
         let output = &mut self.connection.output;
--- a/crates/proxy/src/clients/requests.rs
+++ b/crates/proxy/src/clients/requests.rs
@@ -7,12 +7,12 @@
 use super::Clients;
 use super::connection::ClientState;
 use super::pending_requests::PendingRequest;
-use crate::buffers::{Chain, Pool};
 use crate::context::EventContext;
 use crate::ids::ClientKey;
 use crate::log_lines;
 use crate::postgres::statement::StatementError;
 use crate::postgres::{self, ClientStatement};
+use crate::statement_buffers::StatementBuffers;
 
 /// Why a client statement is rejected.
 ///
@@ -48,23 +48,27 @@
 }
 
 impl ValidStatement<'_> {
-    fn to_pending_request(&self, client: ClientKey, pool: &Pool) -> PendingRequest {
-        let mut statement = Chain::new(pool);
-        statement.push(self.text.as_bytes());
-        PendingRequest {
+    /// Returns the request with a copy of its statement, or `None` if there is no memory for the
+    /// copy.
+    fn to_pending_request(
+        &self,
+        client: ClientKey,
+        buffers: &StatementBuffers,
+    ) -> Option<PendingRequest> {
+        Some(PendingRequest {
             client: Some(client),
             client_request_id: self.statement.request_id.to_string(),
             is_repeatable: self.is_repeatable,
-            statement,
+            statement: buffers.store(self.text)?,
             time_limit_range: self.statement.time_limit_range.clone(),
             attempt_connections: Vec::new(),
-        }
+        })
     }
 }
 
 impl Clients {
-    /// Passes the request in a query to the policy, or responds with the reason why the statement
-    /// is rejected.
+    /// Passes the request in a query to the policy. Responds with the reason if the statement is
+    /// invalid, and rejects the request if there is no memory for its statement.
     pub(super) fn handle_query(
         &mut self,
         key: ClientKey,
@@ -90,7 +94,10 @@
             time_remaining: statement.time_limit.saturating_sub(time_waited),
             cost_hint: None,
         };
-        let pending = valid.to_pending_request(key, &context.io.endpoint_buffers);
+        let Some(pending) = valid.to_pending_request(key, &context.io.statement_buffers) else {
+            log_lines::statement_buffers_exhausted(&context.io.log, query.text.len());
+            return client.reject_request(context.policy.retry_after(valid.route));
+        };
         if let Some(id) = self.requests.insert(pending) {
             client.state = ClientState::AwaitingResponse { request: id };
             context.policy.on_request(id, request);
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -30,15 +30,7 @@
     /// Responds that the client may retry its request, after `retry_after` if that is at least a
     /// millisecond.
     pub fn reject_request(&mut self, id: RequestId, retry_after: Duration) {
-        let detail = if retry_after >= RETRY_AFTER_UNIT {
-            retry_after.as_millis().to_string()
-        } else {
-            String::new()
-        };
-        self.respond(id, |output| {
-            let code = sqlstate::TOO_MANY_CONNECTIONS;
-            postgres::put_error(output, Severity::Error, code, "try again", &detail);
-        });
+        self.respond(id, |output| put_retryable_rejection(output, retry_after));
     }
 
     /// Responds that the request has failed and may have been executed.
@@ -65,3 +57,15 @@
         self.requests.remove_if_finished(id);
     }
 }
+
+/// Writes the error of a rejected request, with the delay after which the client should retry if
+/// that is at least a millisecond.
+pub(super) fn put_retryable_rejection(output: &mut Chain, retry_after: Duration) {
+    let detail = if retry_after >= RETRY_AFTER_UNIT {
+        retry_after.as_millis().to_string()
+    } else {
+        String::new()
+    };
+    let code = sqlstate::TOO_MANY_CONNECTIONS;
+    postgres::put_error(output, Severity::Error, code, "try again", &detail);
+}
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -13,6 +13,7 @@
 use crate::buffers::Pool;
 use crate::deadlines::Deadlines;
 use crate::ids::{ClientKey, EndpointConnectionKey, SlotKey};
+use crate::statement_buffers::StatementBuffers;
 
 /// The parts of the proxy that own sockets or deadlines. Deadlines that expire at the same time are
 /// handled in the order of the variants.
@@ -82,12 +83,15 @@
 pub struct IoContext {
     /// The event loop in which sockets are registered.
     pub handle: LoopHandle<'static, ReadyEvents>,
-    /// Buffers for input from endpoints, for the statements and responses of requests, and for the
-    /// output of all connections.
+    /// Buffers for input from endpoints, for the responses to requests, and for the output of all
+    /// connections.
     pub endpoint_buffers: Pool,
     /// Buffers for input from clients and for nothing else. The pool is separate so that clients
     /// cannot use up the buffers needed to read the responses of endpoints.
     pub client_buffers: Pool,
+    /// Memory for the statements of pending requests. It is separate so that requests that wait
+    /// for endpoints cannot use up the buffers needed to read the responses of endpoints.
+    pub statement_buffers: StatementBuffers,
     /// Buffers for input from discovery and the platform, and for nothing else.
     pub control_buffers: Pool,
     /// The deadlines of all components.
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -20,7 +20,7 @@
 use crate::log_lines::{self, RestoredSnapshot};
 use crate::operators::OperatorSettings;
 use crate::proxy::{Decisions, IterationEvents, Proxy, ProxyError, StartEvents};
-use crate::resource_budget::BufferBudget;
+use crate::resource_budget::{BufferBudget, ConnectionBudget};
 use crate::snapshot_writer::{self, SnapshotWriter};
 
 /// An iteration that starts more than this after its deadline is logged.
@@ -101,11 +101,15 @@
         })?;
         let clock = Clock::start();
         let now = clock.now();
-        let buffers = BufferBudget::split(config.memory_mib);
+        // A limit that leaves no descriptors is rejected by `Proxy::new`.
+        let max_clients = ConnectionBudget::split(config.descriptor_limit)
+            .map_or(0, |connections| connections.clients);
+        let buffers = BufferBudget::split(config.memory_mib, max_clients);
         let context = IoContext {
             handle: event_loop.handle(),
             endpoint_buffers: buffers.endpoints,
             client_buffers: buffers.clients,
+            statement_buffers: buffers.statements,
             control_buffers: buffers.control,
             deadlines: Deadlines::default(),
             log,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod slots;
 pub mod snapshot_writer;
 pub mod start;
+pub mod statement_buffers;
 pub mod stream;
 pub mod upstream;
 pub mod votes;
--- a/crates/proxy/src/log_lines.rs
+++ b/crates/proxy/src/log_lines.rs
@@ -199,6 +199,12 @@
     info!(log, "no client buffers to free");
 }
 
+/// Logs that there is no memory for the statement of a request, which is `statement_bytes` long. The
+/// request is rejected; the client may retry it.
+pub fn statement_buffers_exhausted(log: &Logger, statement_bytes: usize) {
+    info!(log, "statement buffers exhausted"; "statement_bytes" => statement_bytes);
+}
+
 /// Logs that a client sent a statement that the proxy does not support. It is sent an error.
 pub fn statement_rejected(log: &Logger, error: &dyn Display) {
     info!(log, "statement rejected"; "error" => %error);
--- a/crates/proxy/src/resource_budget.rs
+++ b/crates/proxy/src/resource_budget.rs
@@ -1,7 +1,9 @@
 //! Divides file descriptors and buffer memory among clients, endpoints and control connections:
-//! those for the endpoint list, the rollout status and the votes.
+//! those for the endpoint list, the rollout status and the votes. Statements of pending requests
+//! have memory of their own.
 
 use crate::buffers::{self, Pool};
+use crate::statement_buffers::StatementBuffers;
 
 /// Descriptors for the standard streams, the event loop and the listener, and some spare ones.
 const RESERVED_DESCRIPTORS: usize = 32;
@@ -16,11 +18,15 @@
 /// The descriptor limit divided by this is the maximum number of idle clients. An eighth of all
 /// descriptors is less than half of the third that clients use for requests.
 const IDLE_CLIENT_DIVISOR: usize = 8;
-/// Buffers may use the memory limit of the process divided by this.
+/// Buffers for input and output may use the memory limit of the process divided by this.
 const BUFFER_MEMORY_DIVISOR: usize = 3;
 /// Number of buffers for input from discovery and the platform. They are taken from the half of all
 /// buffers that is not for clients; endpoints get the rest of that half.
 const CONTROL_BUFFERS: usize = 64;
+/// The statements of pending requests may use the memory limit of the process divided by this.
+const STATEMENT_MEMORY_DIVISOR: usize = 4;
+/// Bytes in one MiB.
+const MEBIBYTE: usize = 1024 * 1024;
 
 /// Maximum number of connections of each kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,26 +58,30 @@
 
 /// The buffer pools among which the memory for buffers is divided.
 pub struct BufferBudget {
-    /// For input from endpoints, and for all output.
+    /// For input from endpoints, for their responses, and for all output.
     pub endpoints: Pool,
     /// For input from clients.
     pub clients: Pool,
     /// For input from discovery and the platform.
     pub control: Pool,
+    /// For the statements of pending requests.
+    pub statements: StatementBuffers,
 }
 
 impl BufferBudget {
     /// Creates the pools from the part of the process's memory limit, `memory_mib` in MiB, that
-    /// buffers may use.
-    pub fn split(memory_mib: usize) -> BufferBudget {
-        let buffers =
-            memory_mib.saturating_mul(1024 * 1024) / BUFFER_MEMORY_DIVISOR / buffers::BUFFER_BYTES;
+    /// buffers may use. `max_clients` is the maximum number of client connections, and so of
+    /// clients that wait for a response.
+    pub fn split(memory_mib: usize, max_clients: usize) -> BufferBudget {
+        let memory_bytes = memory_mib.saturating_mul(MEBIBYTE);
+        let buffers = memory_bytes / BUFFER_MEMORY_DIVISOR / buffers::BUFFER_BYTES;
         let for_clients = buffers / 2;
         let for_endpoints = buffers.saturating_sub(for_clients + CONTROL_BUFFERS);
         BufferBudget {
             endpoints: Pool::new(for_endpoints.max(1)),
             clients: Pool::new(for_clients.max(1)),
             control: Pool::new(CONTROL_BUFFERS),
+            statements: StatementBuffers::new(memory_bytes / STATEMENT_MEMORY_DIVISOR, max_clients),
         }
     }
 }
--- a/crates/proxy/tests/common/client.rs
+++ b/crates/proxy/tests/common/client.rs
@@ -9,6 +9,9 @@
 use super::protocol::{next_message, query, read_once, startup};
 use super::system::wait_until_fin_acknowledged;
 
+/// The SQLSTATE of a request that the proxy rejects for lack of capacity.
+pub const OVERLOADED: &str = "53300";
+
 /// The messages that a client receives up to ReadyForQuery or the end of the connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Response {
--- a/crates/proxy/tests/common/instance.rs
+++ b/crates/proxy/tests/common/instance.rs
@@ -10,6 +10,7 @@
 use tidescale_proxy::buffers::Pool;
 use tidescale_proxy::context::{IoContext, ReadyEvents};
 use tidescale_proxy::deadlines::Deadlines;
+use tidescale_proxy::statement_buffers::StatementBuffers;
 use tidescale_proxy::{config, event_loop};
 
 use super::TEST_TIMEOUT;
@@ -182,6 +183,7 @@
         handle: events.handle(),
         endpoint_buffers,
         client_buffers,
+        statement_buffers: StatementBuffers::new(1 << 20, 8),
         control_buffers,
         deadlines: Deadlines::default(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
--- a/crates/proxy/tests/common/system.rs
+++ b/crates/proxy/tests/common/system.rs
@@ -30,6 +30,17 @@
     });
 }
 
+/// The private memory of a process in KiB, without the pages of its program file. Panics if the
+/// process has exited.
+pub fn private_memory_kib(process_id: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
+    let value = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"))
+        .unwrap();
+    value.split_whitespace().next().unwrap().parse().unwrap()
+}
+
 /// Waits until the condition is met. Panics with this message if it is not met in time.
 pub fn wait_until(failure: &str, condition: impl Fn() -> bool) {
     let started_at = Instant::now();
--- a/crates/proxy/tests/tables/main.rs
+++ b/crates/proxy/tests/tables/main.rs
@@ -7,3 +7,4 @@
 mod deadlines;
 mod log_rate_limit;
 mod slots;
+mod statement_buffers;
