--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -8,6 +8,7 @@
 //! | [`stages`] | the stage of each connection, its timeout, and the order of eviction |
 //! | `pending_requests` | the table of unfinished requests |
 //! | `accepting` | accepting connections, and evicting others at the connection limit |
+//! | [`read_schedule`] | which connections an iteration reads, and how much |
 //! | `reading` | reading from connections and handling received messages |
 //! | `requests` | validating statements and passing requests to the policy |
 //! | `responses` | sending responses |
@@ -26,12 +27,12 @@
 mod lifecycle;
 mod messages;
 mod pending_requests;
+pub mod read_schedule;
 mod reading;
 mod requests;
 mod responses;
 pub mod stages;
 
-use std::collections::BTreeSet;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -48,6 +49,7 @@
 use accepting::ListenerState;
 use connection::ClientConnection;
 use pending_requests::PendingRequests;
+use read_schedule::ReadSchedule;
 use stages::{ConnectionsByStage, Stage};
 
 pub use pending_requests::PendingRequest;
@@ -74,11 +76,7 @@
     stages: ConnectionsByStage,
     requests: PendingRequests,
     routes: Vec<Route>,
-    /// Connections that the next iteration handles without a readiness event, and those that became
-    /// ready in this one.
-    scheduled: Vec<ClientKey>,
-    /// Connections whose read stopped because the buffer pool was exhausted.
-    waiting_for_buffers: Vec<ClientKey>,
+    read_schedule: ReadSchedule,
     /// The time of the last iteration in which no connection held buffers that could be freed. The
     /// search is not repeated in the same iteration.
     no_buffer_holder_at: Option<Timestamp>,
@@ -107,8 +105,7 @@
             stages: ConnectionsByStage::default(),
             requests: PendingRequests::new(),
             routes,
-            scheduled: Vec::new(),
-            waiting_for_buffers: Vec::new(),
+            read_schedule: ReadSchedule::default(),
             no_buffer_holder_at: None,
             is_shutting_down: false,
         })
@@ -121,9 +118,8 @@
             ListenerState::Ready => !self.connections.is_full(),
             ListenerState::Drained | ListenerState::Failed => false,
         };
-        has_connections_to_accept
-            || !self.scheduled.is_empty()
-            || !self.waiting_for_buffers.is_empty() && !context.client_buffers.is_exhausted()
+        let buffers_are_free = !context.client_buffers.is_exhausted();
+        has_connections_to_accept || self.read_schedule.has_work(buffers_are_free)
     }
 
     /// Returns the number of pending requests: those whose client waits for a response or that have
@@ -136,22 +132,24 @@
     pub fn on_ready(&mut self, key: ClientKey, readiness: Readiness) {
         if let Some(client) = self.connections.get_mut(key) {
             client.connection.on_ready(readiness);
-            self.scheduled.push(key);
+            self.read_schedule.schedule(key);
         }
     }
 
-    /// Takes the keys of the connections that this iteration has to handle, without duplicates.
-    /// Those that wait for buffers come first and in the order of their waiting, so that new
-    /// connections do not take the buffers that were freed for them.
+    /// Takes the connections that this iteration has to handle, in their order and without
+    /// duplicates.
     pub fn take_scheduled(&mut self) -> Vec<ClientKey> {
-        let mut keys = std::mem::take(&mut self.waiting_for_buffers);
-        let waiting: BTreeSet<ClientKey> = keys.iter().copied().collect();
-        let mut scheduled = std::mem::take(&mut self.scheduled);
-        scheduled.retain(|key| !waiting.contains(key));
-        scheduled.sort_unstable();
-        scheduled.dedup();
-        keys.append(&mut scheduled);
-        keys
+        self.read_schedule.take()
+    }
+
+    /// Whether this iteration may read from another connection.
+    pub fn may_read_more(&self) -> bool {
+        self.read_schedule.may_read_more()
+    }
+
+    /// Leaves connections to the next iteration.
+    pub fn postpone(&mut self, keys: impl IntoIterator<Item = ClientKey>) {
+        self.read_schedule.postpone(keys);
     }
 
     /// Returns a pending request, or `None` if it has finished.
@@ -173,8 +171,9 @@
     /// accepted until the accept period of the shutdown ends.
     pub fn begin_shutdown(&mut self) {
         self.is_shutting_down = true;
-        self.scheduled
-            .extend(self.connections.iter().map(|(key, _)| key));
+        for (key, _) in self.connections.iter() {
+            self.read_schedule.schedule(key);
+        }
     }
 
     /// Whether no work is left for any client: no client waits for a response, all output is
--- a/crates/proxy/src/clients/accepting.rs
+++ b/crates/proxy/src/clients/accepting.rs
@@ -81,7 +81,7 @@
             Some(Ok(key)) => {
                 self.set_stage(key, Stage::Opening, context);
                 // Most clients send the startup message right after the handshake.
-                self.scheduled.push(key);
+                self.read_schedule.schedule(key);
             }
             Some(Err(error)) => log_lines::client_registration_failed(&context.log, &error),
             None => {}
--- a/crates/proxy/src/clients/connection.rs
+++ b/crates/proxy/src/clients/connection.rs
@@ -9,7 +9,7 @@
 use super::arrivals::Arrivals;
 use super::stages::Stage;
 use crate::buffers::{BUFFER_BYTES, Pool};
-use crate::connection::Connection;
+use crate::connection::{Connection, Discarded};
 use crate::postgres::{self, ClientMessage, Severity, complete_frame, frame_header};
 
 /// Number of buffered input bytes at which reading pauses if the next message cannot be handled
@@ -165,14 +165,18 @@
         self.state = ClientState::Closing { discarded_bytes: 0 };
     }
 
-    /// Discards the input of a closing connection. Returns whether the client has finished sending,
-    /// so that the connection can be closed.
-    pub(super) fn discard_input(&mut self) -> bool {
+    /// Discards the input of a closing connection. It can be closed once the client has finished
+    /// sending.
+    pub(super) fn discard_input(&mut self) -> Discarded {
+        let nothing = Discarded {
+            bytes: 0,
+            ended: false,
+        };
         if !self.connection.output.is_empty() {
-            return false;
+            return nothing;
         }
         let ClientState::Closing { discarded_bytes } = &mut self.state else {
-            return false;
+            return nothing;
         };
         // Beyond `MAX_DISCARDED_BYTES`, each readiness event discards the limit of one iteration.
         let limit = match MAX_DISCARDED_BYTES.checked_sub(*discarded_bytes) {
@@ -181,7 +185,7 @@
         };
         let result = self.connection.discard(limit);
         *discarded_bytes += result.bytes;
-        result.ended
+        result
     }
 
     /// Whether there is more to discard without waiting for a readiness event.
--- a/crates/proxy/src/clients/lifecycle.rs
+++ b/crates/proxy/src/clients/lifecycle.rs
@@ -33,9 +33,9 @@
         }
         // A connection in `waiting_for_buffers` is read again once buffers are free.
         let waits_for_buffers =
-            || stage != Stage::Closing && self.waiting_for_buffers.contains(&key);
+            || stage != Stage::Closing && self.read_schedule.waits_for_buffers(key);
         if has_input_to_handle(client, stage) && !waits_for_buffers() {
-            self.scheduled.push(key);
+            self.read_schedule.schedule(key);
         }
         self.set_stage(key, stage, context.io);
         while self.stages.idle_count() > self.max_idle_connections
--- a/crates/proxy/src/clients/reading.rs
+++ b/crates/proxy/src/clients/reading.rs
@@ -41,7 +41,7 @@
             return ControlFlow::Break(());
         };
         if status == FillStatus::PoolExhausted {
-            self.waiting_for_buffers.push(key);
+            self.read_schedule.wait_for_buffers(key);
             self.free_buffers(key, context);
         }
         if let Err(error) = self.handle_messages(key, context) {
@@ -77,7 +77,9 @@
         if !client.is_closing() {
             return ControlFlow::Continue(());
         }
-        if client.discard_input() {
+        let discarded = client.discard_input();
+        self.read_schedule.record_read(discarded.bytes);
+        if discarded.ended {
             self.close(key, context);
         }
         ControlFlow::Break(())
@@ -93,6 +95,7 @@
         let read = client.connection.read(bytes_wanted);
         let count = client.connection.input.len() - length_before;
         client.arrivals.record(count, context.now);
+        self.read_schedule.record_read(count);
         match read? {
             FillStatus::EndOfStream => Err(io::ErrorKind::UnexpectedEof.into()),
             // The read stopped at the read-ahead limit, before the end of the stream.
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -52,7 +52,7 @@
             postgres::put_ready_for_query(&mut client.connection.output);
             // The next iteration flushes again and handles a write error.
             let _ = client.connection.flush();
-            self.scheduled.push(key);
+            self.read_schedule.schedule(key);
         }
         self.requests.remove_if_finished(id);
     }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -253,10 +253,15 @@
         self.clients.accept(&mut context);
     }
 
+    /// Serves clients until the iteration has read enough. The others are served in the next one.
     fn serve_clients(&mut self, policy: &mut Balancer) {
-        for key in self.clients.take_scheduled() {
+        let mut keys = self.clients.take_scheduled().into_iter();
+        while self.clients.may_read_more()
+            && let Some(key) = keys.next()
+        {
             let owner = Owner::client(key);
             self.run_isolated(owner, policy, |proxy, policy| proxy.serve(owner, policy));
         }
+        self.clients.postpone(keys);
     }
 }
--- a/crates/proxy/tests/overload/large_statements.rs
+++ b/crates/proxy/tests/overload/large_statements.rs
@@ -7,7 +7,9 @@
 use crate::common::*;
 use crate::flood::{FloodingClients, QueryTemplate, TEMPLATE_ID};
 use crate::run_alone;
-use crate::steady_clients::{SteadyClients, TimedResponse, assert_served_in_time, print_summary};
+use crate::steady_clients::{
+    SteadyClients, TimedResponse, assert_answered_in_time, assert_served_in_time, print_summary,
+};
 
 const MEMORY_LIMIT_MB: usize = 32;
 const DESCRIPTOR_LIMIT: usize = 1024;
@@ -95,6 +97,14 @@
     ))
 }
 
+/// A valid read whose comment has 12,000 short fields, about 120 KB.
+fn read_with_many_fields() -> QueryTemplate {
+    let fields = "f=1234567,".repeat(12_000);
+    QueryTemplate::new(&format!(
+        "SELECT data FROM facts WHERE code = '7f3a' /* {fields}id={TEMPLATE_ID},c=look,d=1200 */"
+    ))
+}
+
 /// Guards against memory without a bound: statements of open requests took buffers beyond the
 /// capacity of their pool, and the process exceeded its memory limit.
 #[test]
@@ -115,5 +125,20 @@
     let observed = disturb(&mut proxy, WRITING_CLIENTS, &write_of_largest_value());
 
     observed.assert_memory_limit_kept();
+    assert_answered_in_time(&observed.responses);
     assert_served_in_time(&observed.responses_after_recovery());
 }
+
+/// Guards against requests that wait behind large ones: statements with very many short fields used
+/// up the buffers that the responses of endpoints need.
+#[test]
+fn statements_with_many_fields_do_not_keep_other_requests_from_being_served() {
+    let _alone = run_alone();
+    let endpoints: Vec<TestEndpoint> = (0..ENDPOINTS).map(|_| TestEndpoint::responsive()).collect();
+    let mut proxy = start_proxy(&config(&endpoints));
+
+    let observed = disturb(&mut proxy, 300, &read_with_many_fields());
+
+    observed.assert_memory_limit_kept();
+    assert_served_in_time(&observed.responses);
+}
--- a/crates/proxy/tests/tables/main.rs
+++ b/crates/proxy/tests/tables/main.rs
@@ -6,5 +6,6 @@
 mod connection_stages;
 mod deadlines;
 mod log_rate_limit;
+mod read_schedule;
 mod slots;
 mod statement_buffers;
