--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -7,6 +7,7 @@
 //! | [`arrivals`] | when the bytes of each request were received |
 //! | [`stages`] | the stage of each connection, its timeout, and the order of eviction |
 //! | `pending_requests` | the table of unfinished requests |
+//! | [`executed_requests`] | ids of finished requests that must not be executed again |
 //! | `accepting` | accepting connections, and evicting others at the connection limit |
 //! | [`read_schedule`] | which connections an iteration reads, and how much |
 //! | `reading` | reading from connections and handling received messages |
@@ -24,6 +25,7 @@
 mod accepting;
 pub mod arrivals;
 mod connection;
+pub mod executed_requests;
 mod lifecycle;
 mod messages;
 mod pending_requests;
@@ -40,7 +42,7 @@
 
 use calloop::Readiness;
 use tidescale_policy::settings::Route;
-use tidescale_policy::types::{AttemptId, RequestId, Timestamp};
+use tidescale_policy::types::{AttemptId, AttemptOutcome, RequestId, Timestamp};
 
 use crate::context::{Component, IoContext, Owner};
 use crate::ids::ClientKey;
@@ -162,9 +164,14 @@
         self.requests.is_waiting(id)
     }
 
-    /// Records that an attempt is no longer in flight.
-    pub fn on_attempt_ended(&mut self, id: AttemptId) {
-        self.requests.end_attempt(id);
+    /// Records that an attempt is no longer in flight, and how it ended.
+    pub fn on_attempt_ended(&mut self, id: AttemptId, outcome: AttemptOutcome) {
+        self.requests.end_attempt(id, outcome);
+    }
+
+    /// Removes what is kept of finished requests for a limited time.
+    pub fn remove_expired(&mut self, now: Timestamp) {
+        self.requests.remove_expired(now);
     }
 
     /// Schedules all connections, so that those between requests are closed. New connections are
--- a/crates/proxy/src/clients/pending_requests.rs
+++ b/crates/proxy/src/clients/pending_requests.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeSet;
 use std::ops::Range;
 
-use tidescale_policy::types::{AttemptId, RequestId};
+use tidescale_policy::types::{AttemptId, AttemptOutcome, RequestId, Timestamp};
 
+use super::executed_requests::ExecutedRequests;
 use crate::buffers::Chain;
 use crate::ids::{ClientKey, EndpointConnectionKey};
 use crate::slots::Slots;
@@ -27,6 +28,11 @@
     /// The connection that each attempt is in flight on, by the index of the attempt; `None` if the
     /// attempt is not in flight.
     pub attempt_connections: Vec<Option<EndpointConnectionKey>>,
+    /// Whether an attempt that has ended may have executed the request.
+    pub(super) may_have_executed: bool,
+    /// Until when a request with the same id must not be executed after this one; `None` if it may
+    /// be executed at any time.
+    pub(super) no_repeat_until: Option<Timestamp>,
 }
 
 impl PendingRequest {
@@ -43,10 +49,12 @@
     }
 }
 
-/// All pending requests. Their client request ids are unique.
+/// All pending requests, and the ids of finished ones that must not be executed again. The client
+/// request ids of pending requests are unique.
 pub(super) struct PendingRequests {
     requests: Slots<PendingRequest, RequestId>,
     client_request_ids: BTreeSet<String>,
+    executed: ExecutedRequests,
 }
 
 impl PendingRequests {
@@ -56,6 +64,7 @@
         PendingRequests {
             requests: Slots::new(usize::MAX),
             client_request_ids: BTreeSet::new(),
+            executed: ExecutedRequests::default(),
         }
     }
 
@@ -67,6 +76,17 @@
         self.client_request_ids.contains(client_request_id)
     }
 
+    /// Whether a finished request with this client request id may have been executed and must not be
+    /// executed again.
+    pub(super) fn may_have_executed(&self, client_request_id: &str) -> bool {
+        self.executed.contains(client_request_id)
+    }
+
+    /// Removes the ids of finished requests whose clients wait no longer.
+    pub(super) fn remove_expired(&mut self, now: Timestamp) {
+        self.executed.remove_expired(now);
+    }
+
     /// Adds a request. The caller has checked that no pending request has its client request id.
     pub(super) fn insert(&mut self, request: PendingRequest) -> Option<RequestId> {
         self.client_request_ids
@@ -93,13 +113,12 @@
     }
 
     /// Records that an attempt is no longer in flight.
-    pub(super) fn end_attempt(&mut self, id: AttemptId) {
-        let attempt = self
-            .requests
-            .get_mut(id.request)
-            .and_then(|request| request.attempt_connections.get_mut(id.index.get()));
-        if let Some(connection) = attempt {
-            *connection = None;
+    pub(super) fn end_attempt(&mut self, id: AttemptId, outcome: AttemptOutcome) {
+        if let Some(request) = self.requests.get_mut(id.request) {
+            request.may_have_executed |= !outcome.never_executed();
+            if let Some(connection) = request.attempt_connections.get_mut(id.index.get()) {
+                *connection = None;
+            }
         }
         self.remove_if_finished(id.request);
     }
@@ -113,8 +132,14 @@
         if !is_finished {
             return;
         }
-        if let Some(request) = self.requests.remove(id) {
-            self.client_request_ids.remove(&request.client_request_id);
+        let Some(request) = self.requests.remove(id) else {
+            return;
+        };
+        self.client_request_ids.remove(&request.client_request_id);
+        if let Some(expires_at) = request.no_repeat_until
+            && request.may_have_executed
+        {
+            self.executed.add(&request.client_request_id, expires_at);
         }
     }
 }
--- a/crates/proxy/src/clients/requests.rs
+++ b/crates/proxy/src/clients/requests.rs
@@ -1,5 +1,7 @@
 //! Validating client statements and passing their requests to the policy.
 
+use std::time::Duration;
+
 use thiserror::Error;
 use tidescale_policy::settings::Idempotency;
 use tidescale_policy::types::{IncomingRequest, RouteIndex, Timestamp};
@@ -30,6 +32,10 @@
     /// Another pending request has the same id.
     #[error("the id of an open req")]
     IdInUse,
+    /// An earlier request with the same id has finished, may have been executed, and must not be
+    /// executed again.
+    #[error("the id of a req that may have run")]
+    IdExecuted,
 }
 
 /// A query as received from a client.
@@ -44,7 +50,9 @@
     text: &'a str,
     statement: ClientStatement<'a>,
     route: RouteIndex,
-    is_repeatable: bool,
+    idempotency: Idempotency,
+    /// How long a client waits in all, over all of its tries.
+    longest_wait: Duration,
 }
 
 impl ValidStatement<'_> {
@@ -53,15 +61,19 @@
     fn to_pending_request(
         &self,
         client: ClientKey,
+        arrived_at: Timestamp,
         buffers: &StatementBuffers,
     ) -> Option<PendingRequest> {
+        let may_repeat = self.idempotency == Idempotency::Idempotent;
         Some(PendingRequest {
             client: Some(client),
             client_request_id: self.statement.request_id.to_string(),
-            is_repeatable: self.is_repeatable,
+            is_repeatable: self.idempotency != Idempotency::NotIdempotent,
             statement: buffers.store(self.text)?,
             time_limit_range: self.statement.time_limit_range.clone(),
             attempt_connections: Vec::new(),
+            may_have_executed: false,
+            no_repeat_until: (!may_repeat).then_some(arrived_at + self.longest_wait),
         })
     }
 }
@@ -94,7 +106,8 @@
             time_remaining: statement.time_limit.saturating_sub(time_waited),
             cost_hint: None,
         };
-        let Some(pending) = valid.to_pending_request(key, &context.io.statement_buffers) else {
+        let buffers = &context.io.statement_buffers;
+        let Some(pending) = valid.to_pending_request(key, query.arrived_at, buffers) else {
             log_lines::statement_buffers_exhausted(&context.io.log, query.text.len());
             return client.reject_request(context.policy.retry_after(valid.route));
         };
@@ -119,11 +132,15 @@
         if self.requests.has_client_request_id(statement.request_id) {
             return Err(RequestError::IdInUse);
         }
+        if self.requests.may_have_executed(statement.request_id) {
+            return Err(RequestError::IdExecuted);
+        }
         Ok(ValidStatement {
             text,
-            statement,
             route: RouteIndex::new(route),
-            is_repeatable: settings.idempotency != Idempotency::NotIdempotent,
+            idempotency: settings.idempotency,
+            longest_wait: settings.client_deadline.max(statement.time_limit),
+            statement,
         })
     }
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -163,6 +163,7 @@
         let ready = self.record_readiness(events);
         self.serve_control_and_endpoints(ready, policy);
         self.handle_expired_deadlines(policy);
+        self.clients.remove_expired(self.context.now);
         self.accept_clients(policy);
         self.serve_clients(policy);
     }
--- a/crates/proxy/src/upstream/ending.rs
+++ b/crates/proxy/src/upstream/ending.rs
@@ -163,7 +163,7 @@
                     load: self.load,
                 };
                 policy.on_attempt_result(id, result);
-                clients.on_attempt_ended(id);
+                clients.on_attempt_ended(id, self.outcome);
             }
             ExchangeKind::HealthCheck => {
                 policy.on_health_check(&self.endpoint, self.outcome, self.load);
--- a/crates/proxy/tests/loopback/main.rs
+++ b/crates/proxy/tests/loopback/main.rs
@@ -8,6 +8,7 @@
 mod client_limits;
 mod clients;
 mod connecting;
+mod departures;
 mod discovery;
 mod endpoint_list;
 mod log;
--- a/crates/proxy/tests/tables/main.rs
+++ b/crates/proxy/tests/tables/main.rs
@@ -5,6 +5,7 @@
 mod buffers;
 mod connection_stages;
 mod deadlines;
+mod executed_requests;
 mod log_rate_limit;
 mod read_schedule;
 mod slots;
