--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Lets `write` write to the socket without a copy in the output, which must be empty.
+    pub fn write_directly<T>(&self, write: impl FnOnce(&mut &TcpStream) -> T) -> T {
+        write(&mut &*self.socket)
+    }
+
     /// Whether the peer has finished sending, even if bytes before the end are still unread.
     pub fn has_hung_up(&self) -> bool {
         let mut polled = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
--- a/crates/proxy/src/postgres.rs
+++ b/crates/proxy/src/postgres.rs
@@ -6,6 +6,7 @@
 //! | [`messages`] | decoding the bodies of messages |
 //! | [`statement`] | parsing the only statements that clients may send |
 //! | [`encoding`] | encoding the messages that the proxy sends |
+//! | [`statement_writer`] | writing the statement of a client to an endpoint |
 //! | [`sqlstate`] | error codes |
 //!
 //! Decoders accept any input without a panic. A message of an invalid kind or length is rejected as
@@ -16,12 +17,13 @@
 pub mod messages;
 pub mod sqlstate;
 pub mod statement;
+pub mod statement_writer;
 
 use thiserror::Error;
 
 pub use encoding::{
     Severity, put_empty_query_response, put_error, put_query, put_ready_for_query, put_startup,
-    put_startup_response, put_statement,
+    put_startup_response,
 };
 pub use framing::{
     ClientMessage, EndpointMessage, Frame, StartupKind, complete_frame, frame_header, startup_frame,
@@ -32,6 +34,7 @@
     decode_parameter_status, decode_query, startup_has_user,
 };
 pub use statement::{ClientStatement, parse_statement};
+pub use statement_writer::StatementWriter;
 
 /// Why a message is invalid.
 ///
--- a/crates/proxy/src/postgres/encoding.rs
+++ b/crates/proxy/src/postgres/encoding.rs
@@ -1,9 +1,6 @@
 //! Encoding the messages that the proxy sends, as a client to endpoints and as a server to clients.
 
-use std::ops::Range;
-use std::time::Duration;
-
-use super::framing::PROTOCOL_VERSION;
+use super::framing::{LENGTH_FIELD_BYTES, PROTOCOL_VERSION};
 use crate::buffers::Chain;
 
 /// The parameters of the startup message to endpoints.
@@ -34,11 +31,18 @@
     }
 }
 
+/// Returns the header of a message: its type, and its length without the type.
+pub(super) fn message_header(type_byte: u8, body_length: usize) -> Vec<u8> {
+    let length = LENGTH_FIELD_BYTES + body_length;
+    let mut header = vec![type_byte];
+    header.extend_from_slice(&(length as u32).to_be_bytes());
+    header
+}
+
 /// Writes one message with the concatenation of `body` as its body.
 fn put_message(out: &mut Chain, type_byte: u8, body: &[&[u8]]) {
-    let length = 4 + body.iter().map(|part| part.len()).sum::<usize>();
-    out.push(&[type_byte]);
-    out.push(&(length as u32).to_be_bytes());
+    let body_length = body.iter().map(|part| part.len()).sum();
+    out.push(&message_header(type_byte, body_length));
     for part in body {
         out.push(part);
     }
@@ -63,25 +67,6 @@
     put_message(out, b'Q', &[statement, &[0]]);
 }
 
-/// Writes a query with the statement of a client. `time_limit`, in whole milliseconds, replaces the
-/// digits at `time_limit_range`.
-pub fn put_statement(
-    out: &mut Chain,
-    statement: &Chain,
-    time_limit_range: &Range<usize>,
-    time_limit: Duration,
-) {
-    let digits = time_limit.as_millis().to_string();
-    let before = statement.slices(0..time_limit_range.start);
-    let after = statement.slices(time_limit_range.end..statement.len());
-    let body: Vec<&[u8]> = before
-        .chain([digits.as_bytes()])
-        .chain(after)
-        .chain([&[0][..]])
-        .collect();
-    put_message(out, b'Q', &body);
-}
-
 /// Writes the response to a startup message: `AuthenticationOk`, the server parameters, and
 /// ReadyForQuery.
 pub fn put_startup_response(out: &mut Chain) {
--- a/crates/proxy/src/postgres/framing.rs
+++ b/crates/proxy/src/postgres/framing.rs
@@ -18,7 +18,7 @@
 /// Size of the header of any other message in bytes: the type and the length.
 pub const MESSAGE_HEADER_BYTES: usize = 5;
 /// Size of the length field in bytes, which is included in the length of a message.
-const LENGTH_FIELD_BYTES: usize = 4;
+pub(super) const LENGTH_FIELD_BYTES: usize = 4;
 
 /// Maximum length of a startup message, including its header; the same as in PostgreSQL.
 const MAX_STARTUP_BYTES: usize = 10_000;
--- a/crates/proxy/src/upstream/ending.rs
+++ b/crates/proxy/src/upstream/ending.rs
@@ -7,7 +7,7 @@
 
 use super::connection::EndpointConnection;
 use super::exchange::{EndedExchange, Exchange, ExchangeKind};
-use super::outcomes::{AttemptError, AttemptErrorCause, ResponseError};
+use super::outcomes::{AttemptError, AttemptErrorCause, RequestProgress, ResponseError};
 use super::{ExchangeContext, Upstream, set_deadline};
 use crate::clients::Clients;
 use crate::ids::EndpointConnectionKey;
@@ -39,7 +39,8 @@
     }
 
     /// Ends the exchange of a connection if its outcome is known. The connection then waits for
-    /// ReadyForQuery, at most for the configured connect timeout.
+    /// ReadyForQuery, at most for the configured connect timeout. It is closed if the endpoint has
+    /// responded before the whole request was written.
     pub(super) fn finish_completed(
         &mut self,
         key: EndpointConnectionKey,
@@ -55,8 +56,13 @@
             return;
         };
         let endpoint = connection.endpoint.clone();
-        let deadline = context.io.now + self.settings.connect_timeout;
-        set_deadline(key, deadline, context.io);
+        if exchange.progress == RequestProgress::PartlyWritten {
+            // The endpoint waits for the rest of the request, which must not be executed any more.
+            self.close(key, context.io);
+        } else {
+            let deadline = context.io.now + self.settings.connect_timeout;
+            set_deadline(key, deadline, context.io);
+        }
         exchange.finish(endpoint, outcome, context);
     }
 
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -6,7 +6,7 @@
 
 use super::outcomes::RequestProgress;
 use crate::buffers::Chain;
-use crate::postgres::EndpointMessage;
+use crate::postgres::{EndpointMessage, StatementWriter};
 
 /// What an exchange is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +50,8 @@
     /// When the exchange times out.
     pub(super) deadline: Timestamp,
     pub(super) progress: RequestProgress,
+    /// The rest of the request, if it is an attempt that is partly written.
+    pub(super) statement_writer: Option<StatementWriter>,
     pub(super) load: Option<LoadReport>,
     /// The messages of the response received so far. The response is forwarded only when complete.
     pub(super) response: Chain,
@@ -72,6 +74,7 @@
             started_at: now,
             deadline,
             progress: RequestProgress::NotWritten,
+            statement_writer: None,
             load: None,
             response,
             next_part: EndpointMessage::RowDescription,
--- a/crates/proxy/src/upstream/sending.rs
+++ b/crates/proxy/src/upstream/sending.rs
@@ -1,10 +1,12 @@
 //! Starting, writing and cancelling attempts and health checks.
 
+use std::io;
 use std::time::Duration;
 
 use slog::debug;
 use tidescale_policy::types::{AttemptId, AttemptOutcome};
 
+use super::connection::EndpointConnection;
 use super::exchange::{Exchange, ExchangeKind, NewExchange};
 use super::outcomes::{AttemptError, AttemptErrorCause, RequestProgress};
 use super::{Upstream, set_deadline};
@@ -13,7 +15,7 @@
 use crate::context::IoContext;
 use crate::ids::EndpointConnectionKey;
 use crate::log_lines;
-use crate::postgres;
+use crate::postgres::{self, StatementWriter};
 
 /// The shortest time limit that a statement can carry.
 const MIN_STATEMENT_TIMEOUT: Duration = Duration::from_millis(1);
@@ -84,15 +86,17 @@
         context: &IoContext,
         clients: &mut Clients,
     ) {
-        if self.put_request(key, context, clients).is_none() {
+        if self.begin_request(key, context, clients).is_none() {
             return;
         }
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
         let flushed = connection.connection.flush();
-        let is_written = connection.connection.output.is_empty();
+        let flushed = flushed.and_then(|()| write_statement(connection, clients));
+        let is_output_written = connection.connection.output.is_empty();
         if let Some(exchange) = connection.exchange_mut() {
+            let is_written = is_output_written && exchange.statement_writer.is_none();
             // Bytes accepted by the operating system may reach the endpoint.
             if exchange.progress == RequestProgress::PartlyWritten && is_written {
                 exchange.progress = RequestProgress::Written;
@@ -105,9 +109,9 @@
         }
     }
 
-    /// Appends the request of the connection's exchange to the output, if the connection is ready
-    /// for it. Returns `None` if the connection or the request no longer exists.
-    fn put_request(
+    /// Starts to write the request of the connection's exchange, if the connection is ready for it.
+    /// Returns `None` if the connection or the request no longer exists.
+    fn begin_request(
         &mut self,
         key: EndpointConnectionKey,
         context: &IoContext,
@@ -118,19 +122,22 @@
         let Some(exchange) = connection.exchange_to_write() else {
             return Some(());
         };
-        let kind = exchange.kind;
-        let time_limit = (exchange.deadline - context.now).max(MIN_STATEMENT_TIMEOUT);
-        let output = &mut connection.connection.output;
-        match kind {
+        match exchange.kind {
             ExchangeKind::Attempt(id) => {
                 let pending = clients.request(id.request)?;
-                let statement = &pending.statement;
-                postgres::put_statement(output, statement, &pending.time_limit_range, time_limit);
+                let time_limit = (exchange.deadline - context.now).max(MIN_STATEMENT_TIMEOUT);
+                exchange.statement_writer = Some(StatementWriter::new(
+                    &pending.statement,
+                    pending.time_limit_range.clone(),
+                    time_limit,
+                ));
+                exchange.progress = RequestProgress::PartlyWritten;
+            }
+            ExchangeKind::HealthCheck => {
+                exchange.progress = RequestProgress::PartlyWritten;
+                let output = &mut connection.connection.output;
+                postgres::put_query(output, health_check.text());
             }
-            ExchangeKind::HealthCheck => postgres::put_query(output, health_check.text()),
-        }
-        if let Some(exchange) = connection.exchange_mut() {
-            exchange.progress = RequestProgress::PartlyWritten;
         }
         Some(())
     }
@@ -165,6 +172,36 @@
     }
 }
 
+/// Writes as much of a statement as the endpoint accepts, if one is partly written and all earlier
+/// output is written.
+fn write_statement(connection: &mut EndpointConnection, clients: &mut Clients) -> io::Result<()> {
+    if !connection.connection.output.is_empty() {
+        return Ok(());
+    }
+    let Some(exchange) = connection.exchange_mut() else {
+        return Ok(());
+    };
+    let ExchangeKind::Attempt(id) = exchange.kind else {
+        return Ok(());
+    };
+    let Some(pending) = clients.request(id.request) else {
+        return Ok(());
+    };
+    let Some(mut writer) = exchange.statement_writer.take() else {
+        return Ok(());
+    };
+    let statement = &pending.statement;
+    let written = connection
+        .connection
+        .write_directly(|socket| writer.write_to(statement, socket));
+    if !writer.is_finished()
+        && let Some(exchange) = connection.exchange_mut()
+    {
+        exchange.statement_writer = Some(writer);
+    }
+    written
+}
+
 fn is_repeatable(kind: ExchangeKind, clients: &mut Clients) -> bool {
     match kind {
         ExchangeKind::Attempt(id) => clients
--- a/crates/proxy/tests/overload/main.rs
+++ b/crates/proxy/tests/overload/main.rs
@@ -12,6 +12,7 @@
 mod flood;
 mod large_statements;
 mod message_floods;
+mod slow_peers;
 mod steady_clients;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- /dev/null
+++ b/crates/proxy/tests/overload/slow_peers.rs
@@ -0,0 +1,93 @@
+//! Endpoints that do not read large requests: the memory of the process.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::common::*;
+use crate::flood::{FloodingClients, QueryTemplate, TEMPLATE_ID};
+use crate::run_alone;
+
+const MEMORY_LIMIT_MB: usize = 32;
+const DESCRIPTOR_LIMIT: usize = 1024;
+const CLIENTS: usize = DESCRIPTOR_LIMIT / 3;
+/// The segment size and the receive buffer of a peer that does not read. Both are small, so that the
+/// system accepts few bytes from the proxy, as on a slow network: it sizes the send buffer by the
+/// segments.
+const SEGMENT_BYTES: u32 = 536;
+const RECEIVE_BUFFER_BYTES: usize = 4096;
+const DISTURBANCE: Duration = Duration::from_secs(6);
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A socket to which the proxy can write little.
+fn slow_socket() -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    socket.set_tcp_mss(SEGMENT_BYTES).unwrap();
+    socket
+}
+
+/// An endpoint that opens sessions and then never reads.
+fn start_endpoint_that_does_not_read() -> SocketAddr {
+    let socket = slow_socket();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).unwrap();
+    socket.listen(128).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            if read_startup(&mut stream, &mut Vec::new()) {
+                let _ = stream.write_all(&session_accepted());
+            }
+            open.push(stream);
+        }
+    });
+    address
+}
+
+fn config() -> ProxyConfig {
+    ProxyConfig::new()
+        .long_deadline()
+        .memory_mb(MEMORY_LIMIT_MB)
+        .sockets(DESCRIPTOR_LIMIT)
+}
+
+/// Returns the highest private memory of the proxy during the disturbance, in KiB.
+fn highest_memory_kib(proxy: &mut RunningProxy) -> usize {
+    let checks = DISTURBANCE.as_millis() / MEMORY_CHECK_INTERVAL.as_millis();
+    let memory = (0..checks).map(|_| {
+        thread::sleep(MEMORY_CHECK_INTERVAL);
+        assert_eq!(proxy.child.try_wait().unwrap(), None, "the proxy exited");
+        private_memory_kib(proxy.child.id())
+    });
+    let highest = memory.max().unwrap();
+    println!("highest private memory: {highest} KiB");
+    highest
+}
+
+/// Guards against memory without a bound: statements were copied to the output of connections whose
+/// endpoints do not read.
+#[test]
+fn large_writes_to_endpoints_that_do_not_read_stay_within_the_memory_limit() {
+    let _alone = run_alone();
+    let config = (0..16).fold(config(), |config, _| {
+        config.endpoint(start_endpoint_that_does_not_read())
+    });
+    let mut proxy = start_proxy(&config);
+    let write = QueryTemplate::new(&format!(
+        "INSERT INTO facts (code, data) VALUES ('7f3a', '\\x{}') \
+         RETURNING data /* id={TEMPLATE_ID},c=look,d=8000 */",
+        "ab".repeat(65_536)
+    ));
+    let flood = FloodingClients::start(proxy.address, CLIENTS, &write);
+
+    let highest = highest_memory_kib(&mut proxy);
+
+    flood.finish();
+    assert!(highest < MEMORY_LIMIT_MB * 1024, "{highest} KiB");
+}
