--- a/crates/proxy/src/buffers.rs
+++ b/crates/proxy/src/buffers.rs
@@ -2,8 +2,9 @@
 //! length. I/O happens only through the `Read` or `Write` that the caller passes in.
 //!
 //! Reading stops when the pool is exhausted. Writing may exceed the capacity of the pool: a request
-//! that was read must get a response, or its buffers would never be returned. Buffers beyond the
-//! capacity are counted while they are in use, and freed when they are returned.
+//! that was read must get a response, at least a short error, or its buffers would never be
+//! returned. Buffers beyond the capacity are counted while they are in use, and freed when they are
+//! returned. Before a long message, the writer asks [`Pool::has_room_for`].
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -15,7 +16,7 @@
 pub const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Maximum number of buffers written by one system call.
-const MAX_WRITE_SLICES: usize = 16;
+const MAX_WRITE_SLICES: usize = 64;
 
 /// The capacity of a pool divided by this is the size of its reserve.
 const RESERVE_DIVISOR: usize = 4;
@@ -69,6 +70,14 @@
         state.in_use >= state.capacity
     }
 
+    /// Whether a message of this length can be written without exceeding the capacity. A message
+    /// that fits into one buffer may always be written.
+    pub fn has_room_for(&self, bytes: usize) -> bool {
+        let state = self.0.borrow();
+        let needed = bytes.div_ceil(state.buffer_bytes);
+        needed <= 1 || state.in_use + needed <= state.capacity
+    }
+
     /// Whether more than half of the buffers are free.
     pub fn is_mostly_free(&self) -> bool {
         let state = self.0.borrow();
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -88,7 +88,7 @@
             token,
             handle: context.handle.clone(),
             input: Chain::new(pool),
-            output: Chain::new(&context.endpoint_buffers),
+            output: Chain::new(&context.output_buffers),
             // An accepted client may already have sent its first message.
             readable: owner.component == Component::Client,
         })
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -83,9 +83,12 @@
 pub struct IoContext {
     /// The event loop in which sockets are registered.
     pub handle: LoopHandle<'static, ReadyEvents>,
-    /// Buffers for input from endpoints, for the responses to requests, and for the output of all
-    /// connections.
+    /// Buffers for input from endpoints, which includes the responses to requests until they are
+    /// complete.
     pub endpoint_buffers: Pool,
+    /// Buffers for the output of all connections. The pool is separate so that clients that do not
+    /// read their responses cannot use up the buffers needed to read from endpoints.
+    pub output_buffers: Pool,
     /// Buffers for input from clients and for nothing else. The pool is separate so that clients
     /// cannot use up the buffers needed to read the responses of endpoints.
     pub client_buffers: Pool,
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -108,6 +108,7 @@
         let context = IoContext {
             handle: event_loop.handle(),
             endpoint_buffers: buffers.endpoints,
+            output_buffers: buffers.output,
             client_buffers: buffers.clients,
             statement_buffers: buffers.statements,
             control_buffers: buffers.control,
--- a/crates/proxy/src/log_lines.rs
+++ b/crates/proxy/src/log_lines.rs
@@ -205,6 +205,12 @@
     info!(log, "statement buffers exhausted"; "statement_bytes" => statement_bytes);
 }
 
+/// Logs that clients do not read their responses and the buffers for them are exhausted. A request
+/// whose response is `response_bytes` long has failed.
+pub fn output_buffers_exhausted(log: &Logger, response_bytes: usize) {
+    info!(log, "output buffers exhausted"; "response_bytes" => response_bytes);
+}
+
 /// Logs that a client sent a statement that the proxy does not support. It is sent an error.
 pub fn statement_rejected(log: &Logger, error: &dyn Display) {
     info!(log, "statement rejected"; "error" => %error);
--- a/crates/proxy/src/resource_budget.rs
+++ b/crates/proxy/src/resource_budget.rs
@@ -18,8 +18,12 @@
 /// The descriptor limit divided by this is the maximum number of idle clients. An eighth of all
 /// descriptors is less than half of the third that clients use for requests.
 const IDLE_CLIENT_DIVISOR: usize = 8;
-/// Buffers for input and output may use the memory limit of the process divided by this.
+/// Buffers for input may use the memory limit of the process divided by this.
 const BUFFER_MEMORY_DIVISOR: usize = 3;
+/// Buffers for output may use the memory limit of the process divided by this.
+const OUTPUT_MEMORY_DIVISOR: usize = 8;
+/// Size in bytes of a buffer for output. Many connections may each have a short message to write.
+const OUTPUT_BUFFER_BYTES: usize = 4 * 1024;
 /// Number of buffers for input from discovery and the platform. They are taken from the half of all
 /// buffers that is not for clients; endpoints get the rest of that half.
 const CONTROL_BUFFERS: usize = 64;
@@ -58,8 +62,10 @@
 
 /// The buffer pools among which the memory for buffers is divided.
 pub struct BufferBudget {
-    /// For input from endpoints, for their responses, and for all output.
+    /// For input from endpoints.
     pub endpoints: Pool,
+    /// For the output of all connections.
+    pub output: Pool,
     /// For input from clients.
     pub clients: Pool,
     /// For input from discovery and the platform.
@@ -76,9 +82,11 @@
         let memory_bytes = memory_mib.saturating_mul(MEBIBYTE);
         let buffers = memory_bytes / BUFFER_MEMORY_DIVISOR / buffers::BUFFER_BYTES;
         let for_clients = buffers / 2;
+        let for_output = memory_bytes / OUTPUT_MEMORY_DIVISOR / OUTPUT_BUFFER_BYTES;
         let for_endpoints = buffers.saturating_sub(for_clients + CONTROL_BUFFERS);
         BufferBudget {
             endpoints: Pool::new(for_endpoints.max(1)),
+            output: Pool::with_buffer_bytes(for_output, OUTPUT_BUFFER_BYTES),
             clients: Pool::new(for_clients.max(1)),
             control: Pool::new(CONTROL_BUFFERS),
             statements: StatementBuffers::new(memory_bytes / STATEMENT_MEMORY_DIVISOR, max_clients),
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -148,7 +148,7 @@
     /// Whether there is work to do without waiting for an event.
     pub fn has_pending_work(&self, context: &IoContext) -> bool {
         !self.ended.is_empty()
-            || !self.scheduled.is_empty() && !context.endpoint_buffers.is_exhausted()
+            || !self.scheduled.is_empty() && context.endpoint_buffers.has_more_than_reserve()
     }
 
     /// Applies the listing of an endpoint. If its process has changed or it gets no new attempts,
--- a/crates/proxy/src/upstream/ending.rs
+++ b/crates/proxy/src/upstream/ending.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tidescale_policy::Balancer;
-use tidescale_policy::types::{AttemptOutcome, AttemptResult};
+use tidescale_policy::types::{AttemptOutcome, AttemptResult, RequestId};
 
 use super::connection::EndpointConnection;
 use super::exchange::{EndedExchange, Exchange, ExchangeKind};
@@ -136,11 +136,7 @@
     ) {
         if let ExchangeKind::Attempt(id) = self.kind {
             match outcome {
-                AttemptOutcome::Succeeded => {
-                    context
-                        .clients
-                        .complete_request(id.request, &mut self.response);
-                }
+                AttemptOutcome::Succeeded => self.forward_response(id.request, context),
                 AttemptOutcome::InvalidRequest => {
                     context.clients.reject_invalid_request(id.request);
                 }
@@ -156,6 +152,17 @@
         };
         ended.notify(context.clients, context.policy);
     }
+
+    /// Forwards the response to the client. If clients have read so little that there is no memory
+    /// for a long response, the request fails instead.
+    fn forward_response(&mut self, request: RequestId, context: &mut ExchangeContext<'_>) {
+        let response = &mut self.response;
+        if context.io.output_buffers.has_room_for(response.len()) {
+            return context.clients.complete_request(request, response);
+        }
+        log_lines::output_buffers_exhausted(&context.io.log, response.len());
+        context.clients.fail_request(request);
+    }
 }
 
 impl EndedExchange {
--- a/crates/proxy/src/upstream/receiving.rs
+++ b/crates/proxy/src/upstream/receiving.rs
@@ -9,7 +9,8 @@
 use super::exchange::ExchangeKind;
 use super::outcomes::{AttemptErrorCause, ResponseError, is_known_sqlstate, outcome_of_sqlstate};
 use super::{ExchangeContext, Upstream, set_deadline};
-use crate::buffers::FillStatus;
+use crate::buffers::{BUFFER_BYTES, FillStatus, Pool};
+use crate::connection::Connection;
 use crate::context::IoContext;
 use crate::ids::EndpointConnectionKey;
 use crate::load_report;
@@ -21,6 +22,8 @@
 /// have been handled. The longest message has to fit, with its header; 4 KiB leave room for that
 /// and for short messages.
 const READ_AHEAD_BYTES: usize = MAX_DATA_ROW_BODY_BYTES + 4096;
+/// Number of bytes after which a read looks at the free buffers again.
+const READ_STEP_BYTES: usize = 4 * BUFFER_BYTES;
 /// The name of the parameter in which endpoints report their load.
 const LOAD_PARAMETER: &str = "vitals";
 
@@ -39,7 +42,7 @@
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
-        let read = connection.connection.read(READ_AHEAD_BYTES);
+        let read = read(&mut connection.connection, &context.io.endpoint_buffers);
         if matches!(read, Ok(FillStatus::PoolExhausted)) {
             self.scheduled.push(key);
         }
@@ -190,6 +193,24 @@
     }
 }
 
+/// Reads from an endpoint. Once only the reserve of the pool is free, a connection may hold a single
+/// buffer, so that long responses which are received slowly do not keep short ones from being read.
+fn read(connection: &mut Connection, pool: &Pool) -> io::Result<FillStatus> {
+    loop {
+        let may_grow = pool.has_more_than_reserve();
+        let wanted_bytes = if may_grow {
+            (connection.input.len() + READ_STEP_BYTES).min(READ_AHEAD_BYTES)
+        } else {
+            BUFFER_BYTES
+        };
+        let status = connection.read(wanted_bytes)?;
+        let may_read_on = may_grow && wanted_bytes < READ_AHEAD_BYTES;
+        if status != FillStatus::Filled || !may_read_on {
+            return Ok(status);
+        }
+    }
+}
+
 /// Records a load report; ignores other parameters. A load report that cannot be parsed does not
 /// invalidate the response.
 fn record_parameter(connection: &mut EndpointConnection, body: &[u8], context: &IoContext) {
--- a/crates/proxy/tests/overload/slow_peers.rs
+++ b/crates/proxy/tests/overload/slow_peers.rs
@@ -1,19 +1,22 @@
-//! Endpoints that do not read large requests: the memory of the process.
+//! Endpoints that do not read large requests, and clients that do not read large responses: the
+//! memory of the process, and the requests of other clients.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use crate::common::*;
 use crate::flood::{FloodingClients, QueryTemplate, TEMPLATE_ID};
 use crate::run_alone;
+use crate::steady_clients::{SteadyClients, assert_served_in_time, print_summary, small_query};
 
 const MEMORY_LIMIT_MB: usize = 32;
 const DESCRIPTOR_LIMIT: usize = 1024;
 const CLIENTS: usize = DESCRIPTOR_LIMIT / 3;
+const FIRST_STEADY_ID: u32 = 1 << 24;
 /// The segment size and the receive buffer of a peer that does not read. Both are small, so that the
 /// system accepts few bytes from the proxy, as on a slow network: it sizes the send buffer by the
 /// segments.
@@ -91,3 +94,40 @@
     flood.finish();
     assert!(highest < MEMORY_LIMIT_MB * 1024, "{highest} KiB");
 }
+
+/// Guards against responses that clients do not read: they used up the buffers that the responses
+/// of endpoints need.
+#[test]
+fn large_responses_that_clients_do_not_read_do_not_keep_others_from_being_served() {
+    let _alone = run_alone();
+    let value = vec![7; 900_000];
+    let endpoint = TestEndpoint::start_for_queries(move |_, text| {
+        if text.contains("code = 'b16'") {
+            EndpointAction::Row(value.clone())
+        } else {
+            EndpointAction::row()
+        }
+    });
+    let mut proxy = start_proxy(&config().endpoint(endpoint.address));
+    let steady = SteadyClients::start(proxy.address, FIRST_STEADY_ID, small_query);
+    let unread: Vec<TcpStream> = (0..CLIENTS)
+        .map(|id| {
+            let socket = slow_socket();
+            socket.connect(&proxy.address.into()).unwrap();
+            let mut stream = TcpStream::from(socket);
+            let request = statement(&format!(
+                "SELECT data FROM facts WHERE code = 'b16' /* id={id:x},c=look,d=8000 */"
+            ));
+            stream.write_all(&[startup(), request].concat()).unwrap();
+            stream
+        })
+        .collect();
+
+    let highest = highest_memory_kib(&mut proxy);
+
+    let responses = steady.finish();
+    print_summary(&responses);
+    assert!(SockRef::from(&unread[0]).recv_buffer_size().is_ok());
+    assert!(highest < MEMORY_LIMIT_MB * 1024, "{highest} KiB");
+    assert_served_in_time(&responses);
+}
