--- a/crates/proxy/src/clients/connection.rs
+++ b/crates/proxy/src/clients/connection.rs
@@ -10,7 +10,7 @@
 use super::stages::Stage;
 use crate::buffers::{BUFFER_BYTES, Pool};
 use crate::connection::{Connection, Discarded};
-use crate::postgres::{self, ClientMessage, Severity, complete_frame, frame_header};
+use crate::postgres::{self, ClientMessage, ErrorFields, Severity, complete_frame, frame_header};
 
 /// Number of buffered input bytes at which reading pauses if the next message cannot be handled
 /// yet, for example while a request is pending. Also the number of unwritten output bytes at which
@@ -160,7 +160,13 @@
     /// read the error.
     pub(super) fn close_with_error(&mut self, code: &str, reason: &str) {
         let Connection { input, output, .. } = &mut self.connection;
-        postgres::put_error(output, Severity::Fatal, code, reason, "");
+        let error = ErrorFields {
+            severity: Severity::Fatal,
+            code,
+            message: reason,
+            detail: "",
+        };
+        postgres::put_error(output, error);
         input.skip(input.len());
         self.state = ClientState::Closing { discarded_bytes: 0 };
     }
--- a/crates/proxy/src/clients/messages.rs
+++ b/crates/proxy/src/clients/messages.rs
@@ -6,11 +6,10 @@
 use tidescale_policy::types::Timestamp;
 
 use super::connection::{ClientConnection, ClientState};
-use super::responses::put_retryable_rejection;
+use super::responses::{error_without_detail, put_retryable_rejection};
 use crate::postgres::framing::{MESSAGE_HEADER_BYTES, STARTUP_HEADER_BYTES};
 use crate::postgres::{
-    self, ClientMessage, ProtocolError, Severity, StartupKind, complete_frame, sqlstate,
-    startup_frame,
+    self, ClientMessage, ProtocolError, StartupKind, complete_frame, sqlstate, startup_frame,
 };
 
 /// The result of handling the next message.
@@ -135,8 +134,7 @@
     /// Responds with the reason why the statement is rejected. The connection stays open.
     pub(super) fn reject_statement(&mut self, reason: &str) {
         let output = &mut self.connection.output;
-        let code = sqlstate::SYNTAX_ERROR;
-        postgres::put_error(output, Severity::Error, code, reason, "");
+        postgres::put_error(output, error_without_detail(sqlstate::SYNTAX_ERROR, reason));
         postgres::put_ready_for_query(output);
     }
 
@@ -149,8 +147,7 @@
     }
 
     fn put_unsupported_error(&mut self, reason: &str) {
-        let code = sqlstate::FEATURE_NOT_SUPPORTED;
-        let output = &mut self.connection.output;
-        postgres::put_error(output, Severity::Error, code, reason, "");
+        let error = error_without_detail(sqlstate::FEATURE_NOT_SUPPORTED, reason);
+        postgres::put_error(&mut self.connection.output, error);
     }
 }
--- a/crates/proxy/src/clients/read_schedule.rs
+++ b/crates/proxy/src/clients/read_schedule.rs
@@ -41,7 +41,7 @@
         self.waiting_for_buffers.contains(&key)
     }
 
-    /// Whether a connection can be read at once, given whether buffers are free.
+    /// Whether a connection can be read now, given whether buffers are free.
     pub fn has_work(&self, buffers_are_free: bool) -> bool {
         let has_waiting = !self.waiting_for_buffers.is_empty() && buffers_are_free;
         has_waiting || !self.postponed.is_empty() || !self.scheduled.is_empty()
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -7,7 +7,7 @@
 use super::Clients;
 use super::connection::ClientState;
 use crate::buffers::Chain;
-use crate::postgres::{self, Severity, sqlstate};
+use crate::postgres::{self, ErrorFields, Severity, sqlstate};
 
 /// The unit, one millisecond, of the retry delay that is sent to clients; a shorter delay is not
 /// sent.
@@ -22,8 +22,11 @@
     /// Responds that an endpoint has rejected the request as invalid.
     pub fn reject_invalid_request(&mut self, id: RequestId) {
         self.respond(id, |output| {
-            let (code, message) = (sqlstate::SYNTAX_ERROR, "a machine turned it down");
-            postgres::put_error(output, Severity::Error, code, message, "");
+            let message = "a machine turned it down";
+            postgres::put_error(
+                output,
+                error_without_detail(sqlstate::SYNTAX_ERROR, message),
+            );
         });
     }
 
@@ -36,8 +39,8 @@
     /// Responds that the request has failed and may have been executed.
     pub fn fail_request(&mut self, id: RequestId) {
         self.respond(id, |output| {
-            let (code, message) = (sqlstate::SYSTEM_ERROR, "not completed");
-            postgres::put_error(output, Severity::Error, code, message, "");
+            let error = error_without_detail(sqlstate::SYSTEM_ERROR, "not completed");
+            postgres::put_error(output, error);
         });
     }
 
@@ -66,6 +69,19 @@
     } else {
         String::new()
     };
-    let code = sqlstate::TOO_MANY_CONNECTIONS;
-    postgres::put_error(output, Severity::Error, code, "try again", &detail);
+    let error = ErrorFields {
+        detail: &detail,
+        ..error_without_detail(sqlstate::TOO_MANY_CONNECTIONS, "try again")
+    };
+    postgres::put_error(output, error);
+}
+
+/// Returns an error after which the connection stays open.
+pub(super) fn error_without_detail<'a>(code: &'a str, message: &'a str) -> ErrorFields<'a> {
+    ErrorFields {
+        severity: Severity::Error,
+        code,
+        message,
+        detail: "",
+    }
 }
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -101,10 +101,7 @@
         })?;
         let clock = Clock::start();
         let now = clock.now();
-        // A limit that leaves no descriptors is rejected by `Proxy::new`.
-        let max_clients = ConnectionBudget::split(config.descriptor_limit)
-            .map_or(0, |connections| connections.clients);
-        let buffers = BufferBudget::split(config.memory_mib, max_clients);
+        let buffers = buffer_budget(config);
         let context = IoContext {
             handle: event_loop.handle(),
             endpoint_buffers: buffers.endpoints,
@@ -265,6 +262,14 @@
     }
 }
 
+/// Divides the configured memory. A descriptor limit that leaves no descriptors for clients is
+/// rejected by [`Proxy::new`].
+fn buffer_budget(config: &Config) -> BufferBudget {
+    let connections = ConnectionBudget::split(config.descriptor_limit);
+    let max_clients = connections.map_or(0, |connections| connections.clients);
+    BufferBudget::split(config.memory_mib, max_clients)
+}
+
 /// Makes the event loop record SIGTERM and SIGHUP.
 fn receive_signals(event_loop: &EventLoop<'static, ReadyEvents>) -> Result<(), EventLoopError> {
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP])
--- a/crates/proxy/src/postgres.rs
+++ b/crates/proxy/src/postgres.rs
@@ -22,8 +22,8 @@
 use thiserror::Error;
 
 pub use encoding::{
-    Severity, put_empty_query_response, put_error, put_query, put_ready_for_query, put_startup,
-    put_startup_response,
+    ErrorFields, Severity, put_empty_query_response, put_error, put_query, put_ready_for_query,
+    put_startup, put_startup_response,
 };
 pub use framing::{
     ClientMessage, EndpointMessage, Frame, StartupKind, complete_frame, frame_header, startup_frame,
--- a/crates/proxy/src/postgres/encoding.rs
+++ b/crates/proxy/src/postgres/encoding.rs
@@ -87,14 +87,28 @@
     put_message(out, b'I', &[]);
 }
 
-/// Writes an ErrorResponse; an empty `detail` is omitted.
-pub fn put_error(out: &mut Chain, severity: Severity, code: &str, message: &str, detail: &str) {
+/// The fields of an error response to a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ErrorFields<'a> {
+    /// Whether the connection closes after the error.
+    pub severity: Severity,
+    /// The SQLSTATE.
+    pub code: &'a str,
+    /// The message.
+    pub message: &'a str,
+    /// More about the error; empty if there is nothing more.
+    pub detail: &'a str,
+}
+
+/// Writes an ErrorResponse. Empty fields are omitted.
+pub fn put_error(out: &mut Chain, error: ErrorFields<'_>) {
+    let severity = error.severity.as_str();
     let fields = [
-        (b'S', severity.as_str()),
-        (b'V', severity.as_str()),
-        (b'C', code),
-        (b'M', message),
-        (b'D', detail),
+        (b'S', severity),
+        (b'V', severity),
+        (b'C', error.code),
+        (b'M', error.message),
+        (b'D', error.detail),
     ];
     let mut body = Vec::new();
     for (field, value) in fields {
--- a/crates/proxy/tests/overload/main.rs
+++ b/crates/proxy/tests/overload/main.rs
@@ -1,5 +1,5 @@
-//! The proxy while many clients, or clients that send without pause, overload it. These tests use a
-//! large part of the machine, so they run one at a time and apart from the loopback tests.
+//! The proxy while many clients, or clients that send without pause, overload it. These tests need
+//! much processor time, so they run one at a time and apart from the loopback tests.
 
 #[allow(
     dead_code,
@@ -11,6 +11,7 @@
 
 mod flood;
 mod large_statements;
+mod memory;
 mod message_floods;
 mod slow_peers;
 mod steady_clients;
--- a/crates/proxy/tests/tables/main.rs
+++ b/crates/proxy/tests/tables/main.rs
@@ -1,5 +1,8 @@
 //! The proxy's in-memory data structures, tested without sockets.
 
+#[path = "../common/limited_writer.rs"]
+mod limited_writer;
+
 mod arrivals;
 mod attempt_errors;
 mod buffers;
--- a/crates/proxy/tests/tables/statement_buffers.rs
+++ b/crates/proxy/tests/tables/statement_buffers.rs
@@ -38,7 +38,7 @@
 }
 
 /// All pools together leave the rest of the memory limit to everything that is not in a pool, and
-/// each client can have a small request whatever the size of the others.
+/// each client can have a small request beside large ones.
 #[test]
 fn pools_use_less_than_the_memory_limit_and_every_client_has_room_for_a_statement() {
     for memory_mib in [32, 64, 128, 192] {
