--- a/crates/proxy/src/buffers.rs
+++ b/crates/proxy/src/buffers.rs
@@ -12,7 +12,7 @@
 use std::ops::Range;
 use std::rc::Rc;
 
-/// Size in bytes of a buffer for input and output.
+/// Size in bytes of a buffer for input.
 pub const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Maximum number of buffers written by one system call.
