--- a/crates/proxy/tests/overload/main.rs
+++ b/crates/proxy/tests/overload/main.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod message_floods;
 mod slow_peers;
+mod slow_writers;
 mod steady_clients;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
